--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators' command line.
+fn main() {}
--- /dev/null
+++ b/core/benches/decisions.rs
@@ -0,0 +1,2 @@
+//! Costs of the decisions.
+fn main() {}
--- /dev/null
+++ b/daemon/src/bin/yuccaliftd.rs
@@ -0,0 +1,2 @@
+//! The daemon on every entry host.
+fn main() {}
