--- /dev/null
+++ b/core/src/engine/admission.rs
@@ -0,0 +1,263 @@
+//! In which order waiting queries of a collection begin: [`AdmissionQueue`].
+//!
+//! Classes are served by urgency, but each lower class earns a small share of the starts, so that
+//! it never starves. Within a class the accounts take turns by weight, and within an account the
+//! earliest deadline goes first. See `docs/DESIGN.md`, "Admission".
+
+use std::time::{Duration, Instant};
+
+use crate::engine::plan::CLASSES;
+use crate::engine::slots::Slot;
+use crate::engine::timers::QueryRef;
+
+/// The share of the starts of more urgent classes that a class earns while it waits.
+const EARNED_SHARES: [f64; CLASSES] = [0.0, 0.10, 0.05];
+/// The most starts that a class may have earned.
+const MOST_CREDITS: f64 = 2.0;
+/// The weight of a new interval in the average between starts.
+const PACE_WEIGHT: f64 = 0.1;
+/// Intervals without which no wait is estimated.
+const PACE_SAMPLES: u32 = 16;
+/// How old the last start may be for an estimate to be made.
+const PACE_LIFE: Duration = Duration::from_secs(1);
+
+/// A query that waits, and what it is ranked by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WaitingQuery {
+    /// Its deadline, or its arrival where the order is first in first out.
+    pub(crate) rank: Instant,
+    /// The query.
+    pub(crate) query: QueryRef,
+}
+
+/// Whose turn a query takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct FlowKey {
+    /// The class: 0 is served first.
+    pub(crate) class: u8,
+    /// The account.
+    pub(crate) account: Slot,
+}
+
+/// The waiting queries of one account in one class.
+#[derive(Debug)]
+struct AccountFlow {
+    key: FlowKey,
+    weight: f64,
+    virtual_time: f64,
+    waiting: Vec<WaitingQuery>,
+}
+
+/// How fast queries begin while others wait.
+#[derive(Debug, Default)]
+struct StartPace {
+    last: Option<Instant>,
+    interval_seconds: f64,
+    samples: u32,
+}
+
+/// The waiting queries of one collection.
+#[derive(Debug, Default)]
+pub(crate) struct AdmissionQueue {
+    flows: Vec<AccountFlow>,
+    waiting: [u32; CLASSES],
+    credits: [f64; CLASSES],
+    clocks: [f64; CLASSES],
+    pace: StartPace,
+}
+
+impl AdmissionQueue {
+    /// How many wait in each class.
+    pub(crate) fn waiting(&self) -> [u32; CLASSES] {
+        self.waiting
+    }
+
+    /// Whether nothing waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.iter().all(|count| *count == 0)
+    }
+
+    /// Adds a query.
+    pub(crate) fn push(&mut self, key: FlowKey, weight: u32, entry: WaitingQuery) {
+        let class = usize::from(key.class);
+        let clock = self.clocks[class];
+        let place = self.flow_place(key);
+        let flow = &mut self.flows[place];
+        flow.weight = f64::from(weight.max(1));
+        if flow.waiting.is_empty() {
+            // An account that was away gets no credit for it, and one that came often owes.
+            flow.virtual_time = flow.virtual_time.max(clock);
+        }
+        let place = flow
+            .waiting
+            .binary_search(&entry)
+            .unwrap_or_else(|place| place);
+        flow.waiting.insert(place, entry);
+        self.waiting[class] += 1;
+    }
+
+    /// Takes a query away without starting it; false if it did not wait.
+    pub(crate) fn remove(&mut self, key: FlowKey, entry: WaitingQuery) -> bool {
+        let Ok(place) = self.find_flow(key) else {
+            return false;
+        };
+        let flow = &mut self.flows[place];
+        let Ok(place) = flow.waiting.binary_search(&entry) else {
+            return false;
+        };
+        flow.waiting.remove(place);
+        self.waiting[usize::from(key.class)] -= 1;
+        if self.is_empty() {
+            self.pace.last = None;
+        }
+        true
+    }
+
+    /// The query that begins next among those that can, which `can_start` tells.
+    pub(crate) fn next(
+        &self,
+        can_start: impl Fn(FlowKey, QueryRef) -> bool,
+    ) -> Option<(FlowKey, WaitingQuery)> {
+        for class in self.class_order() {
+            if self.waiting[class] == 0 {
+                continue;
+            }
+            let next = self.next_of_class(class, &can_start);
+            if next.is_some() {
+                return next;
+            }
+        }
+        None
+    }
+
+    /// Takes a query out to begin now; `cost` is its part of the collection's shards.
+    pub(crate) fn start(&mut self, now: Instant, key: FlowKey, entry: WaitingQuery, cost: f64) {
+        let class = usize::from(key.class);
+        self.pace.note(now);
+        if !self.remove(key, entry) {
+            return;
+        }
+        self.earn_credits(class, cost);
+        if let Ok(place) = self.find_flow(key) {
+            let flow = &mut self.flows[place];
+            self.clocks[class] = self.clocks[class].max(flow.virtual_time);
+            flow.virtual_time += cost / flow.weight;
+        }
+    }
+
+    /// How long a waiting query of a flow will probably wait, if that can be told.
+    pub(crate) fn estimate_wait(
+        &self,
+        now: Instant,
+        key: FlowKey,
+        entry: WaitingQuery,
+    ) -> Option<Duration> {
+        let interval = self.pace.interval(now)?;
+        let flow = &self.flows[self.find_flow(key).ok()?];
+        let own = flow.waiting.binary_search(&entry).ok()? as f64;
+        let class = usize::from(key.class);
+        let sharers: f64 = self
+            .flows
+            .iter()
+            .filter(|other| other.key.class == key.class && !other.waiting.is_empty())
+            .map(|other| other.weight)
+            .sum();
+        let turns = (own * sharers / flow.weight).min(f64::from(self.waiting[class]));
+        let urgent: u32 = self.waiting[..class].iter().sum();
+        Some(interval.mul_f64(turns + f64::from(urgent)))
+    }
+
+    /// All waiting queries.
+    pub(crate) fn queries(&self) -> impl Iterator<Item = QueryRef> {
+        self.flows
+            .iter()
+            .flat_map(|flow| flow.waiting.iter().map(|entry| entry.query))
+    }
+
+    fn class_order(&self) -> [usize; CLASSES] {
+        // A class that has earned a start goes before the more urgent ones, once.
+        let earned = (1..CLASSES)
+            .rev()
+            .find(|class| self.credits[*class] >= 1.0 && self.waiting[*class] > 0);
+        match earned {
+            Some(2) => [2, 0, 1],
+            Some(1) => [1, 0, 2],
+            _ => [0, 1, 2],
+        }
+    }
+
+    fn next_of_class(
+        &self,
+        class: usize,
+        can_start: &impl Fn(FlowKey, QueryRef) -> bool,
+    ) -> Option<(FlowKey, WaitingQuery)> {
+        let mut best: Option<(&AccountFlow, WaitingQuery)> = None;
+        for flow in &self.flows {
+            if usize::from(flow.key.class) != class {
+                continue;
+            }
+            let Some(head) = flow.waiting.first() else {
+                continue;
+            };
+            let sooner = best.is_none_or(|(other, _)| flow.virtual_time < other.virtual_time);
+            if sooner && can_start(flow.key, head.query) {
+                best = Some((flow, *head));
+            }
+        }
+        best.map(|(flow, head)| (flow.key, head))
+    }
+
+    fn earn_credits(&mut self, class: usize, cost: f64) {
+        self.credits[class] = (self.credits[class] - cost).max(0.0);
+        for (lower, share) in EARNED_SHARES.iter().enumerate().skip(class + 1) {
+            if self.waiting[lower] > 0 {
+                let earned = self.credits[lower] + cost * share;
+                self.credits[lower] = earned.min(MOST_CREDITS);
+            }
+        }
+    }
+
+    fn find_flow(&self, key: FlowKey) -> Result<usize, usize> {
+        self.flows.binary_search_by_key(&key, |flow| flow.key)
+    }
+
+    fn flow_place(&mut self, key: FlowKey) -> usize {
+        if let Ok(place) = self.find_flow(key) {
+            return place;
+        }
+        let clocks = self.clocks;
+        self.flows.retain(|flow| {
+            let settled = flow.virtual_time <= clocks[usize::from(flow.key.class)];
+            !(flow.waiting.is_empty() && settled)
+        });
+        let place = self.find_flow(key).unwrap_or_else(|place| place);
+        self.flows.insert(
+            place,
+            AccountFlow {
+                key,
+                weight: 1.0,
+                virtual_time: 0.0,
+                waiting: Vec::new(),
+            },
+        );
+        place
+    }
+}
+
+impl StartPace {
+    fn note(&mut self, now: Instant) {
+        if let Some(last) = self.last.replace(now) {
+            let seconds = now.saturating_duration_since(last).as_secs_f64();
+            let weight = if self.samples == 0 { 1.0 } else { PACE_WEIGHT };
+            self.interval_seconds += weight * (seconds - self.interval_seconds);
+            self.samples = self.samples.saturating_add(1);
+        }
+    }
+
+    fn interval(&self, now: Instant) -> Option<Duration> {
+        let last = self.last?;
+        let fresh = now.saturating_duration_since(last) < PACE_LIFE;
+        (fresh && self.samples >= PACE_SAMPLES)
+            .then(|| Duration::from_secs_f64(self.interval_seconds))
+    }
+}
--- /dev/null
+++ b/core/src/engine/choice.rs
@@ -0,0 +1,248 @@
+//! Which of a shard's replicas is asked: [`TargetChoice`].
+//!
+//! The better of two random replicas, by what this daemon has in flight to each and how fast each
+//! has lately answered it; a replica in the daemon's own data centre is preferred as long as it is
+//! no slower. See `docs/DESIGN.md`, "Target choice".
+
+use std::time::Instant;
+
+use crate::coverage::MissingReason;
+use crate::engine::plan::ShardPlan;
+use crate::engine::query::ShardProgress;
+use crate::engine::target::{TargetState, TargetTable};
+use crate::engine::timers::TargetRef;
+use crate::ids::{IndexVersion, TargetId};
+
+/// The latency that a target without samples is taken for, where its collection has none either.
+const UNKNOWN_LATENCY_SECONDS: f64 = 0.001;
+/// How much worse a target in another data centre is taken for.
+const REMOTE_FACTOR: f64 = 1.25;
+/// How much worse a wholly cold target is taken for, beyond its latency.
+const COLD_FACTOR: f64 = 3.0;
+/// How much worse a target is taken for that reports to be fully loaded just now.
+const REPORT_FACTOR: f64 = 0.5;
+/// For how many losses in a row a shard request waits for a lost target.
+const HOPEFUL_LOSSES: u32 = 3;
+
+/// What the choice came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TargetChoice {
+    /// Ask this target.
+    Ask(TargetRef),
+    /// Wait: the targets that could be asked have no free connection, or will be back soon.
+    Wait,
+    /// No target can be asked.
+    Unavailable(MissingReason),
+}
+
+/// What a choice is made from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ChoiceInput<'a> {
+    /// The time.
+    pub(crate) now: Instant,
+    /// When the process last woke from a pause; nothing in flight counts as older.
+    pub(crate) resumed_at: Option<Instant>,
+    /// The plan of the query.
+    pub(crate) plan: &'a ShardPlan,
+    /// All targets.
+    pub(crate) targets: &'a TargetTable,
+    /// The index version that must be answered from.
+    pub(crate) version: IndexVersion,
+    /// The shard.
+    pub(crate) progress: &'a ShardProgress,
+    /// The targets that are being asked already.
+    pub(crate) asked: [Option<TargetId>; 2],
+    /// The usual latency in the collection, in seconds, where it is known.
+    pub(crate) usual_seconds: Option<f64>,
+    /// Whether to take the better of two; the dice then say which, and the one replica otherwise.
+    pub(crate) two_choices: bool,
+}
+
+/// Replicas of one kind: those with a free connection, and whether there are others.
+#[derive(Debug, Default)]
+struct ReplicaTier {
+    free: Vec<TargetRef>,
+    busy: bool,
+}
+
+impl ReplicaTier {
+    fn clear(&mut self) {
+        self.free.clear();
+        self.busy = false;
+    }
+
+    fn add(&mut self, replica: TargetRef, state: &TargetState) {
+        if state.has_room() {
+            self.free.push(replica);
+        } else {
+            self.busy = true;
+        }
+    }
+}
+
+/// Replicas in the order of preference of their kind; kept so that choices allocate nothing.
+#[derive(Debug, Default)]
+pub(crate) struct ChoiceScratch {
+    ready: ReplicaTier,
+    ejected: ReplicaTier,
+    failed: ReplicaTier,
+    lost: bool,
+    unversioned: bool,
+}
+
+impl ChoiceScratch {
+    fn clear(&mut self) {
+        self.ready.clear();
+        self.ejected.clear();
+        self.failed.clear();
+        self.lost = false;
+        self.unversioned = false;
+    }
+}
+
+impl ChoiceInput<'_> {
+    /// Chooses a target by a number that is random, or the next in turn for a round robin.
+    pub(crate) fn choose(&self, scratch: &mut ChoiceScratch, dice: u64) -> TargetChoice {
+        self.sort_replicas(scratch);
+        for tier in [&scratch.ready, &scratch.ejected, &scratch.failed] {
+            if !tier.free.is_empty() {
+                return TargetChoice::Ask(self.pick(&tier.free, dice));
+            }
+            if tier.busy {
+                return TargetChoice::Wait;
+            }
+        }
+        if scratch.lost {
+            return TargetChoice::Wait;
+        }
+        TargetChoice::Unavailable(self.missing_reason(scratch))
+    }
+
+    /// Chooses a target for a hedge: one that is warm, not slow and at most half loaded.
+    pub(crate) fn choose_spare(&self, scratch: &mut ChoiceScratch, dice: u64) -> Option<TargetRef> {
+        self.sort_replicas(scratch);
+        scratch.ready.free.retain(|candidate| {
+            self.targets.get(*candidate).is_some_and(|state| {
+                state.cold_replies == 0 && state.in_flight() * 2 <= state.limit.current()
+            })
+        });
+        (!scratch.ready.free.is_empty()).then(|| self.pick(&scratch.ready.free, dice))
+    }
+
+    fn sort_replicas(&self, scratch: &mut ChoiceScratch) {
+        scratch.clear();
+        for replica in self.plan.replicas(self.progress.position) {
+            let Some(state) = self.targets.get(*replica) else {
+                continue;
+            };
+            if self.asked.contains(&Some(replica.target)) {
+                continue;
+            }
+            self.sort_replica(*replica, state, scratch);
+        }
+    }
+
+    fn sort_replica(&self, replica: TargetRef, state: &TargetState, scratch: &mut ChoiceScratch) {
+        let failed = self
+            .progress
+            .failed
+            .iter()
+            .rev()
+            .find(|entry| entry.target == replica.target);
+        if failed.is_some_and(|entry| !entry.again) {
+            return;
+        }
+        if !state.is_usable() {
+            scratch.lost |= state.is_briefly_lost(HOPEFUL_LOSSES) && state.holds(self.version);
+            return;
+        }
+        if !state.holds(self.version) {
+            scratch.unversioned = true;
+            return;
+        }
+        let tier = if failed.is_some() {
+            &mut scratch.failed
+        } else if state.is_ejected() {
+            &mut scratch.ejected
+        } else {
+            &mut scratch.ready
+        };
+        tier.add(replica, state);
+    }
+
+    fn pick(&self, candidates: &[TargetRef], dice: u64) -> TargetRef {
+        if !self.two_choices {
+            return candidates[(dice % candidates.len() as u64) as usize];
+        }
+        if candidates.len() == 1 {
+            return candidates[0];
+        }
+        let first = scaled(dice as u32, candidates.len());
+        let mut second = scaled((dice >> 32) as u32, candidates.len() - 1);
+        if second >= first {
+            second += 1;
+        }
+        let pair = self.better(candidates[first], candidates[second]);
+        match self.local_candidate(candidates) {
+            Some(local) => self.better(local, pair),
+            None => pair,
+        }
+    }
+
+    fn local_candidate(&self, candidates: &[TargetRef]) -> Option<TargetRef> {
+        candidates.iter().copied().find(|candidate| {
+            self.targets
+                .get(*candidate)
+                .is_some_and(|state| state.local)
+        })
+    }
+
+    fn better(&self, left: TargetRef, right: TargetRef) -> TargetRef {
+        if self.score(right) < self.score(left) {
+            right
+        } else {
+            left
+        }
+    }
+
+    /// The expected time to a reply; less is better.
+    fn score(&self, candidate: TargetRef) -> f64 {
+        let Some(state) = self.targets.get(candidate) else {
+            return f64::INFINITY;
+        };
+        let load = f64::from(state.in_flight() + 1) / f64::from(state.limit.current().max(1));
+        let usual = self.usual_seconds.unwrap_or(UNKNOWN_LATENCY_SECONDS);
+        let seconds = state.latency.careful_seconds().unwrap_or(usual);
+        let seconds = seconds.max(self.oldest_flight_seconds(state));
+        let remote = if state.local { 1.0 } else { REMOTE_FACTOR };
+        let cold = 1.0 + COLD_FACTOR * state.coldness();
+        let hint = 1.0 + REPORT_FACTOR * state.hinted_load(self.now);
+        load * seconds * remote * cold * hint
+    }
+
+    /// How long the oldest attempt in flight has taken: a stuck target shows here first.
+    fn oldest_flight_seconds(&self, state: &TargetState) -> f64 {
+        let Some(oldest) = state.flights.first() else {
+            return 0.0;
+        };
+        let since = self
+            .resumed_at
+            .map_or(oldest.sent_at, |resumed| resumed.max(oldest.sent_at));
+        self.now.saturating_duration_since(since).as_secs_f64()
+    }
+
+    fn missing_reason(&self, scratch: &ChoiceScratch) -> MissingReason {
+        if scratch.unversioned {
+            return MissingReason::WrongVersion;
+        }
+        self.progress
+            .failed
+            .last()
+            .map_or(MissingReason::NoTarget, |entry| entry.reason)
+    }
+}
+
+/// Scales a random number to an index below a bound.
+fn scaled(random: u32, bound: usize) -> usize {
+    ((u64::from(random) * bound as u64) >> 32) as usize
+}
--- /dev/null
+++ b/core/src/engine/finish.rs
@@ -0,0 +1,202 @@
+//! The end of a query: its answer or its refusal, once.
+//!
+//! See `docs/DESIGN.md`, "Coverage" and "Outcomes".
+
+use crate::action::{EngineAction, EngineDecision};
+use crate::coverage::MissingReason;
+use crate::engine::SearchEngine;
+use crate::engine::query::{QueryStage, QueryState, ShardProgress, ShardStage};
+use crate::engine::timers::QueryRef;
+use crate::engine::verifier;
+use crate::ids::QueryId;
+use crate::outcome::{Refusal, RefusalCode};
+use crate::search::RequestKind;
+
+/// The step that refusals of a running query name.
+const SEND_STEP: &str = "send";
+
+impl SearchEngine {
+    /// Answers a query that has no open shard; a restarted one has open shards again.
+    pub(super) fn finish_query(&mut self, query: QueryRef, actions: &mut Vec<EngineAction>) {
+        let Some(state) = self.queries.get(query) else {
+            return;
+        };
+        let QueryStage::Running { plan } = state.stage else {
+            return;
+        };
+        if state.open > 0 {
+            return;
+        }
+        let Some(state) = self.queries.remove(query) else {
+            return;
+        };
+        self.release_plan(plan);
+        self.release_account(state.account);
+        log_missing(&state, actions);
+        actions.push(closing_action(state));
+    }
+
+    /// Forgets a query whose caller has gone. A non-idempotent request goes on, since its outcome
+    /// may still be asked for.
+    pub(super) fn drop_caller(&mut self, query: QueryId, actions: &mut Vec<EngineAction>) {
+        let Some(query) = self.queries.find(query) else {
+            return;
+        };
+        let Some(state) = self.queries.get(query) else {
+            return;
+        };
+        if state.kind != RequestKind::Search {
+            return;
+        }
+        match state.stage {
+            QueryStage::Waiting => self.forget_waiting(query),
+            QueryStage::Running { .. } => {
+                self.drop_progress(query, actions);
+                if let Some(state) = self.queries.remove(query) {
+                    self.release_account(state.account);
+                }
+            }
+        }
+    }
+
+    /// Ends a query at its deadline, with what it has.
+    pub(super) fn end_deadline(&mut self, query: QueryRef, actions: &mut Vec<EngineAction>) {
+        let Some(state) = self.queries.get(query) else {
+            return;
+        };
+        if state.stage == QueryStage::Waiting {
+            let refusal = Refusal::not_run(
+                RefusalCode::DeadlineExceeded,
+                "queue",
+                "the deadline passed while the request waited",
+            );
+            self.end_waiting(query, refusal, actions);
+            return;
+        }
+        for place in 0..state.shards.len() as u32 {
+            self.close_shard(query, place, MissingReason::Deadline, actions);
+        }
+    }
+
+    /// Gives up an open shard, whatever it waits for.
+    pub(super) fn close_shard(
+        &mut self,
+        query: QueryRef,
+        place: u32,
+        reason: MissingReason,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let open = self
+            .queries
+            .get(query)
+            .and_then(|state| state.shards.get(place as usize))
+            .is_some_and(ShardProgress::is_open);
+        if !open {
+            return;
+        }
+        self.unpark(query, place);
+        self.cancel_shard(query, place, actions);
+        self.give_up(query, place, reason);
+    }
+
+    fn release_account(&mut self, account: crate::engine::slots::Slot) {
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.users -= 1;
+        }
+    }
+}
+
+fn log_missing(state: &QueryState, actions: &mut Vec<EngineAction>) {
+    for progress in &state.shards {
+        if let ShardStage::Missing(reason) = progress.stage {
+            actions.push(EngineAction::Decided(EngineDecision::Missed {
+                query: state.query,
+                shard: progress.shard,
+                reason,
+            }));
+        }
+    }
+}
+
+/// The one answer or refusal of a query.
+fn closing_action(state: QueryState) -> EngineAction {
+    let query = state.query;
+    let answered = state.answered();
+    let search = state.kind == RequestKind::Search;
+    if answered == 0 && !state.may_have_run {
+        let refusal = not_run_refusal(&state);
+        return EngineAction::Refuse { query, refusal };
+    }
+    if answered == 0 && !search {
+        let refusal = unknown_refusal(&state);
+        return EngineAction::Refuse { query, refusal };
+    }
+    let pinned = state.snapshot;
+    let asked = state.shards.len() as u32;
+    let answer = state.into_answer();
+    verifier::check_answer(&answer, pinned, asked);
+    EngineAction::Answer { query, answer }
+}
+
+/// The reason of the first missing shard.
+fn first_reason(state: &QueryState) -> Option<MissingReason> {
+    state
+        .shards
+        .iter()
+        .find_map(|progress| match progress.stage {
+            ShardStage::Missing(reason) => Some(reason),
+            _ => None,
+        })
+}
+
+fn not_run_refusal(state: &QueryState) -> Refusal {
+    let (code, message) = match first_reason(state) {
+        Some(MissingReason::Deadline) => (
+            RefusalCode::DeadlineExceeded,
+            "the deadline passed before anything ran",
+        ),
+        Some(MissingReason::Shed) => (RefusalCode::TargetRefused, "every target sheds load"),
+        Some(MissingReason::NoTarget) | None => (
+            RefusalCode::NoSnapshot,
+            "no target that can be reached holds a shard of it",
+        ),
+        Some(MissingReason::WrongVersion) => (
+            RefusalCode::NoSnapshot,
+            "no target holds the index version of its snapshot",
+        ),
+        Some(MissingReason::Quarantined) => (
+            RefusalCode::Quarantined,
+            "the request has crashed targets and is held back",
+        ),
+        Some(MissingReason::Failed) => (
+            RefusalCode::TargetRefused,
+            "no target took it; nothing of it ran",
+        ),
+    };
+    with_peer(Refusal::not_run(code, SEND_STEP, message), state)
+}
+
+fn unknown_refusal(state: &QueryState) -> Refusal {
+    let (code, message) = match first_reason(state) {
+        Some(MissingReason::Deadline) => (
+            RefusalCode::DeadlineExceeded,
+            "the deadline passed while a target may have run it",
+        ),
+        _ => (
+            RefusalCode::TargetLost,
+            "its target was lost while it may have run it",
+        ),
+    };
+    with_peer(Refusal::unknown(code, SEND_STEP, message), state)
+}
+
+fn with_peer(refusal: Refusal, state: &QueryState) -> Refusal {
+    let last = state
+        .shards
+        .iter()
+        .find_map(|progress| progress.failed.last());
+    match last {
+        Some(entry) => refusal.at_peer(format!("target {}", entry.target)),
+        None => refusal,
+    }
+}
--- /dev/null
+++ b/core/src/engine/mod.rs
@@ -0,0 +1,241 @@
+//! The engine: every data-path decision of one daemon, as events in and actions out.
+//!
+//! The daemon feeds it what happened ([`EngineEvent`]) with the time at which it happened, and
+//! carries out what it decides ([`EngineAction`]). It performs no I/O, so that long randomised
+//! runs can prove it. See `docs/DESIGN.md`, "The engine".
+//!
+//! The data, then the passes over them:
+//!
+//! - `slots`, `timers`, `budget`, `latency`: plain parts.
+//! - `target`, `plan`, `query`, `ledger`, `collection`: the state.
+//! - `limit`, `snapshot`, `choice`, `admission`: one decision each.
+//! - `submit`, `dispatch`, `replies`, `restart`, `finish`, `hedge`, `ejection`, `maps`, `news`,
+//!   `wakes`: the passes, one for each kind of event or step.
+//! - `verifier`: what must hold, asserted.
+
+mod admission;
+mod budget;
+mod choice;
+mod collection;
+mod dispatch;
+mod ejection;
+mod finish;
+mod hedge;
+mod latency;
+mod ledger;
+mod limit;
+mod maps;
+mod news;
+mod options;
+mod plan;
+mod query;
+mod replies;
+mod restart;
+mod slots;
+mod snapshot;
+mod submit;
+mod target;
+mod timers;
+mod verifier;
+mod wakes;
+
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::action::{EngineAction, EngineStatus, TargetStatus};
+use crate::engine::budget::TokenBudget;
+use crate::engine::choice::ChoiceScratch;
+use crate::engine::collection::CollectionState;
+use crate::engine::ledger::AccountLedger;
+use crate::engine::plan::ShardPlan;
+use crate::engine::query::{AttemptTable, QueryStage, QueryTable};
+use crate::engine::slots::{KeyIndex, Slot, SlotTable};
+use crate::engine::target::{HostedShard, TargetTable};
+use crate::engine::timers::{QueryRef, TargetRef, TimerQueue};
+use crate::event::EngineEvent;
+use crate::ids::{CollectionName, Fingerprint};
+
+pub use options::{EngineOptions, PolicyKind, ProtectionSet};
+
+/// Work that an event has made, done before the event's handling ends.
+///
+/// Keeping it in lists rather than calling on keeps the passes from entering each other.
+#[derive(Debug, Default)]
+struct DueWork {
+    restarts: Vec<QueryRef>,
+    finishes: Vec<QueryRef>,
+    freed: Vec<TargetRef>,
+    queues: Vec<Slot>,
+    hosts: Vec<HostedShard>,
+}
+
+/// Every data-path decision of one daemon.
+#[derive(Debug)]
+pub struct SearchEngine {
+    options: EngineOptions,
+    rng: ChaCha8Rng,
+    turn: u64,
+    stopping: bool,
+    resumed_at: Option<Instant>,
+    accounts: AccountLedger,
+    targets: TargetTable,
+    collections: SlotTable<CollectionState>,
+    names: KeyIndex<CollectionName>,
+    plans: SlotTable<ShardPlan>,
+    queries: QueryTable,
+    attempts: AttemptTable,
+    timers: TimerQueue,
+    hedges: TokenBudget,
+    quarantined: Vec<Fingerprint>,
+    due: DueWork,
+    scratch: ChoiceScratch,
+    events: u32,
+}
+
+impl SearchEngine {
+    /// Makes an engine that knows no map and no account, with the usual options of a policy.
+    pub fn new(policy: PolicyKind, seed: u64) -> Self {
+        Self::with_options(EngineOptions::new(policy, seed))
+    }
+
+    /// Makes an engine that knows no map and no account.
+    pub fn with_options(options: EngineOptions) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+            turn: options.seed,
+            stopping: false,
+            resumed_at: None,
+            accounts: AccountLedger::default(),
+            targets: TargetTable::default(),
+            collections: SlotTable::default(),
+            names: KeyIndex::default(),
+            plans: SlotTable::default(),
+            queries: QueryTable::default(),
+            attempts: AttemptTable::default(),
+            timers: TimerQueue::default(),
+            hedges: hedge::fleet_budget(),
+            quarantined: Vec::new(),
+            due: DueWork::default(),
+            scratch: ChoiceScratch::default(),
+            events: 0,
+            options,
+        }
+    }
+
+    /// The set of decisions that the engine makes.
+    pub fn policy(&self) -> PolicyKind {
+        self.options.policy
+    }
+
+    /// Takes an event and appends what follows from it to `actions`, in the order to carry out.
+    ///
+    /// Each [`EngineAction::Send`] must be followed by one [`EngineEvent::Reply`] or
+    /// [`EngineEvent::Failed`] of its attempt, also after [`EngineAction::Cancel`]; until then the
+    /// attempt counts against its target's connections.
+    pub fn handle(&mut self, now: Instant, event: EngineEvent, actions: &mut Vec<EngineAction>) {
+        if let EngineEvent::Paused(_) = event {
+            // Beliefs go first, so that no timer that came due in the pause acts on them.
+            self.forget_aged(now);
+        }
+        self.run_timers(now, actions);
+        self.settle(now, actions);
+        match event {
+            EngineEvent::Submit(request) => self.submit(now, request, actions),
+            EngineEvent::CallerGone { query } => self.drop_caller(query, actions),
+            EngineEvent::Reply(reply) => self.take_reply(now, reply, actions),
+            EngineEvent::Failed { attempt, failure } => {
+                self.take_failure(now, attempt, &failure, actions);
+            }
+            EngineEvent::Tick | EngineEvent::Paused(_) => {}
+            EngineEvent::MapChanged(map) => self.put_map(now, &map),
+            EngineEvent::MapRemoved(name) => self.remove_map(&name, actions),
+            EngineEvent::AccountsChanged(accounts) => self.accounts.put(&accounts),
+            EngineEvent::SharesChanged(shares) => self.put_shares(&shares),
+            EngineEvent::TargetNews(news) => self.take_news(now, &news, actions),
+            EngineEvent::Quarantine { fingerprint, held } => {
+                self.put_quarantine(fingerprint, held, actions);
+            }
+            EngineEvent::Stopping => self.stopping = true,
+        }
+        self.settle(now, actions);
+        self.count_event();
+    }
+
+    /// When the engine wants the next [`EngineEvent::Tick`], if at all.
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    /// Checks the whole state against the invariants; it runs by itself every so many events.
+    ///
+    /// # Panics
+    ///
+    /// It panics with the invariant's name if one is broken.
+    pub fn audit(&self) {
+        verifier::audit(self);
+    }
+
+    /// What the engine holds now.
+    pub fn status(&self) -> EngineStatus {
+        let mut waiting = [0; 3];
+        for (_, collection) in self.collections.iter() {
+            for (sum, count) in waiting.iter_mut().zip(collection.queue.waiting()) {
+                *sum += count;
+            }
+        }
+        let running = self
+            .queries
+            .iter()
+            .filter(|(_, state)| state.stage != QueryStage::Waiting)
+            .count();
+        EngineStatus {
+            targets: self.targets.sorted().map(target_status).collect(),
+            running: running as u32,
+            waiting,
+        }
+    }
+
+    /// Does the work that events have made, until there is none left.
+    fn settle(&mut self, now: Instant, actions: &mut Vec<EngineAction>) {
+        loop {
+            if let Some(query) = self.due.restarts.pop() {
+                self.restart_query(now, query, actions);
+            } else if let Some(query) = self.due.finishes.pop() {
+                self.finish_query(query, actions);
+            } else if let Some(target) = self.due.freed.pop() {
+                self.serve_parked(now, target, actions);
+            } else if let Some(collection) = self.due.queues.pop() {
+                self.start_waiting(now, collection, actions);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn mark_queue(&mut self, collection: Slot) {
+        if !self.due.queues.contains(&collection) {
+            self.due.queues.push(collection);
+        }
+    }
+
+    fn count_event(&mut self) {
+        self.events += 1;
+        if self.events >= self.options.audit_interval {
+            self.events = 0;
+            self.audit();
+        }
+    }
+}
+
+fn target_status(state: &target::TargetState) -> TargetStatus {
+    TargetStatus {
+        target: state.entry.target,
+        state: state.state_name(),
+        in_flight: state.in_flight(),
+        limit: state.limit.current(),
+        connections: state.limit.share(),
+        latency: state.latency.mean().unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/core/src/engine/news.rs
@@ -0,0 +1,163 @@
+//! News of targets, connection shares, quarantines and pauses.
+
+use std::time::Instant;
+
+use crate::action::EngineAction;
+use crate::coverage::MissingReason;
+use crate::engine::SearchEngine;
+use crate::engine::query::{QueryStage, ShardStage};
+use crate::engine::target::LoadReport;
+use crate::engine::timers::{QueryRef, TargetRef};
+use crate::event::{TargetNews, TargetNewsKind, TargetShare};
+use crate::ids::Fingerprint;
+use crate::outcome::{Refusal, RefusalCode};
+
+impl SearchEngine {
+    /// Puts connection shares in force; a target that is not listed keeps the one it has.
+    pub(super) fn put_shares(&mut self, shares: &[TargetShare]) {
+        for share in shares {
+            let Some(target) = self.targets.find(share.target) else {
+                continue;
+            };
+            let Some(state) = self.targets.get_mut(target) else {
+                continue;
+            };
+            let before = state.limit.share();
+            state.limit.set_share(share.connections);
+            if (before == 0) == (share.connections == 0) {
+                self.mark_freed(target);
+            } else {
+                self.note_changed(target);
+            }
+        }
+    }
+
+    /// Takes news of a target; news of an unknown one says nothing.
+    pub(super) fn take_news(
+        &mut self,
+        now: Instant,
+        news: &TargetNews,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(target) = self.targets.find(news.target) else {
+            return;
+        };
+        match &news.kind {
+            TargetNewsKind::Load { load, age } => {
+                if let (Some(state), Some(taken_at)) =
+                    (self.targets.get_mut(target), now.checked_sub(*age))
+                {
+                    let load = load.clamp(0.0, 1.0);
+                    state.report = Some(LoadReport { load, taken_at });
+                }
+            }
+            TargetNewsKind::Held(held) => self.learn_held(target, held.clone()),
+            TargetNewsKind::Draining => self.set_draining(target, true),
+            TargetNewsKind::Live => self.set_draining(target, false),
+            TargetNewsKind::Reachable => self.end_loss(now, target, actions),
+        }
+    }
+
+    fn set_draining(&mut self, target: TargetRef, draining: bool) {
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        if state.draining == draining {
+            return;
+        }
+        state.draining = draining;
+        if !draining {
+            // It has been away, so its first requests will be slow.
+            state.begin_cold();
+        }
+        self.note_changed(target);
+    }
+
+    fn end_loss(&mut self, now: Instant, target: TargetRef, actions: &mut Vec<EngineAction>) {
+        if let Some(state) = self.targets.get_mut(target)
+            && state.lost_until.is_some()
+        {
+            state.lost_until = Some(now);
+            self.end_absence(now, target, actions);
+        }
+    }
+
+    /// Whether requests of a fingerprint are held back.
+    pub(super) fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        self.options.protections.quarantine && self.quarantined.binary_search(&fingerprint).is_ok()
+    }
+
+    /// Holds back requests of a fingerprint, or no longer; those in work are held back as well.
+    pub(super) fn put_quarantine(
+        &mut self,
+        fingerprint: Fingerprint,
+        held: bool,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        match (self.quarantined.binary_search(&fingerprint), held) {
+            (Err(place), true) => self.quarantined.insert(place, fingerprint),
+            (Ok(place), false) => {
+                self.quarantined.remove(place);
+            }
+            _ => return,
+        }
+        if !self.options.protections.quarantine {
+            return;
+        }
+        let touched: Vec<QueryRef> = self
+            .queries
+            .iter()
+            .filter(|(_, state)| state.fingerprint == fingerprint)
+            .map(|(query, _)| query)
+            .collect();
+        for query in touched {
+            self.set_quarantined(query, held, actions);
+        }
+    }
+
+    fn set_quarantined(&mut self, query: QueryRef, held: bool, actions: &mut Vec<EngineAction>) {
+        let Some(state) = self.queries.get_mut(query) else {
+            return;
+        };
+        state.quarantined = held;
+        if !held {
+            return;
+        }
+        if state.stage == QueryStage::Waiting {
+            let refusal = Refusal::not_run(
+                RefusalCode::Quarantined,
+                "queue",
+                "the request has crashed targets and is held back",
+            );
+            self.end_waiting(query, refusal, actions);
+            return;
+        }
+        for place in 0..state.shards.len() as u32 {
+            let parked = self.queries.get(query).is_some_and(|state| {
+                matches!(state.shards[place as usize].stage, ShardStage::Parked(..))
+            });
+            if parked {
+                self.close_shard(query, place, MissingReason::Quarantined, actions);
+            }
+        }
+    }
+
+    /// Drops every belief that has an age: after a pause nobody knows how things are now.
+    pub(super) fn forget_aged(&mut self, now: Instant) {
+        if !self.options.protections.pause_checks {
+            return;
+        }
+        self.resumed_at = Some(now);
+        for state in self.targets.iter_mut() {
+            state.forget_aged();
+        }
+        for (_, collection) in self.collections.iter_mut() {
+            collection.ejected = 0;
+            collection.latencies.clear();
+        }
+        for (_, plan) in self.plans.iter_mut() {
+            plan.stale = true;
+        }
+        self.due.freed = self.targets.references();
+    }
+}
--- /dev/null
+++ b/core/src/engine/restart.rs
@@ -0,0 +1,123 @@
+//! Restarting a query whole when its snapshot is gone.
+//!
+//! An answer is never mixed from two snapshots, so everything that was gathered is dropped.
+//! See `docs/DESIGN.md`, "Snapshot".
+
+use std::time::Instant;
+
+use crate::action::EngineAction;
+use crate::coverage::{MissingReason, Snapshot};
+use crate::engine::SearchEngine;
+use crate::engine::plan::PlanSnapshot;
+use crate::engine::query::{QueryStage, ShardStage};
+use crate::engine::slots::Slot;
+use crate::engine::snapshot::can_serve;
+use crate::engine::timers::QueryRef;
+
+/// How often a query may be restarted.
+const MOST_RESTARTS: u8 = 2;
+
+impl SearchEngine {
+    /// Starts a query again at a newer snapshot, if that serves it better and is allowed.
+    pub(super) fn restart_query(
+        &mut self,
+        now: Instant,
+        query: QueryRef,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some((plan, snapshot)) = self.better_snapshot(now, query) else {
+            return;
+        };
+        self.drop_progress(query, actions);
+        let Some(state) = self.queries.get_mut(query) else {
+            return;
+        };
+        state.restarts += 1;
+        state.hits.clear();
+        self.start_query(now, query, plan, snapshot, actions);
+    }
+
+    fn better_snapshot(&mut self, now: Instant, query: QueryRef) -> Option<(Slot, PlanSnapshot)> {
+        if !self.options.protections.snapshot_restart {
+            return None;
+        }
+        let state = self.queries.get(query)?;
+        let collection = state.collection;
+        let allowed = state.restarts < MOST_RESTARTS
+            && now < state.deadline
+            && !state.quarantined
+            && (state.is_repeatable() || !state.may_have_run);
+        if !allowed {
+            return None;
+        }
+        self.adopt_if_ready(collection);
+        let plan = self.collections.get(collection)?.current?;
+        let snapshot = self.fresh_snapshot(plan)?;
+        let epoch = self.plans.get(plan)?.map.epoch;
+        let state = self.queries.get(query)?;
+        let newer = Snapshot {
+            epoch,
+            version: snapshot.version,
+        };
+        if newer <= state.snapshot || !self.serves_gone_shards(query, plan, snapshot) {
+            return None;
+        }
+        Some((plan, snapshot))
+    }
+
+    /// Whether a snapshot serves the shards that the query lacks; a shard that the newer map no
+    /// longer has was split or moved, and its successors are asked instead.
+    fn serves_gone_shards(&self, query: QueryRef, plan: Slot, snapshot: PlanSnapshot) -> bool {
+        let (Some(state), Some(plan)) = (self.queries.get(query), self.plans.get(plan)) else {
+            return false;
+        };
+        state
+            .shards
+            .iter()
+            .filter(|progress| {
+                matches!(
+                    progress.stage,
+                    ShardStage::Missing(MissingReason::WrongVersion | MissingReason::NoTarget)
+                )
+            })
+            .all(|progress| {
+                plan.position(progress.shard).is_none_or(|position| {
+                    can_serve(plan, &self.targets, position, snapshot.version)
+                })
+            })
+    }
+
+    /// Drops everything that a running query has under way, and its use of its plan.
+    pub(super) fn drop_progress(&mut self, query: QueryRef, actions: &mut Vec<EngineAction>) {
+        let Some(state) = self.queries.get(query) else {
+            return;
+        };
+        let QueryStage::Running { plan } = state.stage else {
+            return;
+        };
+        for place in 0..state.shards.len() as u32 {
+            self.unpark(query, place);
+            self.cancel_shard(query, place, actions);
+        }
+        self.release_plan(plan);
+    }
+
+    /// Cancels what a query has in flight for a shard.
+    pub(super) fn cancel_shard(
+        &mut self,
+        query: QueryRef,
+        place: u32,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(state) = self.queries.get_mut(query) else {
+            return;
+        };
+        let progress = &mut state.shards[place as usize];
+        let live = std::mem::take(&mut progress.live);
+        // Nobody will tell any more whether what is cancelled ran.
+        state.may_have_run |= live.iter().any(Option::is_some);
+        for attempt in live.into_iter().flatten() {
+            self.cancel(attempt, actions);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/engine/slots.rs
@@ -0,0 +1,135 @@
+//! Stable positions for values that many others refer to, and sorted indexes from keys to them.
+//!
+//! Attempts, queries, targets and plans refer to each other by position, so that following such a
+//! reference costs one array access at any fleet size. A position may be reused, so each user
+//! checks the identity of what it finds there.
+
+/// A position in a [`SlotTable`].
+pub(crate) type Slot = u32;
+
+/// Values at stable positions; the position of a removed value is reused.
+#[derive(Debug)]
+pub(crate) struct SlotTable<T> {
+    entries: Vec<Option<T>>,
+    free: Vec<Slot>,
+}
+
+impl<T> Default for SlotTable<T> {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            free: Vec::new(),
+        }
+    }
+}
+
+impl<T> SlotTable<T> {
+    /// Puts a value at a free position.
+    pub(crate) fn insert(&mut self, value: T) -> Slot {
+        if let Some(slot) = self.free.pop() {
+            self.entries[slot as usize] = Some(value);
+            return slot;
+        }
+        self.entries.push(Some(value));
+        (self.entries.len() - 1) as Slot
+    }
+
+    /// The value at a position, if there is one.
+    pub(crate) fn get(&self, slot: Slot) -> Option<&T> {
+        self.entries.get(slot as usize)?.as_ref()
+    }
+
+    /// The value at a position, if there is one.
+    pub(crate) fn get_mut(&mut self, slot: Slot) -> Option<&mut T> {
+        self.entries.get_mut(slot as usize)?.as_mut()
+    }
+
+    /// Takes the value out of a position.
+    pub(crate) fn remove(&mut self, slot: Slot) -> Option<T> {
+        let value = self.entries.get_mut(slot as usize)?.take()?;
+        self.free.push(slot);
+        Some(value)
+    }
+
+    /// All values with their positions.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Slot, &T)> {
+        self.entries
+            .iter()
+            .enumerate()
+            .filter_map(|(slot, entry)| Some((slot as Slot, entry.as_ref()?)))
+    }
+
+    /// All values with their positions, to be changed.
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (Slot, &mut T)> {
+        self.entries
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(slot, entry)| Some((slot as Slot, entry.as_mut()?)))
+    }
+
+    /// The position that the next value will get.
+    pub(crate) fn next_slot(&self) -> Slot {
+        self.free
+            .last()
+            .copied()
+            .unwrap_or(self.entries.len() as Slot)
+    }
+}
+
+/// A sorted index from keys to positions.
+#[derive(Debug)]
+pub(crate) struct KeyIndex<K> {
+    entries: Vec<(K, Slot)>,
+}
+
+impl<K> Default for KeyIndex<K> {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+        }
+    }
+}
+
+impl<K: Ord> KeyIndex<K> {
+    /// The position of a key.
+    pub(crate) fn find<Q>(&self, key: &Q) -> Option<Slot>
+    where
+        K: std::borrow::Borrow<Q>,
+        Q: Ord + ?Sized,
+    {
+        let place = self.place(key).ok()?;
+        Some(self.entries[place].1)
+    }
+
+    /// Adds a key that is not in the index.
+    pub(crate) fn insert(&mut self, key: K, slot: Slot) {
+        match self.place(&key) {
+            Ok(place) => self.entries[place].1 = slot,
+            Err(place) => self.entries.insert(place, (key, slot)),
+        }
+    }
+
+    /// Removes a key.
+    pub(crate) fn remove<Q>(&mut self, key: &Q) -> Option<Slot>
+    where
+        K: std::borrow::Borrow<Q>,
+        Q: Ord + ?Sized,
+    {
+        let place = self.place(key).ok()?;
+        Some(self.entries.remove(place).1)
+    }
+
+    /// All entries, sorted by key.
+    pub(crate) fn entries(&self) -> &[(K, Slot)] {
+        &self.entries
+    }
+
+    fn place<Q>(&self, key: &Q) -> Result<usize, usize>
+    where
+        K: std::borrow::Borrow<Q>,
+        Q: Ord + ?Sized,
+    {
+        self.entries
+            .binary_search_by(|(known, _)| known.borrow().cmp(key))
+    }
+}
--- /dev/null
+++ b/core/src/engine/snapshot.rs
@@ -0,0 +1,74 @@
+//! Which snapshot a query is pinned to before its first send.
+//!
+//! It is the newest index version at which the most shards of the map can be served by a usable
+//! target: every shard, unless one has no usable target at all. See `docs/DESIGN.md`, "Snapshot".
+
+use crate::engine::plan::{PlanSnapshot, ShardPlan};
+use crate::engine::target::TargetTable;
+use crate::ids::IndexVersion;
+
+/// An index version and the shards that can be served at it.
+#[derive(Clone, Copy, Debug)]
+struct VersionCoverage {
+    version: IndexVersion,
+    covered: u32,
+    last_position: u32,
+}
+
+/// Computes the snapshot that new queries of a plan are pinned to; none if no version is known.
+pub(crate) fn choose_snapshot(plan: &ShardPlan, targets: &TargetTable) -> Option<PlanSnapshot> {
+    let mut versions: Vec<VersionCoverage> = Vec::new();
+    for position in 0..plan.shard_count() {
+        let usable = plan
+            .replicas(position)
+            .iter()
+            .filter_map(|replica| targets.get(*replica))
+            .filter(|state| state.is_usable());
+        for state in usable {
+            for version in &state.held {
+                count_shard(&mut versions, *version, position);
+            }
+        }
+    }
+    versions
+        .iter()
+        .max_by_key(|entry| (entry.covered, entry.version))
+        .map(|entry| PlanSnapshot {
+            version: entry.version,
+            covered: entry.covered,
+        })
+}
+
+/// Whether a shard can be served at a version by a usable target.
+pub(crate) fn can_serve(
+    plan: &ShardPlan,
+    targets: &TargetTable,
+    position: u32,
+    version: IndexVersion,
+) -> bool {
+    plan.replicas(position)
+        .iter()
+        .filter_map(|replica| targets.get(*replica))
+        .any(|state| state.is_usable() && state.holds(version))
+}
+
+fn count_shard(versions: &mut Vec<VersionCoverage>, version: IndexVersion, position: u32) {
+    match versions.binary_search_by_key(&version, |entry| entry.version) {
+        Ok(place) => {
+            let entry = &mut versions[place];
+            // A shard counts once, however many of its replicas hold the version.
+            if entry.last_position != position {
+                entry.covered += 1;
+                entry.last_position = position;
+            }
+        }
+        Err(place) => versions.insert(
+            place,
+            VersionCoverage {
+                version,
+                covered: 1,
+                last_position: position,
+            },
+        ),
+    }
+}
--- /dev/null
+++ b/core/src/engine/submit.rs
@@ -0,0 +1,504 @@
+//! From a caller's request to its first sends: checks, waiting and the start.
+//!
+//! See `docs/DESIGN.md`, "Admission".
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::account::Urgency;
+use crate::action::{AttemptCause, EngineAction, EngineDecision};
+use crate::coverage::Snapshot;
+use crate::engine::SearchEngine;
+use crate::engine::admission::{FlowKey, WaitingQuery};
+use crate::engine::plan::{PlanSnapshot, ShardPlan};
+use crate::engine::query::{QueryStage, QueryState, ShardProgress};
+use crate::engine::slots::Slot;
+use crate::engine::snapshot::choose_snapshot;
+use crate::engine::timers::{QueryRef, TimerKind};
+use crate::outcome::{Refusal, RefusalCode};
+use crate::search::{RequestKind, SearchRequest};
+
+/// How long a query waits for the first news of index versions.
+const SNAPSHOT_WAIT: Duration = Duration::from_secs(1);
+/// The step that refusals before a query waits name.
+const ADMIT_STEP: &str = "admit";
+/// The step that refusals of a waiting query name.
+const QUEUE_STEP: &str = "queue";
+
+impl SearchEngine {
+    /// Takes a caller's request: it begins, waits, or is refused.
+    pub(super) fn submit(
+        &mut self,
+        now: Instant,
+        request: SearchRequest,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let query = request.query;
+        match self.admit(now, request) {
+            Ok(query) => {
+                self.start_or_wait(now, query, actions);
+            }
+            Err(refusal) => actions.push(EngineAction::Refuse { query, refusal }),
+        }
+    }
+
+    /// Checks a request and puts it in its queue.
+    fn admit(&mut self, now: Instant, request: SearchRequest) -> Result<QueryRef, Refusal> {
+        self.check_service(&request)?;
+        let account = self
+            .accounts
+            .find(&request.account)
+            .ok_or_else(|| refuse(RefusalCode::UnknownAccount, "no such client account"))?;
+        let collection = self.check_collection(account, &request)?;
+        let state = self.query_state(now, request, account, collection)?;
+        if let Some(state) = self.accounts.get_mut(account) {
+            state.users += 1;
+            state.waiting += 1;
+        }
+        let query = self.queries.insert(state);
+        self.enqueue(query);
+        Ok(query)
+    }
+
+    fn check_service(&self, request: &SearchRequest) -> Result<(), Refusal> {
+        if self.stopping {
+            return Err(refuse(RefusalCode::Stopping, "the daemon is stopping"));
+        }
+        if self.queries.find(request.query).is_some() {
+            return Err(refuse(
+                RefusalCode::Internal,
+                "a request of this query id is in work",
+            ));
+        }
+        if self.is_quarantined(request.fingerprint) {
+            return Err(refuse(
+                RefusalCode::Quarantined,
+                "the request has crashed targets and is held back",
+            ));
+        }
+        Ok(())
+    }
+
+    fn check_collection(&self, account: Slot, request: &SearchRequest) -> Result<Slot, Refusal> {
+        let unknown = || refuse(RefusalCode::UnknownCollection, "no such collection");
+        let allowed = self
+            .accounts
+            .get(account)
+            .is_some_and(|state| state.policy.collections.contains(&request.collection));
+        if !allowed {
+            return Err(refuse(
+                RefusalCode::UnknownCollection,
+                "the client account may not ask this collection",
+            ));
+        }
+        let collection = self
+            .names
+            .find(request.collection.as_ref())
+            .ok_or_else(unknown)?;
+        let plan = self
+            .collections
+            .get(collection)
+            .and_then(|state| state.current)
+            .and_then(|plan| self.plans.get(plan))
+            .ok_or_else(unknown)?;
+        if let RequestKind::Execute { shard } = request.kind
+            && plan.position(shard).is_none()
+        {
+            return Err(refuse(
+                RefusalCode::BadRequest,
+                "the collection has no such shard",
+            ));
+        }
+        Ok(collection)
+    }
+
+    fn query_state(
+        &self,
+        now: Instant,
+        request: SearchRequest,
+        account: Slot,
+        collection: Slot,
+    ) -> Result<QueryState, Refusal> {
+        let policy = self
+            .accounts
+            .get(account)
+            .map(|state| &state.policy)
+            .ok_or_else(|| refuse(RefusalCode::UnknownAccount, "no such client account"))?;
+        let allowed = request
+            .time_left
+            .map_or(policy.deadline, |left| left.min(policy.deadline));
+        if allowed <= self.usual_latency(collection).unwrap_or_default() {
+            return Err(refuse(
+                RefusalCode::Hopeless,
+                "the time left is less than a target usually takes",
+            ));
+        }
+        Ok(QueryState {
+            query: request.query,
+            request: request.request,
+            account,
+            collection,
+            urgency: policy.urgency,
+            repeat: policy.repeat,
+            kind: request.kind,
+            text: Arc::from(request.text),
+            limit: request.limit,
+            fingerprint: request.fingerprint,
+            quarantined: false,
+            submitted: now,
+            patience: now + policy.patience.min(allowed),
+            deadline: now + allowed,
+            stage: QueryStage::Waiting,
+            snapshot: Snapshot {
+                epoch: 0,
+                version: 0,
+            },
+            shards: Vec::new(),
+            open: 0,
+            hits: Vec::new(),
+            restarts: 0,
+            may_have_run: false,
+            hedge_at: None,
+        })
+    }
+
+    /// The latency that a collection's targets usually have, where it is known.
+    pub(super) fn usual_latency(&self, collection: Slot) -> Option<Duration> {
+        let quantiles = self.collections.get(collection)?.latencies.quantiles()?;
+        Some(quantiles.median)
+    }
+
+    fn enqueue(&mut self, query: QueryRef) {
+        let Some((key, entry)) = self.queue_place(query) else {
+            return;
+        };
+        let Some(state) = self.queries.get(query) else {
+            return;
+        };
+        let weight = self
+            .accounts
+            .get(state.account)
+            .map_or(1, |account| account.policy.weight);
+        if let Some(collection) = self.collections.get_mut(state.collection) {
+            collection.queue.push(key, weight, entry);
+        }
+    }
+
+    /// Where a query stands in its collection's queue.
+    pub(super) fn queue_place(&self, query: QueryRef) -> Option<(FlowKey, WaitingQuery)> {
+        let state = self.queries.get(query)?;
+        if !self.options.protections.ordered_admission {
+            let key = FlowKey {
+                class: 0,
+                account: 0,
+            };
+            let rank = state.submitted;
+            return Some((key, WaitingQuery { rank, query }));
+        }
+        let key = FlowKey {
+            class: class_rank(state.urgency),
+            account: state.account,
+        };
+        let rank = state.deadline;
+        Some((key, WaitingQuery { rank, query }))
+    }
+
+    fn start_or_wait(&mut self, now: Instant, query: QueryRef, actions: &mut Vec<EngineAction>) {
+        let Some(state) = self.queries.get(query) else {
+            return;
+        };
+        let collection = state.collection;
+        self.timers.add(state.deadline, TimerKind::Deadline(query));
+        self.start_waiting(now, collection, actions);
+        self.settle(now, actions);
+        let waits = self
+            .queries
+            .get(query)
+            .is_some_and(|state| state.stage == QueryStage::Waiting);
+        if !waits {
+            return;
+        }
+        if let Some(refusal) = self.refuse_waiting(now, query) {
+            self.end_waiting(query, refusal, actions);
+            return;
+        }
+        self.begin_wait(now, query, actions);
+    }
+
+    /// Why a query that would have to wait is refused at once, if it is.
+    fn refuse_waiting(&self, now: Instant, query: QueryRef) -> Option<Refusal> {
+        let state = self.queries.get(query)?;
+        let account = self.accounts.get(state.account)?;
+        if account.waiting > account.policy.queue_limit {
+            return Some(Refusal::not_run(
+                RefusalCode::QueueFull,
+                QUEUE_STEP,
+                "the client account's queue is full",
+            ));
+        }
+        if !self.options.protections.ordered_admission {
+            return None;
+        }
+        let (key, entry) = self.queue_place(query)?;
+        let collection = self.collections.get(state.collection)?;
+        let wait = collection.queue.estimate_wait(now, key, entry)?;
+        let service = self.usual_latency(state.collection).unwrap_or_default();
+        let too_late = now + wait > state.patience || now + wait + service > state.deadline;
+        too_late.then(|| {
+            Refusal::not_run(
+                RefusalCode::Hopeless,
+                QUEUE_STEP,
+                format!("the queue would take about {} ms", wait.as_millis()),
+            )
+        })
+    }
+
+    fn begin_wait(&mut self, now: Instant, query: QueryRef, actions: &mut Vec<EngineAction>) {
+        let Some(state) = self.queries.get(query) else {
+            return;
+        };
+        let collection = self.collections.get(state.collection);
+        let waiting = collection.map_or(0, |collection| collection.queue.waiting().iter().sum());
+        let mut patience = state.patience;
+        if self.plan_snapshot(state.collection).is_none() {
+            patience = patience.min(now + SNAPSHOT_WAIT);
+        }
+        self.timers.add(patience, TimerKind::Patience(query));
+        let query = query.query;
+        actions.push(EngineAction::Decided(EngineDecision::Queued {
+            query,
+            waiting,
+        }));
+    }
+
+    /// Refuses a query whose patience is over while it still waits.
+    pub(super) fn end_patience(
+        &mut self,
+        now: Instant,
+        query: QueryRef,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(state) = self.queries.get(query) else {
+            return;
+        };
+        if state.stage != QueryStage::Waiting {
+            return;
+        }
+        if self.plan_snapshot(state.collection).is_none() {
+            let refusal = Refusal::not_run(
+                RefusalCode::NoSnapshot,
+                QUEUE_STEP,
+                "no index version of the collection's targets is known",
+            );
+            self.end_waiting(query, refusal, actions);
+        } else if now >= state.patience {
+            let refusal = Refusal::not_run(
+                RefusalCode::DeadlineExceeded,
+                QUEUE_STEP,
+                "the patience of the client account ran out while the request waited",
+            );
+            self.end_waiting(query, refusal, actions);
+        } else {
+            self.timers.add(state.patience, TimerKind::Patience(query));
+        }
+    }
+
+    /// Takes a waiting query out of its queue and refuses it; nothing of it was sent.
+    pub(super) fn end_waiting(
+        &mut self,
+        query: QueryRef,
+        refusal: Refusal,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        self.forget_waiting(query);
+        let query = query.query;
+        actions.push(EngineAction::Refuse { query, refusal });
+    }
+
+    /// Takes a waiting query out of its queue and forgets it.
+    pub(super) fn forget_waiting(&mut self, query: QueryRef) {
+        let Some((key, entry)) = self.queue_place(query) else {
+            return;
+        };
+        let Some(state) = self.queries.remove(query) else {
+            return;
+        };
+        if let Some(collection) = self.collections.get_mut(state.collection) {
+            collection.queue.remove(key, entry);
+        }
+        if let Some(account) = self.accounts.get_mut(state.account) {
+            account.users -= 1;
+            account.waiting -= 1;
+        }
+    }
+
+    /// The snapshot for new queries of a collection, as last computed.
+    fn plan_snapshot(&self, collection: Slot) -> Option<PlanSnapshot> {
+        let plan = self.collections.get(collection)?.current?;
+        self.plans.get(plan)?.snapshot
+    }
+
+    /// The snapshot for new queries of a plan, computed again where targets have changed.
+    pub(super) fn fresh_snapshot(&mut self, plan: Slot) -> Option<PlanSnapshot> {
+        let plan = self.plans.get_mut(plan)?;
+        if plan.stale {
+            plan.snapshot = choose_snapshot(plan, &self.targets);
+            plan.stale = false;
+        }
+        plan.snapshot
+    }
+
+    /// Begins waiting queries of a collection, in their order, as long as targets have room.
+    pub(super) fn start_waiting(
+        &mut self,
+        now: Instant,
+        collection: Slot,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        loop {
+            let Some(state) = self.collections.get(collection) else {
+                return;
+            };
+            if state.queue.is_empty() {
+                return;
+            }
+            let Some(plan) = state.current else {
+                return;
+            };
+            let Some(snapshot) = self.fresh_snapshot(plan) else {
+                return;
+            };
+            let Some((key, entry)) = self.next_query(collection, plan) else {
+                return;
+            };
+            self.take_from_queue(now, collection, plan, key, entry);
+            self.start_query(now, entry.query, plan, snapshot, actions);
+        }
+    }
+
+    fn next_query(&self, collection: Slot, plan: Slot) -> Option<(FlowKey, WaitingQuery)> {
+        let queue = &self.collections.get(collection)?.queue;
+        let plan = self.plans.get(plan)?;
+        queue.next(|key, query| {
+            self.queries
+                .get(query)
+                .is_some_and(|state| can_start(plan, key, state.kind))
+        })
+    }
+
+    fn take_from_queue(
+        &mut self,
+        now: Instant,
+        collection: Slot,
+        plan: Slot,
+        key: FlowKey,
+        entry: WaitingQuery,
+    ) {
+        let Some(state) = self.queries.get(entry.query) else {
+            return;
+        };
+        let shards = self.plans.get(plan).map_or(1, ShardPlan::shard_count);
+        let cost = match state.kind {
+            RequestKind::Search => 1.0,
+            RequestKind::Execute { .. } => 1.0 / f64::from(shards),
+        };
+        let account = state.account;
+        if let Some(collection) = self.collections.get_mut(collection) {
+            collection.queue.start(now, key, entry, cost);
+        }
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.waiting -= 1;
+        }
+    }
+
+    /// Pins a query to a snapshot and asks its shards.
+    pub(super) fn start_query(
+        &mut self,
+        now: Instant,
+        query: QueryRef,
+        plan: Slot,
+        snapshot: PlanSnapshot,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(known) = self.plans.get_mut(plan) else {
+            return;
+        };
+        let Some(state) = self.queries.get_mut(query) else {
+            return;
+        };
+        known.users += 1;
+        state.stage = QueryStage::Running { plan };
+        state.snapshot = Snapshot {
+            epoch: known.map.epoch,
+            version: snapshot.version,
+        };
+        state.shards = asked_shards(known, state.kind);
+        state.open = state.shards.len() as u32;
+        let again = state.restarts > 0;
+        let decision = if again {
+            EngineDecision::Restarted {
+                query: state.query,
+                snapshot: state.snapshot,
+            }
+        } else {
+            EngineDecision::Planned {
+                query: state.query,
+                snapshot: state.snapshot,
+                shards: state.open,
+                waited: now.saturating_duration_since(state.submitted),
+            }
+        };
+        let shards = state.open;
+        actions.push(EngineAction::Decided(decision));
+        if shards == 0 {
+            // The shard of a non-idempotent request is not in this map.
+            self.due.finishes.push(query);
+            return;
+        }
+        let cause = if again {
+            AttemptCause::Retry
+        } else {
+            AttemptCause::First
+        };
+        for place in 0..shards {
+            self.ask_shard(now, query, place, cause, actions);
+        }
+        self.begin_hedge_watch(now, query);
+    }
+}
+
+/// The class of an urgency: 0 is served first.
+pub(super) fn class_rank(urgency: Urgency) -> u8 {
+    match urgency {
+        Urgency::Urgent => 0,
+        Urgency::Normal => 1,
+        Urgency::Patient => 2,
+    }
+}
+
+fn can_start(plan: &ShardPlan, key: FlowKey, kind: RequestKind) -> bool {
+    let class = usize::from(key.class);
+    match kind {
+        RequestKind::Search => !plan.is_saturated(class),
+        RequestKind::Execute { shard } => plan
+            .position(shard)
+            .is_none_or(|position| !plan.is_shard_saturated(position, class)),
+    }
+}
+
+fn asked_shards(plan: &ShardPlan, kind: RequestKind) -> Vec<ShardProgress> {
+    match kind {
+        RequestKind::Search => (0..plan.shard_count())
+            .map(|position| ShardProgress::new(position, plan.shard(position)))
+            .collect(),
+        RequestKind::Execute { shard } => plan
+            .position(shard)
+            .map(|position| ShardProgress::new(position, shard))
+            .into_iter()
+            .collect(),
+    }
+}
+
+fn refuse(code: RefusalCode, message: &str) -> Refusal {
+    Refusal::not_run(code, ADMIT_STEP, message)
+}
--- /dev/null
+++ b/core/src/engine/verifier.rs
@@ -0,0 +1,227 @@
+//! Asserts, in every build, the invariants that the engine's promises rest on.
+//!
+//! The cheap checks run at each send and each answer. The whole state is audited after a number of
+//! events. Each assert says which invariant broke. See `docs/PROOFS.md`.
+
+use std::time::Instant;
+
+use crate::coverage::{Coverage, Snapshot};
+use crate::engine::SearchEngine;
+use crate::engine::plan::{CLASSES, ShardPlan};
+use crate::engine::query::{QueryStage, QueryState, ShardStage};
+use crate::engine::target::TargetState;
+use crate::ids::IndexVersion;
+use crate::search::{RequestKind, SearchAnswer};
+
+/// Checks a send just before it is decided.
+pub(crate) fn check_send(
+    now: Instant,
+    state: &QueryState,
+    target: &TargetState,
+    plan: &ShardPlan,
+    version: IndexVersion,
+) {
+    assert!(
+        now < state.deadline,
+        "invariant: nothing is sent at or after its deadline (query {})",
+        state.query
+    );
+    assert!(
+        target.is_usable(),
+        "invariant: a target that is leaving, lost or unlisted gets no new work (target {})",
+        target.entry.target
+    );
+    assert!(
+        target.in_flight() < target.limit.share(),
+        "invariant: attempts in flight stay within the connection share (target {})",
+        target.entry.target
+    );
+    assert_eq!(
+        (plan.map.epoch, version),
+        (state.snapshot.epoch, state.snapshot.version),
+        "invariant: every send of a query is of its one snapshot (query {})",
+        state.query
+    );
+    let unsafe_repeat = state.kind != RequestKind::Search && state.may_have_run;
+    assert!(
+        !unsafe_repeat,
+        "invariant: a non-idempotent request that may have run is not sent again (query {})",
+        state.query
+    );
+}
+
+/// Checks an answer just before it is given.
+pub(crate) fn check_answer(answer: &SearchAnswer, pinned: Snapshot, asked: u32) {
+    check_coverage(&answer.coverage);
+    assert_eq!(
+        answer.coverage.asked, asked,
+        "invariant: an answer's coverage counts every shard that was asked"
+    );
+    assert_eq!(
+        answer.snapshot, pinned,
+        "invariant: an answer names the snapshot that its query was pinned to"
+    );
+    assert!(
+        answer.complete,
+        "invariant: an answer that is given is marked complete"
+    );
+    let covered = answer
+        .hits
+        .iter()
+        .all(|hit| answer.coverage.answered.binary_search(&hit.shard).is_ok());
+    assert!(
+        covered,
+        "invariant: every hit is from a shard that the coverage lists as answered"
+    );
+}
+
+fn check_coverage(coverage: &Coverage) {
+    let counted = coverage.answered.len() + coverage.missing.len();
+    assert_eq!(
+        coverage.asked as usize, counted,
+        "invariant: asked shards are answered or missing"
+    );
+    let answered_once = coverage.answered.windows(2).all(|pair| pair[0] < pair[1]);
+    let missing_once = coverage
+        .missing
+        .windows(2)
+        .all(|pair| pair[0].shard < pair[1].shard);
+    assert!(
+        answered_once && missing_once,
+        "invariant: no shard stands twice in a coverage, and both lists are sorted"
+    );
+    let apart = coverage
+        .missing
+        .iter()
+        .all(|entry| coverage.answered.binary_search(&entry.shard).is_err());
+    assert!(
+        apart,
+        "invariant: no shard is both answered and missing in a coverage"
+    );
+}
+
+/// Checks the whole state: what is counted in two places must agree.
+pub(crate) fn audit(engine: &SearchEngine) {
+    audit_flights(engine);
+    audit_plans(engine);
+    audit_queues(engine);
+    for (_, state) in engine.queries.iter() {
+        audit_query(engine, state);
+    }
+}
+
+fn audit_flights(engine: &SearchEngine) {
+    let mut flights = 0;
+    for state in engine.targets.sorted() {
+        flights += state.flights.len();
+        for flight in &state.flights {
+            let known = engine.attempts.get(flight.attempt);
+            assert!(
+                known.is_some_and(|entry| entry.target.target == state.entry.target),
+                "invariant: what a target has in flight is a live attempt to it (attempt {})",
+                flight.attempt
+            );
+        }
+    }
+    assert_eq!(
+        flights,
+        engine.attempts.iter().count(),
+        "invariant: every live attempt is counted at its target"
+    );
+}
+
+fn audit_plans(engine: &SearchEngine) {
+    for (slot, plan) in engine.plans.iter() {
+        let users = engine
+            .queries
+            .iter()
+            .filter(|(_, state)| state.stage == QueryStage::Running { plan: slot })
+            .count();
+        assert_eq!(
+            plan.users as usize, users,
+            "invariant: a plan counts the queries that go by it"
+        );
+        let parked: usize = (0..plan.shard_count())
+            .map(|position| plan.parked(position).len())
+            .sum();
+        assert_eq!(
+            plan.parked_total() as usize,
+            parked,
+            "invariant: a plan counts the shard requests that wait"
+        );
+        for class in 0..CLASSES {
+            let any =
+                (0..plan.shard_count()).any(|position| plan.is_shard_saturated(position, class));
+            assert_eq!(
+                plan.is_saturated(class),
+                any,
+                "invariant: a plan is saturated when one of its shards is"
+            );
+        }
+    }
+}
+
+fn audit_queues(engine: &SearchEngine) {
+    let mut queued = 0;
+    for (_, collection) in engine.collections.iter() {
+        for query in collection.queue.queries() {
+            queued += 1;
+            let waits = engine
+                .queries
+                .get(query)
+                .is_some_and(|state| state.stage == QueryStage::Waiting);
+            assert!(
+                waits,
+                "invariant: what a queue holds is a query that waits (query {})",
+                query.query
+            );
+        }
+    }
+    let waiting = engine
+        .queries
+        .iter()
+        .filter(|(_, state)| state.stage == QueryStage::Waiting)
+        .count();
+    assert_eq!(
+        queued, waiting,
+        "invariant: every query that waits is in its collection's queue"
+    );
+}
+
+fn audit_query(engine: &SearchEngine, state: &QueryState) {
+    let QueryStage::Running { plan } = state.stage else {
+        return;
+    };
+    let query = state.query;
+    let open = state.shards.iter().filter(|shard| shard.is_open()).count();
+    assert_eq!(
+        state.open as usize, open,
+        "invariant: a query counts its open shards (query {query})"
+    );
+    assert!(
+        open > 0,
+        "invariant: a query without open shards has been answered (query {query})"
+    );
+    for progress in &state.shards {
+        match progress.stage {
+            ShardStage::Parked(entry, _) => {
+                let parked = engine
+                    .plans
+                    .get(plan)
+                    .is_some_and(|plan| plan.parked(progress.position).contains(&entry));
+                assert!(
+                    parked,
+                    "invariant: a shard request that waits is in its plan's list (query {query})"
+                );
+            }
+            ShardStage::Asked => assert!(
+                progress.is_in_flight(),
+                "invariant: an asked shard has an attempt in flight (query {query})"
+            ),
+            ShardStage::Answered | ShardStage::Missing(_) => assert!(
+                !progress.is_in_flight(),
+                "invariant: a settled shard has nothing in flight (query {query})"
+            ),
+        }
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -24,7 +24,7 @@
 pub use account::{AccountPolicy, AccountTable, RepeatPolicy, Urgency};
 pub use action::{EngineAction, EngineDecision};
 pub use coverage::{Coverage, MissingReason, MissingShard, Snapshot};
-pub use engine::{PolicyKind, SearchEngine};
+pub use engine::{EngineOptions, PolicyKind, ProtectionSet, SearchEngine};
 pub use event::EngineEvent;
 pub use outcome::{Outcome, Refusal, RefusalCode};
 pub use search::{RequestKind, SearchAnswer, SearchHit, SearchRequest};
--- /dev/null
+++ b/core/tests/engine/main.rs
@@ -0,0 +1,4 @@
+//! Failure tests of the engine, a module for each decision.
+
+mod answers;
+mod support;
