Read daemon settings and accounts from YAML by a table of fields

Cause: operators need every fault of a file with its line; a derived deserializer (marked-yaml with serde) stops at the first one, and its loader reports only the first name that stands twice. Ruled out: marked-yaml's own tree, for that reason. Change: a tree built from yaml-rust2's events without recursion, read by a table that holds name, kind, range and default of each field; accounts are resolved over their templates with the origin of each value; contradictions are refused.

--- /dev/null
+++ b/settings/src/account_rules.rs
@@ -0,0 +1,100 @@
+//! The contradictions between fields of an account that are refused.
+
+use yuccalift_core::{RepeatPolicy, Urgency};
+
+use crate::account_file::{
+    DEADLINE, FieldLayers, HEDGE_SHARE, PATIENCE, REPEAT, RETRY_SHARE, URGENCY,
+};
+use crate::error::ErrorList;
+use crate::value::write_duration;
+
+/// Adds each contradiction to `errors`, at the line of a field that is part of it.
+///
+/// A template alone is checked only where it gives both fields of a pair, since an account may
+/// still override either.
+pub(crate) fn check_contradictions(layers: &FieldLayers<'_>, errors: &mut ErrorList) {
+    check_urgent(layers, errors);
+    check_patience(layers, errors);
+    check_share(layers, HEDGE_SHARE, &[RepeatPolicy::Hedge], errors);
+    check_share(
+        layers,
+        RETRY_SHARE,
+        &[RepeatPolicy::Retry, RepeatPolicy::Hedge],
+        errors,
+    );
+}
+
+/// Urgent work is refused as hopeless by its deadline, so a default one would be a guess.
+fn check_urgent(layers: &FieldLayers<'_>, errors: &mut ErrorList) {
+    if !layers.is_account() || layers.find(DEADLINE).is_some() {
+        return;
+    }
+    let Some(field) = layers.find(URGENCY) else {
+        return;
+    };
+    if layers.urgency() == Some(Urgency::Urgent) {
+        let allowed = "`urgent` only beside a deadline";
+        errors.add(
+            field.field.line,
+            &field.path,
+            "`urgent` with no deadline",
+            allowed,
+        );
+    }
+}
+
+fn check_patience(layers: &FieldLayers<'_>, errors: &mut ErrorList) {
+    if !both_count(layers, PATIENCE, DEADLINE) {
+        return;
+    }
+    let (Some(patience), Some(deadline)) = (layers.duration(PATIENCE), layers.duration(DEADLINE))
+    else {
+        return;
+    };
+    let Some(field) = layers.find(PATIENCE) else {
+        return;
+    };
+    if patience > deadline {
+        let found = format!(
+            "`{}`, longer than the deadline of `{}`",
+            write_duration(patience),
+            write_duration(deadline)
+        );
+        errors.add(field.field.line, &field.path, found, "at most the deadline");
+    }
+}
+
+fn check_share(
+    layers: &FieldLayers<'_>,
+    name: &str,
+    repeats: &[RepeatPolicy],
+    errors: &mut ErrorList,
+) {
+    if !both_count(layers, name, REPEAT) {
+        return;
+    }
+    let (Some(share), Some(repeat)) = (layers.share(name), layers.repeat()) else {
+        return;
+    };
+    let Some(field) = layers.find(name) else {
+        return;
+    };
+    if share > 0.0 && !repeats.contains(&repeat) {
+        let found = format!("`{share}` with `repeat: {}`", repeat_word(repeat));
+        let words: Vec<&str> = repeats.iter().copied().map(repeat_word).collect();
+        let allowed = format!("0, or `repeat` one of {}", words.join(", "));
+        errors.add(field.field.line, &field.path, found, allowed);
+    }
+}
+
+fn both_count(layers: &FieldLayers<'_>, left: &str, right: &str) -> bool {
+    layers.is_account() || (layers.find(left).is_some() && layers.find(right).is_some())
+}
+
+fn repeat_word(repeat: RepeatPolicy) -> &'static str {
+    match repeat {
+        RepeatPolicy::Never => "never",
+        RepeatPolicy::Retry => "retry",
+        RepeatPolicy::Hedge => "hedge",
+    }
+}
--- /dev/null
+++ b/settings/src/daemon_file.rs
@@ -0,0 +1,219 @@
+//! Reads the settings of one daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use yuccalift_core::PolicyKind;
+
+use crate::daemon::{DaemonSettings, ListenerLimits, LogFormat, LogSettings};
+use crate::document::load_mapping;
+use crate::error::{ErrorList, SettingsErrors};
+use crate::field::{FieldDefault, FieldKind, FieldSpec};
+use crate::reader::{FieldReader, GivenFields};
+
+const CALLERS: &str = "listen.callers";
+const PEERS: &str = "listen.peers";
+const OPERATORS: &str = "listen.operators";
+const SEED_PEERS: &str = "seed_peers";
+const POLICIES: &[&str] = &["full", "baseline"];
+const FORMATS: &[&str] = &["text", "json"];
+const LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
+
+/// The fields of a daemon's settings.
+pub const DAEMON_FIELDS: &[FieldSpec] = &[
+    FieldSpec {
+        name: "host",
+        kind: FieldKind::Name,
+        default: FieldDefault::Required,
+        help: "the entry host, by the name that the platform lists",
+    },
+    FieldSpec {
+        name: "data_centre",
+        kind: FieldKind::Name,
+        default: FieldDefault::Required,
+        help: "the data centre of that host",
+    },
+    FieldSpec {
+        name: CALLERS,
+        kind: FieldKind::Listen,
+        default: FieldDefault::Required,
+        help: "where callers are accepted",
+    },
+    FieldSpec {
+        name: PEERS,
+        kind: FieldKind::Listen,
+        default: FieldDefault::Required,
+        help: "where peers are accepted; peers are told this address",
+    },
+    FieldSpec {
+        name: OPERATORS,
+        kind: FieldKind::Listen,
+        default: FieldDefault::Required,
+        help: "where operators are accepted",
+    },
+    FieldSpec {
+        name: "platform",
+        kind: FieldKind::AddressList { min: 1 },
+        default: FieldDefault::Required,
+        help: "where the platform's configuration service answers",
+    },
+    FieldSpec {
+        name: SEED_PEERS,
+        kind: FieldKind::AddressList { min: 0 },
+        default: FieldDefault::Absent,
+        help: "peer listeners to ask first, for when the platform is down at the start",
+    },
+    FieldSpec {
+        name: "shared_key",
+        kind: FieldKind::Text { min: 16, max: 256 },
+        default: FieldDefault::Required,
+        help: "the key that peers and operators must show",
+    },
+    FieldSpec {
+        name: "limits.body_bytes",
+        kind: FieldKind::Integer {
+            min: 1024,
+            max: 16 * 1024 * 1024,
+        },
+        default: FieldDefault::Value("262144"),
+        help: "the largest body that callers and operators may send, in bytes",
+    },
+    FieldSpec {
+        name: "limits.header_timeout",
+        kind: FieldKind::Duration {
+            min: Duration::from_millis(100),
+            max: Duration::from_secs(60),
+        },
+        default: FieldDefault::Value("5s"),
+        help: "how long a caller may take to send its headers",
+    },
+    FieldSpec {
+        name: "limits.requests_per_second",
+        kind: FieldKind::Integer {
+            min: 1,
+            max: 1_000_000,
+        },
+        default: FieldDefault::Value("20000"),
+        help: "requests a second from all callers of one listener",
+    },
+    FieldSpec {
+        name: "log.format",
+        kind: FieldKind::Choice(FORMATS),
+        default: FieldDefault::Value("text"),
+        help: "the form of a log line",
+    },
+    FieldSpec {
+        name: "log.level",
+        kind: FieldKind::Choice(LEVELS),
+        default: FieldDefault::Value("info"),
+        help: "the least level that is logged",
+    },
+    FieldSpec {
+        name: "statsd",
+        kind: FieldKind::Address,
+        default: FieldDefault::Absent,
+        help: "where metrics go, over UDP",
+    },
+    FieldSpec {
+        name: "policy",
+        kind: FieldKind::Choice(POLICIES),
+        default: FieldDefault::Value("full"),
+        help: "which set of decisions is made; baseline is for comparisons",
+    },
+    FieldSpec {
+        name: "stop_timeout",
+        kind: FieldKind::Duration {
+            min: Duration::from_secs(1),
+            max: Duration::from_secs(3600),
+        },
+        default: FieldDefault::Value("30s"),
+        help: "how long a graceful stop may take before the process ends all the same",
+    },
+];
+
+/// Reads and checks the settings of one daemon.
+///
+/// # Errors
+///
+/// Every fault of the document, each with its line.
+pub fn parse_daemon(file_name: &str, text: &str) -> Result<DaemonSettings, SettingsErrors> {
+    let mut errors = ErrorList::new(file_name);
+    let Some(entries) = load_mapping(text, &mut errors) else {
+        return errors.finish(None);
+    };
+    let given = GivenFields::read(&entries, DAEMON_FIELDS, "", &mut errors);
+    given.check_required(DAEMON_FIELDS, 1, &mut errors);
+    let reader = FieldReader {
+        specs: DAEMON_FIELDS,
+        given: &given,
+    };
+    check_listeners(reader, &mut errors);
+    errors.finish(assemble(reader))
+}
+
+fn assemble(reader: FieldReader<'_>) -> Option<DaemonSettings> {
+    Some(DaemonSettings {
+        host: reader.text("host")?,
+        data_centre: reader.text("data_centre")?,
+        caller_listen: reader.address(CALLERS)?,
+        peer_listen: reader.address(PEERS)?,
+        operator_listen: reader.address(OPERATORS)?,
+        platform: reader.addresses("platform"),
+        seed_peers: reader.addresses(SEED_PEERS),
+        shared_key: reader.text("shared_key")?,
+        limits: ListenerLimits {
+            body_bytes: reader.integer("limits.body_bytes")? as usize,
+            header_timeout: reader.duration("limits.header_timeout")?,
+            requests_per_second: reader.integer("limits.requests_per_second")? as u32,
+        },
+        log: LogSettings {
+            format: match reader.text("log.format")?.as_ref() {
+                "json" => LogFormat::Json,
+                _ => LogFormat::Text,
+            },
+            level: reader.text("log.level")?,
+        },
+        statsd: reader.address("statsd"),
+        policy: match reader.text("policy")?.as_ref() {
+            "baseline" => PolicyKind::Baseline,
+            _ => PolicyKind::Full,
+        },
+        stop_timeout: reader.duration("stop_timeout")?,
+    })
+}
+
+/// Refuses listeners that would collide, and a peer listener whose address peers cannot use.
+fn check_listeners(reader: FieldReader<'_>, errors: &mut ErrorList) {
+    let listeners = [CALLERS, PEERS, OPERATORS];
+    for (position, name) in listeners.iter().enumerate() {
+        let Some(address) = reader.address(name) else {
+            continue;
+        };
+        let line = reader.given.find(name).map_or(1, |field| field.line);
+        for earlier in &listeners[..position] {
+            if reader
+                .address(earlier)
+                .is_some_and(|other| collide(address, other))
+            {
+                let found = format!("`{address}`, on which {earlier} listens");
+                errors.add(line, name, found, "an address of its own for each listener");
+            }
+        }
+        if *name == PEERS && address.ip().is_unspecified() {
+            let found = format!("`{address}`");
+            errors.add(line, name, found, "an IP that peers can connect to");
+        }
+        if *name == PEERS && reader.addresses(SEED_PEERS).contains(&address) {
+            let line = reader.given.find(SEED_PEERS).map_or(1, |field| field.line);
+            let found = format!("`{address}`, this daemon's own peer listener");
+            errors.add(line, SEED_PEERS, found, "other daemons' peer listeners");
+        }
+    }
+}
+
+/// Whether two listeners cannot both be bound; port 0 gives each a port of its own.
+fn collide(left: SocketAddr, right: SocketAddr) -> bool {
+    let same_ip =
+        left.ip() == right.ip() || left.ip().is_unspecified() || right.ip().is_unspecified();
+    left.port() != 0 && left.port() == right.port() && same_ip
+}
