Add the micro-kernel and a thin daemon from callers to leafs

Cause: nothing carries a request from a caller to a leaf yet. Ruled out: one awc client with a pool of its own for all targets, since it does not tell which connection a call used, so that shares could not be kept nor one connection be retired. Change: services by name with ordered stop; a lane actor that feeds the engine and calls targets over one-connection clients; the callers' listener; a watch on the platform; yuccaliftd. The path itself is tried once the stand-ins are there. Conclusion: the thin path awaits its other end.

--- a/core/src/action.rs
+++ b/core/src/action.rs
@@ -5,14 +5,15 @@
 use std::time::{Duration, Instant};
 
 use crate::coverage::{MissingReason, Snapshot};
-use crate::ids::{AttemptId, Fingerprint, QueryId, ShardId, TargetId};
+use crate::ids::{AttemptId, Fingerprint, QueryId, RequestId, ShardId, TargetId};
 use crate::outcome::Refusal;
 use crate::search::{RequestKind, SearchAnswer};
 
 /// Something the engine decided, for the daemon to carry out.
 #[derive(Clone, Debug)]
 pub enum EngineAction {
-    /// Send a request to a target.
+    /// Send a request to a target. Just one reply or failure of it follows, also after a cancel;
+    /// until then it holds one of the target's connections.
     Send(AttemptPlan),
     /// Ask a target to cancel an attempt; its reply is no longer wanted.
     Cancel {
@@ -46,6 +47,8 @@
     pub attempt: AttemptId,
     /// The query that it is part of.
     pub query: QueryId,
+    /// The caller's id of the request, by which targets record their runs.
+    pub request: RequestId,
     /// The target.
     pub target: TargetId,
     /// Where the target accepts HTTP.
--- a/core/src/engine.rs
+++ b/core/src/engine.rs
@@ -173,6 +173,7 @@
             plans.push(AttemptPlan {
                 attempt: self.next_attempt,
                 query: request.query,
+                request: request.request.clone(),
                 target,
                 address: target_entry.address,
                 shard: entry.shard,
--- a/daemon/src/bin/yuccaliftd.rs
+++ b/daemon/src/bin/yuccaliftd.rs
@@ -1,2 +1,118 @@
-//! The daemon on every entry host.
-fn main() {}
+//! `yuccaliftd`: the daemon on every entry host.
+
+use std::process::ExitCode;
+
+use lexopt::prelude::{Long, Short, Value, ValueExt};
+use tokio::signal::unix::{SignalKind, signal};
+use yuccalift_daemon::Daemon;
+use yuccalift_settings::DaemonSettings;
+
+const HELP: &str = "\
+yuccaliftd: the daemon of yuccalift, the same on every entry host
+
+Usage: yuccaliftd [--check] SETTINGS.yaml
+
+Options:
+  --check        check the settings and end
+  -h, --help     print this text
+  -V, --version  print the version
+
+Exit status: 0 good, 1 failed, 2 bad use or bad settings.
+SIGTERM and SIGINT start a graceful stop.
+";
+
+/// Bad use of the command line, or bad settings.
+const EXIT_BAD_USE: u8 = 2;
+
+/// What the command line asks for.
+enum Invocation {
+    Help,
+    Version,
+    Run { file: String, check_only: bool },
+}
+
+fn main() -> ExitCode {
+    match read_invocation(lexopt::Parser::from_env()) {
+        Ok(Invocation::Help) => print_and_end(HELP),
+        Ok(Invocation::Version) => {
+            print_and_end(concat!("yuccaliftd ", env!("CARGO_PKG_VERSION"), "\n"))
+        }
+        Ok(Invocation::Run { file, check_only }) => run(&file, check_only),
+        Err(error) => {
+            eprintln!("yuccaliftd: {error}; see yuccaliftd --help");
+            ExitCode::from(EXIT_BAD_USE)
+        }
+    }
+}
+
+fn print_and_end(text: &str) -> ExitCode {
+    print!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn read_invocation(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
+    let mut file = None;
+    let mut check_only = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Short('h') | Long("help") => return Ok(Invocation::Help),
+            Short('V') | Long("version") => return Ok(Invocation::Version),
+            Long("check") => check_only = true,
+            Value(value) if file.is_none() => file = Some(value.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    let file = file.ok_or("the settings file is missing")?;
+    Ok(Invocation::Run { file, check_only })
+}
+
+fn run(file: &str, check_only: bool) -> ExitCode {
+    let settings = match read_settings(file) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(EXIT_BAD_USE);
+        }
+    };
+    if check_only {
+        return ExitCode::SUCCESS;
+    }
+    match serve(settings) {
+        Ok(code) => code,
+        Err(message) => {
+            eprintln!("yuccaliftd: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_settings(file: &str) -> Result<DaemonSettings, String> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| format!("yuccaliftd: read settings, file {file}: {error}"))?;
+    yuccalift_settings::parse_daemon(file, &text).map_err(|errors| errors.to_string())
+}
+
+fn serve(settings: DaemonSettings) -> Result<ExitCode, String> {
+    let daemon = Daemon::start(settings).map_err(|error| error.to_string())?;
+    let token = daemon.stop_token();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.map_err(|error| format!("start signal watch: {error}"))?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
+        tokio::select! {
+            _ = terminate.recv() => token.cancel(),
+            _ = interrupt.recv() => token.cancel(),
+            () = token.cancelled() => {}
+        }
+        Ok::<(), String>(())
+    })?;
+    let report = daemon.join();
+    Ok(if report.overdue.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- /dev/null
+++ b/daemon/src/caller.rs
@@ -0,0 +1,156 @@
+//! The callers' listener: searches over HTTP.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use actix::Addr;
+use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, web};
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3::Xxh3;
+use yuccalift_core::event::EngineEvent;
+use yuccalift_core::ids::{Fingerprint, QueryId};
+use yuccalift_core::{Outcome, Refusal, RefusalCode, RequestKind, SearchAnswer, SearchRequest};
+use yuccalift_wire::caller::SearchBody;
+use yuccalift_wire::codec::from_json;
+
+use crate::lane::{EngineLane, FeedEngine, SubmitRequest};
+
+/// What the handlers of the callers' listener share.
+#[derive(Clone)]
+pub(crate) struct CallerState {
+    /// The lane that runs the requests.
+    pub(crate) lane: Addr<EngineLane>,
+    /// Whether the daemon takes requests.
+    pub(crate) ready: Arc<AtomicBool>,
+}
+
+/// Adds the callers' routes to a listener.
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
+    config.route("/v1/search", web::post().to(search));
+    config.route("/ready", web::get().to(ready));
+}
+
+async fn ready(state: web::Data<CallerState>) -> HttpResponse {
+    if state.ready.load(Ordering::Acquire) {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    }
+}
+
+async fn search(state: web::Data<CallerState>, body: web::Bytes) -> HttpResponse {
+    match run_search(&state, &body).await {
+        Ok(answer) => HttpResponse::Ok().json(answer),
+        Err(refusal) => refusal_response(&refusal),
+    }
+}
+
+async fn run_search(state: &CallerState, body: &[u8]) -> Result<SearchAnswer, Refusal> {
+    let body: SearchBody = from_json("read search", "caller", body).map_err(|error| {
+        Refusal::not_run(RefusalCode::BadRequest, "read search", error.to_string())
+    })?;
+    let request = search_request(body);
+    submit(&state.lane, request).await
+}
+
+fn search_request(body: SearchBody) -> SearchRequest {
+    let fingerprint = fingerprint(&[&body.account, &body.collection, &body.text]);
+    SearchRequest {
+        query: rand::random::<QueryId>(),
+        request: body.request,
+        account: body.account,
+        collection: body.collection,
+        kind: RequestKind::Search,
+        text: body.text,
+        limit: body.limit,
+        fingerprint,
+        time_left: body.time_left_ms.map(Duration::from_millis),
+    }
+}
+
+/// Runs a request in the lane. When the future is dropped because the caller has gone, the lane
+/// is told, so that targets don't work for nobody.
+pub(crate) async fn submit(
+    lane: &Addr<EngineLane>,
+    request: SearchRequest,
+) -> Result<SearchAnswer, Refusal> {
+    let mut watch = CallerWatch {
+        lane,
+        query: request.query,
+        waiting: true,
+    };
+    let (reply, answer) = oneshot::channel();
+    if lane.try_send(SubmitRequest { request, reply }).is_err() {
+        watch.waiting = false;
+        return Err(Refusal::not_run(
+            RefusalCode::QueueFull,
+            "submit",
+            "the daemon is overloaded",
+        ));
+    }
+    let result = answer.await;
+    watch.waiting = false;
+    result.unwrap_or_else(|_closed| {
+        Err(Refusal::unknown(
+            RefusalCode::Internal,
+            "submit",
+            "the daemon ended meanwhile",
+        ))
+    })
+}
+
+/// Tells the lane when a caller goes before its answer.
+struct CallerWatch<'lane> {
+    lane: &'lane Addr<EngineLane>,
+    query: QueryId,
+    waiting: bool,
+}
+
+impl Drop for CallerWatch<'_> {
+    fn drop(&mut self) {
+        if self.waiting {
+            self.lane
+                .do_send(FeedEngine(EngineEvent::CallerGone { query: self.query }));
+        }
+    }
+}
+
+/// A hash over parts whose borders count, equal for a resent request.
+fn fingerprint(parts: &[&str]) -> Fingerprint {
+    let mut hasher = Xxh3::new();
+    for part in parts {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.digest()
+}
+
+/// The response that carries a refusal.
+pub(crate) fn refusal_response(refusal: &Refusal) -> HttpResponse {
+    HttpResponse::build(refusal_status(refusal)).json(refusal)
+}
+
+fn refusal_status(refusal: &Refusal) -> StatusCode {
+    match refusal.code {
+        RefusalCode::BadRequest => StatusCode::BAD_REQUEST,
+        RefusalCode::UnknownAccount => StatusCode::FORBIDDEN,
+        RefusalCode::UnknownCollection => StatusCode::NOT_FOUND,
+        RefusalCode::TicketInvalid => StatusCode::CONFLICT,
+        RefusalCode::QueueFull | RefusalCode::RateLimited | RefusalCode::Hopeless => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        RefusalCode::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        RefusalCode::TargetLost | RefusalCode::OwnerUnreachable => StatusCode::BAD_GATEWAY,
+        RefusalCode::Internal if refusal.outcome == Outcome::Unknown => {
+            StatusCode::INTERNAL_SERVER_ERROR
+        }
+        RefusalCode::NotReady
+        | RefusalCode::Stopping
+        | RefusalCode::Quarantined
+        | RefusalCode::NoSnapshot
+        | RefusalCode::TargetRefused
+        | RefusalCode::Internal => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/daemon/src/lane.rs
@@ -0,0 +1,254 @@
+//! The lane: the actor that runs the engine and the calls to targets, on a thread of its own.
+//!
+//! It decides nothing: it feeds the engine and carries out its actions. Every
+//! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
+use tokio::sync::oneshot;
+use tracing::info;
+use yuccalift_core::action::{AttemptPlan, EngineAction, EngineStatus};
+use yuccalift_core::event::EngineEvent;
+use yuccalift_core::ids::{AttemptId, QueryId, TargetId};
+use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest};
+
+use crate::leaf_client::LeafClient;
+
+/// The name under which the lane's address is published.
+pub const LANE_SERVICE: &str = "lane";
+
+/// How many connections a daemon holds to a target before its share is known.
+const FIRST_SHARE: u32 = 2;
+
+/// Asks the lane to run a request; the answer or refusal comes through `reply`.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SubmitRequest {
+    /// The request.
+    pub request: SearchRequest,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
+}
+
+/// Feeds the engine an event.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct FeedEngine(pub EngineEvent);
+
+/// Asks what the engine holds.
+#[derive(Debug, Message)]
+#[rtype(result = "StatusAnswer")]
+pub struct GetStatus;
+
+/// The answer to [`GetStatus`].
+#[derive(Debug, actix::MessageResponse)]
+pub struct StatusAnswer(pub EngineStatus);
+
+/// A caller whose request is in the engine.
+struct WaitingCaller {
+    query: QueryId,
+    reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
+}
+
+/// The connections to one target.
+struct TargetLink {
+    target: TargetId,
+    address: SocketAddr,
+    client: Rc<LeafClient>,
+}
+
+/// The actor that runs the engine.
+pub struct EngineLane {
+    engine: SearchEngine,
+    sender: Box<str>,
+    callers: Vec<WaitingCaller>,
+    links: Vec<TargetLink>,
+    actions: Vec<EngineAction>,
+    wake: Option<Instant>,
+}
+
+impl std::fmt::Debug for EngineLane {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EngineLane")
+            .field("sender", &self.sender)
+            .field("callers", &self.callers.len())
+            .field("links", &self.links.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl EngineLane {
+    /// Makes a lane; `sender` names the process to targets.
+    pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>) -> Self {
+        Self {
+            engine: SearchEngine::new(policy, seed),
+            sender,
+            callers: Vec::new(),
+            links: Vec::new(),
+            actions: Vec::new(),
+            wake: None,
+        }
+    }
+
+    fn feed(&mut self, event: EngineEvent, context: &mut Context<Self>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.engine.handle(Instant::now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(action, context);
+        }
+        self.actions = actions;
+        self.schedule_wake(context);
+    }
+
+    fn carry_out(&mut self, action: EngineAction, context: &mut Context<Self>) {
+        match action {
+            EngineAction::Send(plan) => self.send(plan, context),
+            EngineAction::Cancel { attempt, target } => self.cancel(attempt, target, context),
+            EngineAction::Answer { query, answer } => self.reply(query, Ok(answer)),
+            EngineAction::Refuse { query, refusal } => self.reply(query, Err(refusal)),
+            EngineAction::Decided(decision) => info!(?decision, "decided"),
+        }
+    }
+
+    fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
+        let client = self.link(plan.target, plan.address);
+        let call = async move { client.call(plan).await };
+        context.spawn(
+            call.into_actor(self)
+                .map(|event, lane, context| lane.feed(event, context)),
+        );
+    }
+
+    fn cancel(&mut self, attempt: AttemptId, target: TargetId, context: &mut Context<Self>) {
+        let Ok(position) = self.links.binary_search_by_key(&target, |link| link.target) else {
+            return;
+        };
+        let client = Rc::clone(&self.links[position].client);
+        context.spawn(async move { client.cancel(attempt).await }.into_actor(self));
+    }
+
+    /// The connections to a target; made anew when the target has moved.
+    fn link(&mut self, target: TargetId, address: SocketAddr) -> Rc<LeafClient> {
+        let found = self.links.binary_search_by_key(&target, |link| link.target);
+        if let Ok(position) = found
+            && self.links[position].address == address
+        {
+            return Rc::clone(&self.links[position].client);
+        }
+        let client = LeafClient::new(address, &self.sender, FIRST_SHARE);
+        let link = TargetLink {
+            target,
+            address,
+            client: Rc::clone(&client),
+        };
+        match found {
+            Ok(position) => self.links[position] = link,
+            Err(position) => self.links.insert(position, link),
+        }
+        client
+    }
+
+    fn reply(&mut self, query: QueryId, result: Result<SearchAnswer, Refusal>) {
+        let Ok(position) = self
+            .callers
+            .binary_search_by_key(&query, |caller| caller.query)
+        else {
+            return;
+        };
+        let caller = self.callers.remove(position);
+        let _caller_may_have_gone = caller.reply.send(result);
+    }
+
+    fn schedule_wake(&mut self, context: &mut Context<Self>) {
+        let Some(due) = self.engine.next_wake() else {
+            return;
+        };
+        let now = Instant::now();
+        let scheduled = self.wake.is_some_and(|wake| wake <= due && wake > now);
+        if scheduled {
+            return;
+        }
+        self.wake = Some(due);
+        context.run_later(due.saturating_duration_since(now), |lane, context| {
+            lane.wake = None;
+            lane.feed(EngineEvent::Tick, context);
+        });
+    }
+}
+
+impl Actor for EngineLane {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(MAILBOX_MESSAGES);
+    }
+}
+
+/// How many messages the lane's mailbox holds before senders are refused.
+const MAILBOX_MESSAGES: usize = 4096;
+
+impl Handler<SubmitRequest> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: SubmitRequest, ctx: &mut Self::Context) {
+        let query = msg.request.query;
+        match self
+            .callers
+            .binary_search_by_key(&query, |caller| caller.query)
+        {
+            Ok(_position) => {
+                let refusal = Refusal::not_run(
+                    yuccalift_core::RefusalCode::Internal,
+                    "submit",
+                    "another request has the same number",
+                );
+                let _caller_may_have_gone = msg.reply.send(Err(refusal));
+            }
+            Err(position) => {
+                self.callers.insert(
+                    position,
+                    WaitingCaller {
+                        query,
+                        reply: msg.reply,
+                    },
+                );
+                self.feed(EngineEvent::Submit(msg.request), ctx);
+            }
+        }
+    }
+}
+
+impl Handler<FeedEngine> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: FeedEngine, ctx: &mut Self::Context) {
+        if let EngineEvent::CallerGone { query } = &msg.0
+            && let Ok(position) = self
+                .callers
+                .binary_search_by_key(query, |caller| caller.query)
+        {
+            self.callers.remove(position);
+        }
+        if let EngineEvent::SharesChanged(shares) = &msg.0 {
+            for link in &self.links {
+                if let Ok(position) =
+                    shares.binary_search_by_key(&link.target, |share| share.target)
+                {
+                    link.client.set_limit(shares[position].connections);
+                }
+            }
+        }
+        self.feed(msg.0, ctx);
+    }
+}
+
+impl Handler<GetStatus> for EngineLane {
+    type Result = StatusAnswer;
+
+    fn handle(&mut self, _msg: GetStatus, _ctx: &mut Self::Context) -> Self::Result {
+        StatusAnswer(self.engine.status())
+    }
+}
