Pass the settings on as they come

Cause: the linter finds a borrow that is dereferenced at once. Ruled out: nothing else was found. Change: the borrow goes. Conclusion: no behaviour changed.

--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -154,7 +154,7 @@
     let guard = kernel.start("caller");
     start_caller(
         CallerState { lane, ready },
-        &settings,
+        settings,
         listeners.caller,
         guard,
     )?;
