Add stand-ins for the platform and the leafs

Cause: the daemons need something real at the other end of each connection before any path or failure can be shown. Ruled out: actix-web's own server for the leafs, since limits, cuts and silence act on connections beneath HTTP; the stand-ins accept connections themselves and hand each to actix-http, which also lets many leafs share one thread. Change: PlatformStandin, LeafStandin, LeafFleet with a record of every run.

--- /dev/null
+++ b/standins/src/gate.rs
@@ -0,0 +1,219 @@
+//! Connections that can be counted, limited, delayed, cut and silenced.
+//!
+//! The faults that matter here happen to connections, beneath HTTP; so the stand-ins accept their
+//! connections themselves and hand each to `actix-http` as a [`GatedStream`].
+
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+/// How many bytes of a silent connection are read and dropped at a time.
+const DISCARD_BYTES: usize = 4096;
+
+/// What stands between a listener and its connections.
+#[derive(Debug)]
+pub struct ConnectionGate {
+    limit: u32,
+    connect_cost: Duration,
+    state: Mutex<GateState>,
+}
+
+#[derive(Debug)]
+struct GateState {
+    next_id: u64,
+    open: Vec<OpenConnection>,
+    peak: u32,
+    refused: u64,
+    cut: CancellationToken,
+    down_until: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct OpenConnection {
+    id: u64,
+    silent: Arc<AtomicBool>,
+}
+
+/// What a gate has counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GateCounts {
+    /// Connections that are open.
+    pub open: u32,
+    /// The most that were ever open or asked for at once, the refused one included.
+    pub peak: u32,
+    /// Connections that were closed at once since the limit was reached.
+    pub refused: u64,
+}
+
+impl ConnectionGate {
+    /// Makes a gate that admits up to `limit` connections, each of which is served only after
+    /// `connect_cost`.
+    pub fn new(limit: u32, connect_cost: Duration) -> Self {
+        Self {
+            limit,
+            connect_cost,
+            state: Mutex::new(GateState {
+                next_id: 0,
+                open: Vec::new(),
+                peak: 0,
+                refused: 0,
+                cut: CancellationToken::new(),
+                down_until: None,
+            }),
+        }
+    }
+
+    /// What the gate has counted so far.
+    pub fn counts(&self) -> GateCounts {
+        let state = self.lock();
+        GateCounts {
+            open: state.open.len() as u32,
+            peak: state.peak,
+            refused: state.refused,
+        }
+    }
+
+    /// Makes every open connection silent: it takes bytes and never answers; new ones work.
+    ///
+    /// Returns how many connections that concerned.
+    pub fn silence_open(&self) -> usize {
+        let state = self.lock();
+        for connection in &state.open {
+            connection.silent.store(true, Ordering::Relaxed);
+        }
+        state.open.len()
+    }
+
+    /// Cuts every connection and refuses new ones for a time, as a killed process does.
+    pub fn crash(&self, down: Duration) {
+        let mut state = self.lock();
+        state.down_until = Some(Instant::now() + down);
+        std::mem::take(&mut state.cut).cancel();
+    }
+
+    pub(crate) fn down_until(&self) -> Option<Instant> {
+        let state = self.lock();
+        state.down_until.filter(|until| *until > Instant::now())
+    }
+
+    pub(crate) fn connect_cost(&self) -> Duration {
+        self.connect_cost
+    }
+
+    /// The token that [`ConnectionGate::crash`] cancels next.
+    pub(crate) fn cut_token(&self) -> CancellationToken {
+        self.lock().cut.clone()
+    }
+
+    /// Admits a connection, or none where the limit is reached.
+    pub(crate) fn admit(self: &Arc<Self>, stream: TcpStream) -> Option<GatedStream> {
+        let mut state = self.lock();
+        let wanted = state.open.len() as u32 + 1;
+        state.peak = state.peak.max(wanted);
+        if wanted > self.limit {
+            state.refused += 1;
+            return None;
+        }
+        state.next_id += 1;
+        let id = state.next_id;
+        let silent = Arc::new(AtomicBool::new(false));
+        state.open.push(OpenConnection {
+            id,
+            silent: Arc::clone(&silent),
+        });
+        drop(state);
+        Some(GatedStream {
+            id,
+            silent,
+            gate: Arc::clone(self),
+            stream,
+        })
+    }
+
+    fn release(&self, id: u64) {
+        let mut state = self.lock();
+        if let Ok(position) = state.open.binary_search_by_key(&id, |entry| entry.id) {
+            state.open.remove(position);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One admitted connection; the gate forgets it when it is dropped.
+#[derive(Debug)]
+pub struct GatedStream {
+    id: u64,
+    silent: Arc<AtomicBool>,
+    gate: Arc<ConnectionGate>,
+    stream: TcpStream,
+}
+
+impl GatedStream {
+    fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::Relaxed)
+    }
+
+    /// Reads and drops what comes, so that the sender's writes succeed; ends with the connection.
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut bytes = [0; DISCARD_BYTES];
+        loop {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut self.stream).poll_read(context, &mut buffer) {
+                Poll::Ready(Ok(())) if buffer.filled().is_empty() => return Poll::Ready(Ok(())),
+                Poll::Ready(Ok(())) => {}
+                other => return other,
+            }
+        }
+    }
+}
+
+impl Drop for GatedStream {
+    fn drop(&mut self) {
+        self.gate.release(self.id);
+    }
+}
+
+impl AsyncRead for GatedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.is_silent() {
+            return self.poll_discard(cx);
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for GatedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.is_silent() {
+            return Poll::Ready(Ok(buf.len()));
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/standins/src/leaf/core.rs
@@ -0,0 +1,294 @@
+//! How a leaf runs a request: queue, slot, deadline, service time, record.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use yuccalift_core::search::SearchHit;
+use yuccalift_wire::leaf::{
+    LeafCancel, LeafRefusal, LeafRefusalCode, LeafReply, LeafRequest, LeafStatus,
+};
+
+use super::command::LeafCommand;
+use super::options::{CRASH_MARK, LeafOptions};
+use super::record::{LeafCounts, LeafRun, RunEnd, RunKind};
+use super::state::{LeafMutable, OpenAttempt};
+use crate::gate::ConnectionGate;
+
+/// How many hits a search of one shard finds.
+const HITS_PER_SHARD: u32 = 3;
+
+/// What a leaf's thread and its methods share.
+#[derive(Debug)]
+pub(super) struct LeafCore {
+    options: LeafOptions,
+    started: Instant,
+    slots: Semaphore,
+    gate: Arc<ConnectionGate>,
+    state: Mutex<LeafMutable>,
+}
+
+impl LeafCore {
+    pub(super) fn new(options: LeafOptions, gate: Arc<ConnectionGate>) -> Self {
+        let started = Instant::now();
+        let state = LeafMutable::new(&options, started);
+        Self {
+            started,
+            slots: Semaphore::new(options.slots as usize),
+            gate,
+            state: Mutex::new(state),
+            options,
+        }
+    }
+
+    pub(super) fn gate(&self) -> &ConnectionGate {
+        &self.gate
+    }
+
+    pub(super) fn runs(&self) -> Vec<LeafRun> {
+        self.lock().runs.clone()
+    }
+
+    pub(super) fn counts(&self) -> LeafCounts {
+        self.lock().counts
+    }
+
+    pub(super) fn status(&self) -> LeafStatus {
+        self.lock().status(self.options.slots, Instant::now())
+    }
+
+    pub(super) fn command(&self, command: LeafCommand) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        match command {
+            LeafCommand::Drain { refuse } => {
+                state.drained_at = Some(now);
+                state.refuses = refuse;
+                state.counts.work_after_drain_ms = None;
+            }
+            LeafCommand::Undrain => {
+                state.drained_at = None;
+                state.refuses = false;
+            }
+            LeafCommand::Hold(held) => state.held = held,
+            LeafCommand::Host(shards) => state.shards = shards,
+            LeafCommand::Slow(factor) => state.slow_factor = factor,
+            LeafCommand::Spells(spells) => {
+                state.spells = spells;
+                state.spells_from = now;
+            }
+            LeafCommand::Report(report) => state.report = report,
+            LeafCommand::Silence => {
+                self.gate.silence_open();
+            }
+            LeafCommand::Crash { downtime } => {
+                drop(state);
+                self.crash(downtime);
+            }
+        }
+    }
+
+    pub(super) fn cancel(&self, cancel: &LeafCancel) {
+        let state = self.lock();
+        let found = state
+            .open
+            .iter()
+            .find(|entry| entry.attempt == cancel.attempt && entry.sender == cancel.sender);
+        if let Some(entry) = found {
+            entry.token.cancel();
+        }
+    }
+
+    /// Runs a request, or says why not.
+    pub(super) async fn serve(
+        &self,
+        kind: RunKind,
+        request: &LeafRequest,
+    ) -> Result<LeafReply, LeafRefusal> {
+        let arrived = Instant::now();
+        let token = self.accept(request, arrived)?;
+        let _open = OpenGuard {
+            core: self,
+            request,
+        };
+        let waiting = CountGuard::new(self, |counts| &mut counts.waiting);
+        let slot = tokio::select! {
+            slot = self.slots.acquire() => slot,
+            () = token.cancelled() => return Err(self.cancelled(request, false)),
+        };
+        drop(waiting);
+        debug_assert!(slot.is_ok(), "a leaf's slots are never closed");
+        let _running = CountGuard::new(self, |counts| &mut counts.running);
+        if arrived.elapsed() >= Duration::from_millis(request.time_left_ms) {
+            self.lock().counts.expired += 1;
+            return Err(self.refuse(request, LeafRefusalCode::Expired, false));
+        }
+        self.run(kind, request, &token).await
+    }
+
+    /// Runs a request that has a slot.
+    async fn run(
+        &self,
+        kind: RunKind,
+        request: &LeafRequest,
+        token: &CancellationToken,
+    ) -> Result<LeafReply, LeafRefusal> {
+        let (position, service_time) = self.begin_run(kind, request);
+        if request.text.contains(CRASH_MARK) {
+            self.crash(self.options.crash_downtime);
+            std::future::pending::<()>().await;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(service_time) => {}
+            () = token.cancelled() => {
+                self.lock().end_run(position, RunEnd::Cancelled);
+                return Err(self.cancelled(request, true));
+            }
+        }
+        let mut state = self.lock();
+        state.end_run(position, RunEnd::Done);
+        Ok(LeafReply {
+            query: request.query,
+            attempt: request.attempt,
+            shard: request.shard,
+            version: request.version,
+            held: state.held.clone(),
+            hits: make_hits(kind, request),
+            complete: true,
+        })
+    }
+
+    fn begin_run(&self, kind: RunKind, request: &LeafRequest) -> (usize, Duration) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let position = state.runs.len();
+        state.runs.push(LeafRun {
+            kind,
+            request: request.request.clone(),
+            query: request.query,
+            attempt: request.attempt,
+            sender: request.sender.clone(),
+            shard: request.shard,
+            version: request.version,
+            began_ms: now.duration_since(self.started).as_millis() as u64,
+            end: RunEnd::Open,
+        });
+        let service_time = state.service_time(&self.options, now);
+        (position, service_time)
+    }
+
+    /// Takes a request in, with the token that cancels it, or refuses it.
+    fn accept(
+        &self,
+        request: &LeafRequest,
+        now: Instant,
+    ) -> Result<CancellationToken, LeafRefusal> {
+        let mut state = self.lock();
+        state.count_arrival(now);
+        let code = if state.refuses {
+            Some(LeafRefusalCode::Draining)
+        } else if state.shards.binary_search(&request.shard).is_err() {
+            Some(LeafRefusalCode::NotHosted)
+        } else if state.held.binary_search(&request.version).is_err() {
+            Some(LeafRefusalCode::WrongVersion)
+        } else if state.counts.waiting >= self.options.queue_limit {
+            state.counts.shed += 1;
+            Some(LeafRefusalCode::Shed)
+        } else {
+            None
+        };
+        if let Some(code) = code {
+            drop(state);
+            return Err(self.refuse(request, code, false));
+        }
+        let token = CancellationToken::new();
+        state.open.push(OpenAttempt {
+            sender: request.sender.clone(),
+            attempt: request.attempt,
+            token: token.clone(),
+        });
+        Ok(token)
+    }
+
+    fn cancelled(&self, request: &LeafRequest, ran: bool) -> LeafRefusal {
+        self.lock().counts.cancelled += 1;
+        self.refuse(request, LeafRefusalCode::Cancelled, ran)
+    }
+
+    fn refuse(&self, request: &LeafRequest, code: LeafRefusalCode, ran: bool) -> LeafRefusal {
+        LeafRefusal {
+            attempt: request.attempt,
+            code,
+            ran,
+            held: self.lock().held.clone(),
+        }
+    }
+
+    fn crash(&self, downtime: Duration) {
+        let up_again = Instant::now() + downtime;
+        self.lock().cold_until = up_again + self.options.cold_period;
+        self.gate.crash(downtime);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LeafMutable> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Forgets an open attempt when it ends, also when its connection is cut.
+struct OpenGuard<'a> {
+    core: &'a LeafCore,
+    request: &'a LeafRequest,
+}
+
+impl Drop for OpenGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.core.lock();
+        state.forget_attempt(&self.request.sender, self.request.attempt);
+    }
+}
+
+/// Counts one up until it is dropped, also when its connection is cut.
+struct CountGuard<'a> {
+    core: &'a LeafCore,
+    field: fn(&mut LeafCounts) -> &mut u32,
+}
+
+impl<'a> CountGuard<'a> {
+    fn new(core: &'a LeafCore, field: fn(&mut LeafCounts) -> &mut u32) -> Self {
+        *field(&mut core.lock().counts) += 1;
+        Self { core, field }
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        *(self.field)(&mut self.core.lock().counts) -= 1;
+    }
+}
+
+/// Makes hits whose keys name shard, version and text, so that a caller can tell a foreign one.
+fn make_hits(kind: RunKind, request: &LeafRequest) -> Vec<SearchHit> {
+    let count = match kind {
+        RunKind::Search => HITS_PER_SHARD.min(request.limit),
+        RunKind::Execute => 1,
+    };
+    (0..count)
+        .map(|rank| SearchHit {
+            shard: request.shard,
+            key: hit_key(request, rank),
+            score: 1.0 / f64::from(rank + 1),
+        })
+        .collect()
+}
+
+fn hit_key(request: &LeafRequest, rank: u32) -> Box<str> {
+    let LeafRequest {
+        shard,
+        version,
+        text,
+        ..
+    } = request;
+    format!("{shard}/{version}/{rank}/{text}").into()
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//!
+//! Each runs on a thread of its own and over real TCP, so that the daemons under test can't tell
+//! it from the real thing; each is stopped when it is dropped.
+//!
+//! - [`leaf`]: targets with slots, limits, slow spells and faults, alone or as a fleet.
+//! - [`platform`]: the platform's configuration service and its list of hosts.
+//! - [`gate`], [`server`]: connections that can be counted, cut and silenced, and what serves them.
+
+pub mod error;
+pub mod gate;
+pub mod leaf;
+pub mod platform;
+pub mod server;
+
+pub use error::StandinError;
+pub use leaf::{LeafCommand, LeafFleet, LeafOptions, LeafRun, LeafStandin};
+pub use platform::{PlatformMode, PlatformOptions, PlatformStandin};
--- /dev/null
+++ b/standins/src/server.rs
@@ -0,0 +1,191 @@
+//! The threads that serve stand-ins: any number of listeners on one thread.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use actix_http::{HttpService, KeepAlive, Protocol};
+use actix_service::{Service, ServiceFactory, map_config};
+use actix_web::dev::AppConfig;
+use actix_web::web::ServiceConfig;
+use actix_web::{App, rt};
+use snafu::ResultExt;
+use tokio_util::sync::CancellationToken;
+
+use crate::error::{BindSnafu, StandinError, ThreadSnafu};
+use crate::gate::{ConnectionGate, GatedStream};
+
+/// Where stand-ins listen.
+///
+/// Outgoing connections leave from 127.0.0.1; so none of them can take the port of a stand-in
+/// that is down for a moment.
+pub const STANDIN_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
+/// How long to wait before a listener that could not be bound again is tried once more.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// One listener with what it serves.
+pub(crate) struct ServerSpec {
+    listener: TcpListener,
+    address: SocketAddr,
+    gate: Arc<ConnectionGate>,
+    configure: Box<dyn FnOnce(&mut ServiceConfig) + Send>,
+}
+
+impl ServerSpec {
+    /// Binds a listener; `configure` adds what it serves.
+    pub(crate) fn bind(
+        address: SocketAddr,
+        gate: Arc<ConnectionGate>,
+        configure: impl FnOnce(&mut ServiceConfig) + Send + 'static,
+    ) -> Result<Self, StandinError> {
+        let listener = listen(address).context(BindSnafu { address })?;
+        let address = listener.local_addr().context(BindSnafu { address })?;
+        Ok(Self {
+            listener,
+            address,
+            gate,
+            configure: Box::new(configure),
+        })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// A thread that serves listeners until it is stopped or dropped.
+pub(crate) struct ServerThread {
+    stop: CancellationToken,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl fmt::Debug for ServerThread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ServerThread").finish_non_exhaustive()
+    }
+}
+
+impl ServerThread {
+    pub(crate) fn spawn(name: &str, specs: Vec<ServerSpec>) -> Result<Self, StandinError> {
+        let stop = CancellationToken::new();
+        let stopped = stop.clone();
+        let thread = std::thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || rt::System::new().block_on(serve_all(specs, stopped)))
+            .context(ThreadSnafu { name })?;
+        Ok(Self {
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    pub(crate) fn stop(&mut self) {
+        self.stop.cancel();
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            tracing::error!("a stand-in's thread panicked");
+        }
+    }
+}
+
+impl Drop for ServerThread {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+async fn serve_all(specs: Vec<ServerSpec>, stop: CancellationToken) {
+    for spec in specs {
+        rt::spawn(serve(spec, stop.clone()));
+    }
+    stop.cancelled().await;
+}
+
+/// Accepts connections and serves each until it ends or the gate cuts it.
+async fn serve(spec: ServerSpec, stop: CancellationToken) {
+    let ServerSpec {
+        listener,
+        address,
+        gate,
+        configure,
+    } = spec;
+    let app = App::new().configure(configure);
+    let factory = HttpService::<GatedStream, _, _>::build()
+        .keep_alive(KeepAlive::Os)
+        .client_request_timeout(Duration::ZERO)
+        .finish(map_config(app, |()| AppConfig::default()));
+    let Ok(service) = factory.new_service(()).await else {
+        tracing::error!(%address, "a stand-in's service could not be made");
+        return;
+    };
+    let mut listener = tokio::net::TcpListener::from_std(listener).ok();
+    while !stop.is_cancelled() {
+        let cut = gate.cut_token();
+        if let Some(until) = gate.down_until() {
+            listener = None;
+            rt::time::sleep_until(until.into()).await;
+        }
+        let Some(open) = &listener else {
+            listener = reopen(address).await;
+            continue;
+        };
+        let accepted = tokio::select! {
+            accepted = open.accept() => accepted,
+            () = cut.cancelled() => continue,
+            () = stop.cancelled() => return,
+        };
+        let Ok((stream, peer)) = accepted else {
+            continue;
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let Some(stream) = gate.admit(stream) else {
+            continue;
+        };
+        let ready_at = Instant::now() + gate.connect_cost();
+        let connection = service.call((stream, Protocol::Http1, Some(peer)));
+        let stop = stop.clone();
+        rt::spawn(async move {
+            tokio::select! {
+                () = serve_connection(ready_at, connection) => {}
+                () = cut.cancelled() => {}
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+}
+
+async fn serve_connection<F, E>(ready_at: Instant, connection: F)
+where
+    F: Future<Output = Result<(), E>>,
+    E: fmt::Display,
+{
+    if ready_at > Instant::now() {
+        rt::time::sleep_until(ready_at.into()).await;
+    }
+    if let Err(error) = connection.await {
+        tracing::debug!(%error, "a stand-in's connection ended");
+    }
+}
+
+async fn reopen(address: SocketAddr) -> Option<tokio::net::TcpListener> {
+    match listen(address).and_then(tokio::net::TcpListener::from_std) {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            tracing::warn!(%address, %error, "a stand-in can't listen again yet");
+            rt::time::sleep(REBIND_PAUSE).await;
+            None
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
