--- /dev/null
+++ b/settings/src/accounts/fields.rs
@@ -0,0 +1,99 @@
+//! The table of a template's and an account's fields.
+
+use std::time::Duration;
+
+use crate::field::{FieldDefault, FieldKind, FieldSpec};
+
+pub(super) const TEMPLATES: &str = "templates";
+pub(super) const ACCOUNTS: &str = "accounts";
+pub(super) const TEMPLATE: &str = "template";
+pub(super) const COLLECTIONS: &str = "collections";
+pub(super) const URGENCY: &str = "urgency";
+pub(super) const PATIENCE: &str = "patience";
+pub(super) const DEADLINE: &str = "deadline";
+pub(super) const REPEAT: &str = "repeat";
+pub(super) const HEDGE_SHARE: &str = "hedge_share";
+pub(super) const RETRY_SHARE: &str = "retry_share";
+pub(super) const WEIGHT: &str = "weight";
+pub(super) const QUEUE_LIMIT: &str = "queue_limit";
+
+const URGENCIES: &[&str] = &["urgent", "normal", "patient"];
+const REPEATS: &[&str] = &["never", "retry", "hedge"];
+
+/// The longest deadline and patience; work may wait until the next morning.
+const MAX_WAIT: Duration = Duration::from_secs(24 * 3600);
+
+/// The fields of a template; an account may override each of them.
+pub const POLICY_FIELDS: &[FieldSpec] = &[
+    FieldSpec {
+        name: COLLECTIONS,
+        kind: FieldKind::NameList,
+        default: FieldDefault::Required,
+        help: "the collections that the account may ask",
+    },
+    FieldSpec {
+        name: URGENCY,
+        kind: FieldKind::Choice(URGENCIES),
+        default: FieldDefault::Value("normal"),
+        help: "which class the account is served in",
+    },
+    FieldSpec {
+        name: PATIENCE,
+        kind: FieldKind::Duration {
+            min: Duration::ZERO,
+            max: MAX_WAIT,
+        },
+        default: FieldDefault::Derived("the deadline"),
+        help: "how long a request may wait before its first send",
+    },
+    FieldSpec {
+        name: DEADLINE,
+        kind: FieldKind::Duration {
+            min: Duration::from_millis(1),
+            max: MAX_WAIT,
+        },
+        default: FieldDefault::Value("10s"),
+        help: "the longest time that a request may take",
+    },
+    FieldSpec {
+        name: REPEAT,
+        kind: FieldKind::Choice(REPEATS),
+        default: FieldDefault::Value("never"),
+        help: "never: non-idempotent, at most once; retry: idempotent; hedge: retry, and hedge too",
+    },
+    FieldSpec {
+        name: HEDGE_SHARE,
+        kind: FieldKind::Share { max: 0.25 },
+        default: FieldDefault::Derived("0.05 with `repeat: hedge`, otherwise 0"),
+        help: "the share of shard requests that may be hedged",
+    },
+    FieldSpec {
+        name: RETRY_SHARE,
+        kind: FieldKind::Share { max: 0.5 },
+        default: FieldDefault::Derived("0 with `repeat: never`, otherwise 0.1"),
+        help: "the share of shard requests that may be retried",
+    },
+    FieldSpec {
+        name: WEIGHT,
+        kind: FieldKind::Integer { min: 1, max: 1000 },
+        default: FieldDefault::Value("1"),
+        help: "the account's share of the capacity against others of its class",
+    },
+    FieldSpec {
+        name: QUEUE_LIMIT,
+        kind: FieldKind::Integer {
+            min: 1,
+            max: 100_000,
+        },
+        default: FieldDefault::Value("1000"),
+        help: "how many requests may wait at one daemon",
+    },
+];
+
+/// The field of an account that names its template.
+pub(super) const TEMPLATE_FIELD: FieldSpec = FieldSpec {
+    name: TEMPLATE,
+    kind: FieldKind::Name,
+    default: FieldDefault::Required,
+    help: "the template that the account is made from",
+};
--- a/settings/src/account_rules.rs
+++ b/settings/src/accounts/rules.rs
@@ -2,9 +2,8 @@
 
 use yuccalift_core::{RepeatPolicy, Urgency};
 
-use crate::account_file::{
-    DEADLINE, FieldLayers, HEDGE_SHARE, PATIENCE, REPEAT, RETRY_SHARE, URGENCY,
-};
+use super::fields::{DEADLINE, HEDGE_SHARE, PATIENCE, REPEAT, RETRY_SHARE, URGENCY};
+use super::layers::FieldLayers;
 use crate::error::ErrorList;
 use crate::value::write_duration;
 
@@ -12,7 +11,7 @@
 ///
 /// A template alone is checked only where it gives both fields of a pair, since an account may
 /// still override either.
-pub(crate) fn check_contradictions(layers: &FieldLayers<'_>, errors: &mut ErrorList) {
+pub(super) fn check_contradictions(layers: &FieldLayers<'_>, errors: &mut ErrorList) {
     check_urgent(layers, errors);
     check_patience(layers, errors);
     check_share(layers, HEDGE_SHARE, &[RepeatPolicy::Hedge], errors);
--- /dev/null
+++ b/settings/src/document_kind.rs
@@ -0,0 +1,64 @@
+//! Tells the kinds of documents apart, so that one command checks them all.
+
+use crate::accounts::parse_accounts;
+use crate::daemon_file::parse_daemon;
+use crate::error::SettingsErrors;
+use crate::published::{parse_fleet, parse_shard_map};
+
+/// The kinds of documents that operators write or publish.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DocumentKind {
+    /// The settings of one daemon.
+    Daemon,
+    /// Templates and client accounts.
+    Accounts,
+    /// The shard map of a collection.
+    ShardMap,
+    /// The bounds of the fleet.
+    Fleet,
+}
+
+impl DocumentKind {
+    /// The kind of a document, from its text alone and also where that is broken.
+    pub fn of(text: &str) -> Self {
+        if text.trim_start().starts_with('{') {
+            if text.contains("\"daemons\"") {
+                return Self::Fleet;
+            }
+            return Self::ShardMap;
+        }
+        let has_accounts = text
+            .lines()
+            .any(|line| line.starts_with("templates:") || line.starts_with("accounts:"));
+        if has_accounts {
+            Self::Accounts
+        } else {
+            Self::Daemon
+        }
+    }
+
+    /// The kind in words.
+    pub fn describe(self) -> &'static str {
+        match self {
+            Self::Daemon => "settings of a daemon",
+            Self::Accounts => "templates and accounts",
+            Self::ShardMap => "shard map",
+            Self::Fleet => "bounds of the fleet",
+        }
+    }
+}
+
+/// Checks a document of any kind.
+///
+/// # Errors
+///
+/// Every fault of the document, each with its line; of a JSON value the first.
+pub fn check_document(file_name: &str, text: &str) -> Result<DocumentKind, SettingsErrors> {
+    let kind = DocumentKind::of(text);
+    match kind {
+        DocumentKind::Daemon => parse_daemon(file_name, text).map(|_| kind),
+        DocumentKind::Accounts => parse_accounts(file_name, text, 0).map(|_| kind),
+        DocumentKind::ShardMap => parse_shard_map(file_name, text).map(|_| kind),
+        DocumentKind::Fleet => parse_fleet(file_name, text).map(|_| kind),
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -5,28 +5,33 @@
 //! - [`daemon`]: the settings of one daemon, checked.
 //! - [`field`]: the table that describes a document; [`value`] reads and writes one value by it.
 //! - [`daemon_file`]: reads a daemon's settings, [`parse_daemon`].
-//! - [`account_file`]: reads templates and accounts, [`parse_accounts`]; [`resolve_accounts`] keeps
+//! - [`accounts`]: reads templates and accounts, [`parse_accounts`]; [`resolve_accounts`] keeps
 //!   where each value came from.
+//! - [`published`]: reads the JSON values of the platform.
+//! - [`document_kind`]: tells the documents apart, [`check_document`].
 //! - [`error`]: every fault of a file, each with its line.
 //!
 //! Documents are read by table and not by a derived deserializer: a deserializer stops at the first
 //! fault, and an operator needs all of them.
 
-pub mod account_file;
-mod account_rules;
+pub mod accounts;
 pub mod daemon;
 pub mod daemon_file;
 mod document;
+pub mod document_kind;
 pub mod error;
 pub mod field;
+pub mod published;
 mod reader;
 pub mod value;
 
-pub use account_file::{
+pub use accounts::{
     AccountExplanation, FieldOrigin, POLICY_FIELDS, ResolvedAccounts, ResolvedField,
     parse_accounts, resolve_accounts,
 };
 pub use daemon::{DaemonSettings, ListenerLimits, LogFormat, LogSettings};
 pub use daemon_file::{DAEMON_FIELDS, parse_daemon};
+pub use document_kind::{DocumentKind, check_document};
 pub use error::{SettingsError, SettingsErrors};
 pub use field::{FieldDefault, FieldKind, FieldSpec, FieldValue};
+pub use published::{parse_fleet, parse_shard_map};
--- a/settings/src/value.rs
+++ b/settings/src/value.rs
@@ -58,11 +58,19 @@
             }
             (_, NodeValue::Scalar(text)) => self
                 .read_scalar(text)
-                .ok_or_else(|| fault(node, quote(text))),
+                .ok_or_else(|| fault(node, self.describe_found(text))),
             (_, other) => Err(fault(node, other.describe())),
         }
     }
 
+    /// What was found, in words; free text may be a secret and is not repeated.
+    fn describe_found(&self, text: &str) -> Box<str> {
+        match self {
+            Self::Text { .. } => format!("text of {} bytes", text.len()).into(),
+            _ => quote(text),
+        }
+    }
+
     /// Reads a value of a kind that is not a list.
     pub(crate) fn read_scalar(&self, text: &str) -> Option<FieldValue> {
         match self {
