--- /dev/null
+++ b/core/src/control/member_table.rs
@@ -0,0 +1,256 @@
+//! The daemons of the own data centre, as one daemon believes them to be.
+//!
+//! A member that does not answer is suspected; if it does not refute that in time, it is gone.
+//! Only a member itself raises its refutation count, so a belief and its refutation can't be
+//! confused, and a replaced process is told apart by its incarnation. See `docs/DESIGN.md`,
+//! "Membership".
+
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::member_record::{MemberRecord, MemberState};
+use crate::ids::HostName;
+
+/// How long a suspected member has to refute the suspicion.
+pub const SUSPICION_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a member that is gone is remembered and tried again now and then.
+pub const GONE_KEPT: Duration = Duration::from_secs(600);
+/// How long a change is passed on after it was learned.
+pub const RUMOR_PERIOD: Duration = Duration::from_secs(10);
+/// How many members a table holds.
+pub const MAX_MEMBERS: usize = 1_000;
+
+/// What a merged record meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MergeOutcome {
+    /// Nothing new.
+    Known,
+    /// The belief changed.
+    Changed,
+    /// Somebody believes that this daemon is not alive; it has refuted that.
+    Refuted,
+    /// A later process runs on this daemon's host; this one must stop.
+    Replaced,
+}
+
+#[derive(Clone, Debug)]
+struct MemberEntry {
+    record: MemberRecord,
+    changed: Instant,
+    is_rumor: bool,
+    sends: u32,
+}
+
+/// The daemons of the own data centre.
+#[derive(Clone, Debug)]
+pub struct MemberTable {
+    own: MemberRecord,
+    members: Vec<MemberEntry>,
+    settled: Instant,
+}
+
+impl MemberTable {
+    /// Makes a table that knows only this daemon.
+    pub fn new(now: Instant, own: MemberRecord) -> Self {
+        Self {
+            own,
+            members: Vec::new(),
+            settled: now,
+        }
+    }
+
+    /// This daemon.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// The others, sorted by host.
+    pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.iter().map(|entry| &entry.record)
+    }
+
+    /// The record of another member.
+    pub fn find(&self, host: &str) -> Option<&MemberRecord> {
+        let position = self.position(host).ok()?;
+        Some(&self.members[position].record)
+    }
+
+    /// The others that are not gone.
+    pub fn present(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.records()
+            .filter(|record| record.state != MemberState::Gone)
+    }
+
+    /// The others that are alive: neither suspected nor leaving.
+    pub fn alive(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.records()
+            .filter(|record| record.state == MemberState::Alive)
+    }
+
+    /// The others that are gone but remembered.
+    pub fn gone(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.records()
+            .filter(|record| record.state == MemberState::Gone)
+    }
+
+    /// A hash over the present members, this daemon included; equal where two tables agree.
+    pub fn digest(&self) -> u64 {
+        let own = member_hash(&self.own);
+        self.present()
+            .fold(own, |sum, record| sum ^ member_hash(record))
+    }
+
+    /// When the table last changed.
+    pub fn settled(&self) -> Instant {
+        self.settled
+    }
+
+    /// Takes a belief about a daemon of the own data centre.
+    pub fn merge(&mut self, now: Instant, record: &MemberRecord) -> MergeOutcome {
+        if record.host == self.own.host {
+            return self.merge_own(record);
+        }
+        match self.position(&record.host) {
+            Ok(position) => {
+                if !record.supersedes(&self.members[position].record) {
+                    return MergeOutcome::Known;
+                }
+                self.members[position] = MemberEntry::rumor(now, record.clone());
+            }
+            Err(_) if record.state == MemberState::Gone => return MergeOutcome::Known,
+            Err(_) if self.members.len() >= MAX_MEMBERS => return MergeOutcome::Known,
+            Err(position) => {
+                let entry = MemberEntry::rumor(now, record.clone());
+                self.members.insert(position, entry);
+            }
+        }
+        self.settled = now;
+        MergeOutcome::Changed
+    }
+
+    /// Suspects a member that did not answer as the process that it was taken for.
+    pub fn suspect(&mut self, now: Instant, host: &str) -> bool {
+        let Ok(position) = self.position(host) else {
+            return false;
+        };
+        let record = &self.members[position].record;
+        match record.state {
+            MemberState::Alive => self.set_state(now, position, MemberState::Suspect),
+            MemberState::Leaving => self.set_state(now, position, MemberState::Gone),
+            MemberState::Suspect | MemberState::Gone => return false,
+        }
+        true
+    }
+
+    /// Says that this daemon is leaving.
+    pub fn leave(&mut self, now: Instant) {
+        self.own.state = MemberState::Leaving;
+        self.settled = now;
+    }
+
+    /// Gives up members whose suspicion was not refuted in time and forgets those long gone.
+    pub fn expire(&mut self, now: Instant) -> Vec<HostName> {
+        let mut given_up = Vec::new();
+        for position in 0..self.members.len() {
+            let entry = &self.members[position];
+            let age = now.saturating_duration_since(entry.changed);
+            if entry.record.state == MemberState::Suspect && age >= SUSPICION_TIMEOUT {
+                given_up.push(entry.record.host.clone());
+                self.set_state(now, position, MemberState::Gone);
+            }
+        }
+        self.members.retain(|entry| {
+            let age = now.saturating_duration_since(entry.changed);
+            entry.record.state != MemberState::Gone || age < GONE_KEPT
+        });
+        given_up
+    }
+
+    /// Forgets members that are gone and that `is_unlisted` says the platform lists no more.
+    pub fn forget_gone(&mut self, is_unlisted: impl Fn(&str) -> bool) {
+        self.members.retain(|entry| {
+            entry.record.state != MemberState::Gone || !is_unlisted(&entry.record.host)
+        });
+    }
+
+    /// When [`MemberTable::expire`] has something to do next.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.members
+            .iter()
+            .filter(|entry| entry.record.state == MemberState::Suspect)
+            .map(|entry| entry.changed + SUSPICION_TIMEOUT)
+            .min()
+    }
+
+    /// Starts every period anew and passes on nothing learned before, after a pause: what this
+    /// daemon believed may be long out of date.
+    pub fn forget_ages(&mut self, now: Instant) {
+        for entry in &mut self.members {
+            entry.changed = now;
+            entry.is_rumor = false;
+        }
+        self.settled = now;
+    }
+
+    /// The recent changes, at most `limit`, those that were sent least before others.
+    pub fn rumors(&mut self, now: Instant, limit: usize) -> Vec<MemberRecord> {
+        let mut due: Vec<&mut MemberEntry> = self
+            .members
+            .iter_mut()
+            .filter(|entry| entry.is_rumor)
+            .filter(|entry| now.saturating_duration_since(entry.changed) < RUMOR_PERIOD)
+            .collect();
+        due.sort_by_key(|entry| entry.sends);
+        due.into_iter()
+            .take(limit)
+            .map(|entry| {
+                entry.sends += 1;
+                entry.record.clone()
+            })
+            .collect()
+    }
+
+    fn merge_own(&mut self, record: &MemberRecord) -> MergeOutcome {
+        if record.incarnation > self.own.incarnation {
+            return MergeOutcome::Replaced;
+        }
+        if !record.supersedes(&self.own) {
+            return MergeOutcome::Known;
+        }
+        self.own.refutation = record.refutation + 1;
+        MergeOutcome::Refuted
+    }
+
+    fn set_state(&mut self, now: Instant, position: usize, state: MemberState) {
+        let mut record = self.members[position].record.clone();
+        record.state = state;
+        assert!(
+            record.supersedes(&self.members[position].record),
+            "invariant: a belief about {} never steps back",
+            record.host
+        );
+        self.members[position] = MemberEntry::rumor(now, record);
+        self.settled = now;
+    }
+
+    fn position(&self, host: &str) -> Result<usize, usize> {
+        self.members
+            .binary_search_by(|entry| entry.record.host.as_ref().cmp(host))
+    }
+}
+
+impl MemberEntry {
+    fn rumor(now: Instant, record: MemberRecord) -> Self {
+        Self {
+            record,
+            changed: now,
+            is_rumor: true,
+            sends: 0,
+        }
+    }
+}
+
+fn member_hash(record: &MemberRecord) -> u64 {
+    xxh3_64_with_seed(record.host.as_bytes(), record.incarnation)
+}
--- /dev/null
+++ b/core/src/control/mod.rs
@@ -0,0 +1,41 @@
+//! The control plane of one daemon, free of I/O: configuration, membership, news and shares.
+//!
+//! - [`config_delta`], [`config_store`]: what the platform published, and how it is passed on.
+//! - [`member_record`], [`member_table`], [`contact_table`]: who else is here.
+//! - [`news`]: what spreads for a limited time.
+//! - [`fleet_bounds`], [`connection_share`]: how many connections this daemon may hold.
+//! - [`reader_election`], [`call_budget`], [`reader_beat`]: who reads the platform, and how often.
+//! - [`exchange`]: the message that daemons exchange.
+//! - [`event`], [`node`]: what the control plane is told, and what it decides.
+//!
+//! See `docs/DESIGN.md`, "Configuration" and "Membership".
+
+pub mod call_budget;
+pub mod config_delta;
+pub mod config_store;
+pub mod connection_share;
+pub mod contact_table;
+pub mod event;
+pub mod exchange;
+pub mod fleet_bounds;
+pub mod member_record;
+pub mod member_table;
+pub mod news;
+pub mod node;
+pub mod reader_beat;
+pub mod reader_election;
+mod stored_entry;
+
+pub use call_budget::CallBudget;
+pub use config_delta::{ConfigDelta, ConfigValue, DeltaContent, DeltaEntry, ValuePatch};
+pub use config_store::{ConfigStore, RefusedValue, StoreChange, ValueCheck};
+pub use connection_share::{DaemonPlace, connection_shares};
+pub use contact_table::ContactTable;
+pub use event::{ControlAction, ControlEvent, ControlNotice, HostHint};
+pub use exchange::{ConfigDigest, ExchangeMessage, ExchangeWants};
+pub use fleet_bounds::FleetBounds;
+pub use member_record::{MemberRecord, MemberState};
+pub use member_table::MemberTable;
+pub use news::{NewsBoard, NewsItem, NewsKind};
+pub use node::{ControlNode, ControlSettings};
+pub use reader_beat::{BeatBoard, ReaderBeat};
--- /dev/null
+++ b/core/src/control/node/exchanging.rs
@@ -0,0 +1,401 @@
+//! Whom to exchange with, and when.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
+
+use super::ControlNode;
+use crate::control::event::{ControlAction, ControlNotice, ExchangeId};
+use crate::control::exchange::{ExchangeMessage, MAX_DELTA_BYTES};
+use crate::control::member_record::{MemberRecord, MemberState};
+use crate::ids::{ConfigVersion, HostName, Incarnation};
+
+/// How often a daemon exchanges with a member of its own data centre.
+pub const EXCHANGE_PERIOD: Duration = Duration::from_secs(1);
+/// How often a daemon exchanges with a contact of another data centre.
+pub const REMOTE_PERIOD: Duration = Duration::from_secs(2);
+/// How often a daemon tries one that is gone, listed only, or a seed; the way back after a cut.
+pub const RECONNECT_PERIOD: Duration = Duration::from_secs(5);
+/// To how many members of the own data centre a change is pushed at once.
+const PUSH_FANOUT: usize = 3;
+/// The least time between two pushes.
+const PUSH_GAP: Duration = Duration::from_millis(250);
+/// Text of configuration in a push; a larger change is sent to those who ask for it.
+const MAX_PUSH_BYTES: usize = 8 * 1024;
+/// How many peers a fresh daemon asks at once.
+const JOIN_FANOUT: usize = 3;
+/// How long a table must have been unchanged before a difference from another one is looked at.
+const SETTLED_FOR: Duration = Duration::from_secs(5);
+/// The least time between two exchanges of whole tables.
+const WHOLE_PERIOD: Duration = Duration::from_secs(10);
+/// How long one peer is given to send the changes that were asked of it.
+const GRANT_PERIOD: Duration = Duration::from_millis(500);
+/// How many messages one exchange may take.
+const MAX_ROUNDS: u32 = 64;
+
+/// When the next exchanges are due.
+#[derive(Debug)]
+pub(super) struct ExchangePlan {
+    next_probe: Instant,
+    next_remote: Instant,
+    next_reconnect: Instant,
+    next_whole: Instant,
+    probe_order: Vec<HostName>,
+    joined: bool,
+    push: Option<ConfigVersion>,
+    next_push: Instant,
+    pub(super) granted_until: Option<Instant>,
+    next_exchange: ExchangeId,
+}
+
+/// An exchange whose answer is awaited.
+#[derive(Debug)]
+pub(super) struct PendingExchange {
+    exchange: ExchangeId,
+    address: SocketAddr,
+    peer: Option<(HostName, Incarnation)>,
+    round: u32,
+    sent_after: Option<ConfigVersion>,
+}
+
+impl ExchangePlan {
+    pub(super) fn new(now: Instant, rng: &mut impl Rng) -> Self {
+        Self {
+            next_probe: now + EXCHANGE_PERIOD.mul_f64(rng.random()),
+            next_remote: now + REMOTE_PERIOD.mul_f64(rng.random()),
+            next_reconnect: now + RECONNECT_PERIOD.mul_f64(rng.random()),
+            next_whole: now,
+            probe_order: Vec::new(),
+            joined: false,
+            push: None,
+            next_push: now,
+            granted_until: None,
+            next_exchange: 1,
+        }
+    }
+
+    pub(super) fn next_due(&self) -> Instant {
+        let due = self
+            .next_probe
+            .min(self.next_remote)
+            .min(self.next_reconnect);
+        if self.push.is_some() {
+            due.min(self.next_push)
+        } else {
+            due
+        }
+    }
+
+    /// Asks somebody at once, after a pause.
+    pub(super) fn restart(&mut self, now: Instant) {
+        self.next_probe = now;
+        self.next_remote = now;
+        self.granted_until = None;
+    }
+
+    /// Has the changes after a version pushed with the next push.
+    pub(super) fn push_after(&mut self, base: ConfigVersion) {
+        let earlier = self.push.unwrap_or(base);
+        self.push = Some(earlier.min(base));
+    }
+
+    /// Has news or members pushed.
+    pub(super) fn push_now(&mut self) {
+        self.push_after(ConfigVersion::MAX);
+    }
+}
+
+impl ControlNode {
+    pub(super) fn is_leaving(&self) -> bool {
+        self.members.own().state == MemberState::Leaving
+    }
+
+    pub(super) fn drive_exchanges(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        if !self.exchange_plan.joined {
+            self.exchange_plan.joined = true;
+            self.join(now, actions);
+        }
+        if now >= self.exchange_plan.next_probe {
+            self.exchange_plan.next_probe = now + self.jittered(EXCHANGE_PERIOD);
+            self.probe(now, actions);
+        }
+        if now >= self.exchange_plan.next_remote {
+            self.exchange_plan.next_remote = now + self.jittered(REMOTE_PERIOD);
+            let contact = self.contacts.choose(&mut self.rng).cloned();
+            self.begin(now, contact.as_ref(), actions);
+        }
+        if now >= self.exchange_plan.next_reconnect {
+            self.exchange_plan.next_reconnect = now + self.jittered(RECONNECT_PERIOD);
+            self.reconnect(now, actions);
+        }
+        if self.exchange_plan.push.is_some() && now >= self.exchange_plan.next_push {
+            self.push(now, actions);
+        }
+    }
+
+    /// Asks a few peers for everything, as a daemon that knows nobody.
+    pub(super) fn join(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        let candidates = self.strangers();
+        let chosen: Vec<SocketAddr> = candidates
+            .choose_multiple(&mut self.rng, JOIN_FANOUT)
+            .copied()
+            .collect();
+        for address in chosen {
+            self.begin_at(now, address, true, actions);
+        }
+    }
+
+    pub(super) fn take_reply(
+        &mut self,
+        now: Instant,
+        exchange: ExchangeId,
+        message: &ExchangeMessage,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(pending) = self.take_pending(exchange) else {
+            return;
+        };
+        let before = self.store.version();
+        self.take_message(now, message, actions);
+        if pending.round >= MAX_ROUNDS {
+            return;
+        }
+        let version = self.store.version();
+        let theirs = message.config.version;
+        let has_sent = pending.sent_after.is_some_and(|sent| theirs <= sent);
+        if message.wants.delta && theirs < version && !has_sent {
+            self.send_changes(now, &pending, message, actions);
+        } else if theirs > version && version > before {
+            self.follow_up(now, &pending, false, actions);
+        } else if self.is_other_table(now, message) {
+            self.exchange_plan.next_whole = now + WHOLE_PERIOD;
+            self.follow_up(now, &pending, true, actions);
+        }
+    }
+
+    pub(super) fn take_silence(
+        &mut self,
+        now: Instant,
+        exchange: ExchangeId,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(pending) = self.take_pending(exchange) else {
+            return;
+        };
+        let Some((host, incarnation)) = pending.peer else {
+            return;
+        };
+        self.contacts.failed(&host);
+        let known = self.members.find(&host);
+        let is_same = known.is_some_and(|record| record.incarnation == incarnation);
+        if is_same && self.members.suspect(now, &host) {
+            let notice = ControlNotice::PeerSuspected(host);
+            actions.push(ControlAction::Noticed(notice));
+        }
+    }
+
+    /// Sends a peer the changes that it lacks and asked for.
+    fn send_changes(
+        &mut self,
+        now: Instant,
+        pending: &PendingExchange,
+        message: &ExchangeMessage,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let base = message.config.version;
+        let whole = &message.wants.whole;
+        let mut next = self.message(now, false);
+        next.delta = Some(self.store.delta_since(base, whole, MAX_DELTA_BYTES));
+        // A peer that asks for whole values has found that a patch did not fit; it gets one more.
+        let sent_after = whole.is_empty().then_some(base);
+        let peer = pending.peer.clone();
+        let round = pending.round + 1;
+        self.send(pending.address, peer, round, sent_after, next, actions);
+    }
+
+    fn follow_up(
+        &mut self,
+        now: Instant,
+        pending: &PendingExchange,
+        tells_members: bool,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let mut next = self.message(now, true);
+        if tells_members {
+            next.wants.members = true;
+            next.rumors = self.members.records().cloned().collect();
+            next.news = self.news.all(now);
+        }
+        let peer = pending.peer.clone();
+        let round = pending.round + 1;
+        self.send(pending.address, peer, round, None, next, actions);
+    }
+
+    fn send(
+        &mut self,
+        address: SocketAddr,
+        peer: Option<(HostName, Incarnation)>,
+        round: u32,
+        sent_after: Option<ConfigVersion>,
+        message: ExchangeMessage,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let exchange = self.exchange_plan.next_exchange;
+        self.exchange_plan.next_exchange += 1;
+        self.pending.push(PendingExchange {
+            exchange,
+            address,
+            peer,
+            round,
+            sent_after,
+        });
+        actions.push(ControlAction::Exchange {
+            exchange,
+            address,
+            message: Box::new(message),
+        });
+    }
+
+    fn probe(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        while let Some(host) = self.exchange_plan.probe_order.pop() {
+            let record = self.members.find(&host).cloned();
+            if let Some(record) = record.filter(|record| record.state != MemberState::Gone) {
+                self.begin(now, Some(&record), actions);
+                return;
+            }
+        }
+        let mut order: Vec<HostName> = self
+            .members
+            .present()
+            .map(|record| record.host.clone())
+            .collect();
+        order.shuffle(&mut self.rng);
+        let first = order.pop();
+        self.exchange_plan.probe_order = order;
+        match first.and_then(|host| self.members.find(&host).cloned()) {
+            Some(record) => self.begin(now, Some(&record), actions),
+            None => self.reconnect(now, actions),
+        }
+    }
+
+    fn reconnect(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        let strangers = self.strangers();
+        if let Some(&address) = strangers.choose(&mut self.rng) {
+            let knows_nobody = !self.knows_peers();
+            self.begin_at(now, address, knows_nobody, actions);
+        }
+    }
+
+    /// Addresses of daemons that are not known to be present: gone, listed only, or seeds.
+    fn strangers(&self) -> Vec<SocketAddr> {
+        let own = self.members.own().address;
+        let mut known: Vec<SocketAddr> = self
+            .members
+            .present()
+            .chain(self.contacts.records())
+            .map(|record| record.address)
+            .collect();
+        known.push(own);
+        known.sort_unstable();
+        let gone = self.members.gone().map(|record| record.address);
+        let listed = self.hints.iter().map(|hint| hint.address);
+        let mut strangers: Vec<SocketAddr> = gone
+            .chain(listed)
+            .chain(self.seeds.iter().copied())
+            .filter(|address| known.binary_search(address).is_err())
+            .collect();
+        strangers.sort_unstable();
+        strangers.dedup();
+        strangers
+    }
+
+    /// Pushes what is new to a few random peers, with the change itself where it is small.
+    fn push(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        let Some(base) = self.exchange_plan.push.take() else {
+            return;
+        };
+        self.exchange_plan.next_push = now + PUSH_GAP;
+        let mut peers: Vec<MemberRecord> = self
+            .members
+            .alive()
+            .cloned()
+            .choose_multiple(&mut self.rng, PUSH_FANOUT);
+        peers.extend(self.contacts.choose(&mut self.rng).cloned());
+        let delta = (base < self.store.version())
+            .then(|| self.store.delta_since(base, &[], MAX_PUSH_BYTES))
+            .filter(|delta| delta.bytes() <= MAX_PUSH_BYTES);
+        for peer in peers {
+            let mut message = self.message(now, true);
+            message.delta.clone_from(&delta);
+            self.begin_with(&peer, message, actions);
+        }
+    }
+
+    fn begin(
+        &mut self,
+        now: Instant,
+        peer: Option<&MemberRecord>,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let Some(peer) = peer else {
+            return;
+        };
+        let message = self.message(now, true);
+        self.begin_with(peer, message, actions);
+    }
+
+    fn begin_with(
+        &mut self,
+        peer: &MemberRecord,
+        mut message: ExchangeMessage,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        self.add_doubt(peer, &mut message);
+        let name = Some((peer.host.clone(), peer.incarnation));
+        self.send(peer.address, name, 0, None, message, actions);
+    }
+
+    fn begin_at(
+        &mut self,
+        now: Instant,
+        address: SocketAddr,
+        wants_members: bool,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let mut message = self.message(now, true);
+        message.wants.members = wants_members;
+        self.send(address, None, 0, None, message, actions);
+    }
+
+    fn is_other_table(&self, now: Instant, message: &ExchangeMessage) -> bool {
+        let is_near = message.from.data_centre == self.members.own().data_centre;
+        let settled = now.saturating_duration_since(self.members.settled()) >= SETTLED_FOR;
+        let due = now >= self.exchange_plan.next_whole;
+        is_near && settled && due && message.digest != self.members.digest()
+    }
+
+    /// Whether a peer may send changes now; only one at a time may, so that a large value comes
+    /// once.
+    pub(super) fn grant(&mut self, now: Instant) -> bool {
+        let plan = &mut self.exchange_plan;
+        if plan.granted_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        plan.granted_until = Some(now + GRANT_PERIOD);
+        true
+    }
+
+    fn take_pending(&mut self, exchange: ExchangeId) -> Option<PendingExchange> {
+        let position = self
+            .pending
+            .binary_search_by_key(&exchange, |pending| pending.exchange)
+            .ok()?;
+        Some(self.pending.remove(position))
+    }
+
+    fn jittered(&mut self, period: Duration) -> Duration {
+        period.mul_f64(self.rng.random_range(0.8..1.2))
+    }
+}
--- /dev/null
+++ b/core/src/control/node/reading.rs
@@ -0,0 +1,221 @@
+//! When this daemon reads the platform.
+
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use super::ControlNode;
+use crate::control::call_budget::CallBudget;
+use crate::control::config_delta::ConfigValue;
+use crate::control::config_store::OfferVerdict;
+use crate::control::event::{ControlAction, ControlNotice, HostHint};
+use crate::control::fleet_bounds::FleetBounds;
+use crate::control::reader_election::{poll_interval, reader_count, reader_rank};
+use crate::ids::ConfigVersion;
+
+/// How long a reader lets the platform wait for a change.
+pub const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The least time between a reader's answer and its next watch.
+const WATCH_GAP: Duration = Duration::from_millis(250);
+/// How often a reader reads the list of hosts.
+const HOSTS_PERIOD: Duration = Duration::from_secs(2);
+/// The first wait of a reader whose call failed; it doubles with each further failure.
+const FIRST_BACKOFF: Duration = Duration::from_millis(500);
+/// The longest wait of a reader whose calls fail.
+const MAX_BACKOFF: Duration = Duration::from_secs(4);
+/// How long without a sign of a reader a daemon takes it that nobody relays.
+const RELAY_TIMEOUT: Duration = Duration::from_secs(6);
+/// Over which time the first calls of daemons without peers to ask are spread.
+const LONE_WINDOW: Duration = Duration::from_secs(2);
+/// Over which time the first calls of daemons that ask peers first are spread.
+const START_WINDOW: Duration = Duration::from_secs(7);
+/// When a fresh daemon that has found peers looks whether it is the first among them.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Over which time the first calls of the first of each view are spread.
+const SETTLE_WINDOW: Duration = Duration::from_secs(1);
+
+/// When the next calls are due.
+#[derive(Debug)]
+pub(super) struct ReadingPlan {
+    is_reader: bool,
+    in_flight: bool,
+    failures: u32,
+    budget: CallBudget,
+    next_read: Instant,
+    next_hosts: Instant,
+    next_poll: Instant,
+    first_look: Option<Instant>,
+}
+
+impl ReadingPlan {
+    pub(super) fn new(now: Instant, is_alone: bool, rng: &mut impl Rng) -> Self {
+        let window = if is_alone { LONE_WINDOW } else { START_WINDOW };
+        let settled = SETTLE_TIME + SETTLE_WINDOW.mul_f64(rng.random());
+        Self {
+            is_reader: false,
+            in_flight: false,
+            failures: 0,
+            budget: CallBudget::new(now),
+            next_read: now,
+            next_hosts: now,
+            next_poll: now + window.mul_f64(rng.random()),
+            first_look: Some(now + settled),
+        }
+    }
+
+    pub(super) fn is_reader(&self) -> bool {
+        self.is_reader
+    }
+}
+
+impl ControlNode {
+    pub(super) fn next_read_due(&mut self, now: Instant) -> Instant {
+        let plan = &mut self.reading;
+        if !plan.is_reader {
+            let look = plan.first_look.unwrap_or(plan.next_poll);
+            return plan.next_poll.min(look);
+        }
+        let values = if plan.in_flight {
+            plan.next_hosts
+        } else {
+            plan.next_read
+        };
+        values.min(plan.next_hosts).max(now + plan.budget.wait(now))
+    }
+
+    pub(super) fn drive_reading(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        let view = self.members.alive().count() + 1;
+        let alive = self.members.alive().map(|record| record.host.as_ref());
+        let rank = reader_rank(&self.members.own().host, alive);
+        let is_leaving = self.is_leaving();
+        let is_reader = !is_leaving && rank < reader_count(view, &self.bounds);
+        self.set_reader(now, is_reader, actions);
+        if is_reader {
+            self.read_as_reader(now, actions);
+        } else if !is_leaving {
+            self.look_first(now, view, rank);
+            self.poll(now, view, actions);
+        }
+    }
+
+    pub(super) fn take_published(
+        &mut self,
+        now: Instant,
+        version: ConfigVersion,
+        values: &[ConfigValue],
+        actions: &mut Vec<ControlAction>,
+    ) {
+        let plan = &mut self.reading;
+        plan.in_flight = false;
+        plan.failures = 0;
+        plan.next_read = now + WATCH_GAP;
+        self.raise_beat(now);
+        let before = self.store.version();
+        let mut changes = Vec::new();
+        let verdict = self.store.take_published(version, values, &mut changes);
+        self.take_changes(before, None, changes, actions);
+        if verdict == OfferVerdict::Stale {
+            let notice = ControlNotice::PlatformStale {
+                offered: version,
+                known: self.store.version(),
+            };
+            actions.push(ControlAction::Noticed(notice));
+        }
+        if !self.knows_peers() && self.reading.budget.take(now) {
+            actions.push(ControlAction::ReadHosts);
+        }
+    }
+
+    pub(super) fn take_read_failure(&mut self, now: Instant) {
+        let plan = &mut self.reading;
+        plan.in_flight = false;
+        let backoff = FIRST_BACKOFF * 2_u32.saturating_pow(plan.failures.min(8));
+        plan.failures += 1;
+        let jitter = self.rng.random_range(0.5..1.5);
+        plan.next_read = now + backoff.min(MAX_BACKOFF).mul_f64(jitter);
+    }
+
+    pub(super) fn take_hosts(
+        &mut self,
+        now: Instant,
+        hints: Vec<HostHint>,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        if self.reading.failures == 0 {
+            self.raise_beat(now);
+        }
+        let is_first = !self.knows_peers();
+        self.take_hints(hints);
+        if is_first {
+            self.join(now, actions);
+        }
+    }
+
+    fn set_reader(&mut self, now: Instant, is_reader: bool, actions: &mut Vec<ControlAction>) {
+        let bounds: &FleetBounds = &self.bounds;
+        self.reading.budget.set_rate(now, bounds, is_reader);
+        if is_reader == self.reading.is_reader {
+            return;
+        }
+        self.reading.is_reader = is_reader;
+        self.reading.next_read = now;
+        self.reading.next_hosts = now;
+        let notice = ControlNotice::ReaderChanged(is_reader);
+        actions.push(ControlAction::Noticed(notice));
+    }
+
+    fn read_as_reader(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        let plan = &mut self.reading;
+        if !plan.in_flight && now >= plan.next_read && plan.budget.take(now) {
+            plan.in_flight = true;
+            let after = self.store.version();
+            let wait = if after == 0 {
+                Duration::ZERO
+            } else {
+                WATCH_WAIT
+            };
+            actions.push(ControlAction::ReadValues { after, wait });
+        }
+        if now >= plan.next_hosts && plan.budget.take(now) {
+            plan.next_hosts = now + HOSTS_PERIOD;
+            actions.push(ControlAction::ReadHosts);
+        }
+    }
+
+    /// Lets the first daemon of a fresh view read early, so that a small fleet that starts whole
+    /// does not wait for the window that a large one without any view needs.
+    fn look_first(&mut self, now: Instant, view: usize, rank: usize) {
+        if self.reading.first_look.is_none_or(|look| now < look) {
+            return;
+        }
+        self.reading.first_look = None;
+        if view > 1 && rank == 0 && self.store.version() == 0 {
+            self.reading.next_poll = now;
+        }
+    }
+
+    /// Reads once where nobody relays.
+    fn poll(&mut self, now: Instant, view: usize, actions: &mut Vec<ControlAction>) {
+        if now < self.reading.next_poll {
+            return;
+        }
+        let interval = poll_interval(view, &self.bounds, &mut self.rng);
+        let relayed = self.beats.latest().map(|latest| latest + RELAY_TIMEOUT);
+        if let Some(relayed) = relayed.filter(|&relayed| relayed > now) {
+            self.reading.next_poll = relayed + interval.mul_f64(self.rng.random());
+            return;
+        }
+        self.reading.next_poll = now + interval;
+        if !self.reading.in_flight && self.reading.budget.take(now) {
+            self.reading.in_flight = true;
+            let after = self.store.version();
+            let wait = Duration::ZERO;
+            actions.push(ControlAction::ReadValues { after, wait });
+        }
+    }
+
+    fn raise_beat(&mut self, now: Instant) {
+        self.own_beat.count += 1;
+        self.beats.merge(now, &self.own_beat);
+    }
+}
--- /dev/null
+++ b/core/src/control/stored_entry.rs
@@ -0,0 +1,137 @@
+//! One key of the configuration: its newest change, what is in force, and patches for peers.
+
+use std::sync::Arc;
+
+use super::config_delta::{ConfigValue, DeltaContent, DeltaEntry, ValuePatch, value_hash};
+use super::config_store::StoreChange;
+use crate::ids::{ConfigVersion, ValueKey};
+
+/// How many patches of one key are kept for peers that lag.
+const PATCHES_KEPT: usize = 8;
+/// Spreads a version over all bits of a hash.
+const VERSION_MIX: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// What is known of one key.
+#[derive(Clone, Debug)]
+pub(super) struct StoredEntry {
+    pub(super) newest: ConfigValue,
+    pub(super) oversize: bool,
+    pub(super) in_force: Option<ConfigValue>,
+    pub(super) fault: Option<Box<str>>,
+    pub(super) patches: Vec<ValuePatch>,
+}
+
+impl StoredEntry {
+    /// A key that has never been set.
+    pub(super) fn unknown(key: ValueKey) -> Self {
+        Self {
+            newest: ConfigValue {
+                key,
+                version: 0,
+                value: None,
+            },
+            oversize: false,
+            in_force: None,
+            fault: None,
+            patches: Vec::new(),
+        }
+    }
+
+    /// Makes a change the newest one.
+    pub(super) fn replace(&mut self, value: ConfigValue, oversize: bool) {
+        assert!(
+            value.version > self.newest.version,
+            "invariant: key {} never steps back ({} to {})",
+            value.key,
+            self.newest.version,
+            value.version
+        );
+        self.keep_patch(&value);
+        self.newest = value;
+        self.oversize = oversize;
+        if oversize {
+            self.newest.value = None;
+        }
+    }
+
+    /// Keeps the patch to the new value where it is much smaller than the value.
+    fn keep_patch(&mut self, value: &ConfigValue) {
+        let (Some(old), Some(new)) = (&self.newest.value, &value.value) else {
+            self.patches.clear();
+            return;
+        };
+        let patch = ValuePatch::between(self.newest.version, old, value.version, new);
+        if patch.middle.len() > new.len() / 2 {
+            self.patches.clear();
+            return;
+        }
+        self.patches.push(patch);
+        let surplus = self.patches.len().saturating_sub(PATCHES_KEPT);
+        self.patches.drain(..surplus);
+    }
+
+    /// Puts a checked value in force.
+    pub(super) fn put_in_force(&mut self, value: ConfigValue, changes: &mut Vec<StoreChange>) {
+        let before = self.in_force.as_ref().map_or(0, |known| known.version);
+        assert!(
+            value.version > before,
+            "invariant: what is in force for key {} never steps back ({before} to {})",
+            value.key,
+            value.version
+        );
+        self.in_force = Some(value.clone());
+        changes.push(StoreChange::InForce(value));
+    }
+
+    /// Whether the newest value was refused while an earlier one is in force.
+    pub(super) fn has_last_good(&self) -> bool {
+        self.fault.is_some() && self.in_force.is_some()
+    }
+
+    /// The change as it is passed on to a peer that has reached `base`.
+    pub(super) fn delta_entry(&self, base: ConfigVersion, is_whole: bool) -> DeltaEntry {
+        let last_good = self.fault.as_ref().and(self.in_force.clone());
+        DeltaEntry {
+            key: self.newest.key.clone(),
+            version: self.newest.version,
+            content: self.content_since(base, is_whole),
+            last_good,
+        }
+    }
+
+    fn content_since(&self, base: ConfigVersion, is_whole: bool) -> DeltaContent {
+        if self.oversize {
+            return DeltaContent::Oversize;
+        }
+        let Some(value) = &self.newest.value else {
+            return DeltaContent::Removed;
+        };
+        let whole = DeltaContent::Whole(Arc::clone(value));
+        if is_whole {
+            return whole;
+        }
+        let Some(first) = self.patches.iter().position(|patch| patch.version > base) else {
+            return whole;
+        };
+        if self.patches[first].base > base {
+            return whole;
+        }
+        let patches = DeltaContent::Patches(self.patches[first..].to_vec());
+        if patches.bytes() < whole.bytes() / 2 {
+            patches
+        } else {
+            whole
+        }
+    }
+
+    /// Its part in the store's hash; a key that has never been set has none.
+    pub(super) fn hash(&self) -> u64 {
+        if self.newest.version == 0 {
+            return 0;
+        }
+        let value = self.newest.value.as_deref().unwrap_or("");
+        value_hash(&self.newest.key)
+            ^ value_hash(value).rotate_left(17)
+            ^ self.newest.version.wrapping_mul(VERSION_MIX)
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,9 +10,11 @@
 //! - [`search`], [`coverage`], [`outcome`]: a request, its answer, and the truth about both.
 //! - [`event`], [`action`]: what the engine is told, and what it decides.
 //! - [`engine`]: the data path of one daemon.
+//! - [`control`]: the control plane of one daemon.
 
 pub mod account;
 pub mod action;
+pub mod control;
 pub mod coverage;
 pub mod engine;
 pub mod event;
