Name private modules without links in public docs

Cause: rustdoc refuses links from public docs to private items. Ruled out: making them public. Change: plain code spans. Conclusion: docs only.

--- a/core/src/control/connection_share.rs
+++ b/core/src/control/connection_share.rs
@@ -95,7 +95,7 @@
 }
 
 /// How many daemons may be admitted on average, so that more than `limit` of them are admitted
-/// with at most [`OVERFLOW_CHANCE`], by Chernoff's bound on a sum of independent choices.
+/// with at most `OVERFLOW_CHANCE`, by Chernoff's bound on a sum of independent choices.
 pub fn admitted_mean(limit: u32) -> f64 {
     let above = f64::from(limit) + 1.0;
     let (mut low, mut high) = (0.0_f64, above);
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -1,9 +1,9 @@
 //! The control plane of one daemon: every decision about configuration, membership and news, as
 //! events in and actions out.
 //!
-//! - [`exchanging`]: whom to exchange with, and when.
-//! - [`messages`]: what to say, and what to make of what a peer says.
-//! - [`reading`]: when to read the platform.
+//! - `exchanging`: whom to exchange with, and when.
+//! - `messages`: what to say, and what to make of what a peer says.
+//! - `reading`: when to read the platform.
 //!
 //! See `docs/DESIGN.md`, "Configuration" and "Membership".
 
