--- a/core/src/engine/dispatch.rs
+++ b/core/src/engine/dispatch.rs
@@ -147,6 +147,7 @@
         let plan = AttemptPlan {
             attempt,
             query: state.query,
+            request: state.request.clone(),
             target: target.target,
             address: target_state.entry.address,
             shard: progress.shard,
