--- a/core/src/engine/maps.rs
+++ b/core/src/engine/maps.rs
@@ -20,6 +20,8 @@
 
 /// How long a newer map waits to be served whole; a target that left must get no work after that.
 const ADOPT_GRACE: Duration = Duration::from_secs(1);
+/// How long queries of a new map wait for targets that have not told their versions.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 impl SearchEngine {
     /// Takes a map; one that is older than the newest known is ignored.
@@ -34,7 +36,7 @@
         if newest.is_some_and(|plan| map.epoch < plan.map.epoch || plan.map == *map) {
             return;
         }
-        let plan = self.add_plan(map, slot, current.is_some());
+        let plan = self.add_plan(now, map, slot, current.is_some());
         let Some(collection) = self.collections.get_mut(slot) else {
             return;
         };
@@ -60,7 +62,13 @@
         slot
     }
 
-    fn add_plan(&mut self, map: &Arc<ShardMap>, collection: Slot, replaces: bool) -> Slot {
+    fn add_plan(
+        &mut self,
+        now: Instant,
+        map: &Arc<ShardMap>,
+        collection: Slot,
+        replaces: bool,
+    ) -> Slot {
         let adaptive = self.options.protections.adaptive_limits;
         let mut targets = Vec::with_capacity(map.targets.len());
         for entry in &map.targets {
@@ -77,7 +85,9 @@
                 }
             }
         }
-        let plan = ShardPlan::new(Arc::clone(map), collection, &targets);
+        let settled_at = now + SETTLE_TIME;
+        let plan = ShardPlan::new(Arc::clone(map), collection, &targets, settled_at);
+        self.timers.add(settled_at, TimerKind::Settle(collection));
         let slot = self.plans.insert(plan);
         self.note_hosted(slot);
         if let Some(state) = self.collections.get_mut(collection) {
@@ -135,7 +145,7 @@
             .fresh_snapshot(plan)
             .map_or(0, |snapshot| snapshot.covered);
         let shards = self.plans.get(plan).map_or(1, ShardPlan::shard_count);
-        f64::from(covered) / f64::from(shards)
+        f64::from(covered) / f64::from(shards.max(1))
     }
 
     /// Puts a pending map in force.
--- a/core/src/engine/news.rs
+++ b/core/src/engine/news.rs
@@ -1,6 +1,6 @@
 //! News of targets, connection shares, quarantines and pauses.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::action::EngineAction;
 use crate::coverage::MissingReason;
@@ -9,9 +9,12 @@
 use crate::engine::target::LoadReport;
 use crate::engine::timers::{QueryRef, TargetRef};
 use crate::event::{TargetNews, TargetNewsKind, TargetShare};
-use crate::ids::Fingerprint;
+use crate::ids::{Fingerprint, IndexVersion};
 use crate::outcome::{Refusal, RefusalCode};
 
+/// How long what a target told itself goes before reports of it, which lag.
+const OWN_NEWS_LIFE: Duration = Duration::from_secs(5);
+
 impl SearchEngine {
     /// Puts connection shares in force; a target that is not listed keeps the one it has.
     pub(super) fn put_shares(&mut self, shares: &[TargetShare]) {
@@ -51,25 +54,48 @@
                     state.report = Some(LoadReport { load, taken_at });
                 }
             }
-            TargetNewsKind::Held(held) => self.learn_held(target, held.clone()),
-            TargetNewsKind::Draining => self.set_draining(target, true),
-            TargetNewsKind::Live => self.set_draining(target, false),
+            TargetNewsKind::Held(held) => self.take_held_report(now, target, held),
+            TargetNewsKind::Draining => self.set_draining(now, target),
+            TargetNewsKind::Live => self.set_live(now, target),
             TargetNewsKind::Reachable => self.end_loss(now, target, actions),
         }
     }
 
-    fn set_draining(&mut self, target: TargetRef, draining: bool) {
+    /// Takes a report of held versions, unless the target's own replies have told newer ones.
+    fn take_held_report(&mut self, now: Instant, target: TargetRef, held: &[IndexVersion]) {
+        let told = self.targets.get(target).and_then(|state| state.held_at);
+        if told.is_none_or(|at| now.saturating_duration_since(at) >= OWN_NEWS_LIFE) {
+            self.learn_held(target, held.to_vec());
+        }
+    }
+
+    /// Notes that a target is leaving.
+    pub(super) fn set_draining(&mut self, now: Instant, target: TargetRef) {
         let Some(state) = self.targets.get_mut(target) else {
             return;
         };
-        if state.draining == draining {
-            return;
+        state.drained_at = Some(now);
+        if !state.draining {
+            state.draining = true;
+            self.note_changed(target);
         }
-        state.draining = draining;
-        if !draining {
-            // It has been away, so its first requests will be slow.
-            state.begin_cold();
+    }
+
+    /// Takes a report that a target takes work, unless it was seen to be leaving just now: such
+    /// reports lag.
+    fn set_live(&mut self, now: Instant, target: TargetRef) {
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        let left_just_now = state
+            .drained_at
+            .is_some_and(|at| now.saturating_duration_since(at) < OWN_NEWS_LIFE);
+        if !state.draining || left_just_now {
+            return;
         }
+        state.draining = false;
+        // It has been away, so its first requests will be slow.
+        state.begin_cold();
         self.note_changed(target);
     }
 
--- a/core/src/engine/plan.rs
+++ b/core/src/engine/plan.rs
@@ -37,6 +37,8 @@
     pub(crate) version: IndexVersion,
     /// How many shards can be served at it.
     pub(crate) covered: u32,
+    /// How many of the others have a target that has not told its versions yet.
+    pub(crate) untold: u32,
 }
 
 /// A shard map, ready for use.
@@ -46,6 +48,8 @@
     pub(crate) map: Arc<ShardMap>,
     /// The collection that it belongs to.
     pub(crate) collection: Slot,
+    /// Until when queries wait for targets that have not told their versions yet.
+    pub(crate) settled_at: Instant,
     /// How many running queries go by it.
     pub(crate) users: u32,
     /// Whether its map has been replaced.
@@ -63,7 +67,12 @@
 
 impl ShardPlan {
     /// Makes the plan of a map whose targets are already known, in the map's order.
-    pub(crate) fn new(map: Arc<ShardMap>, collection: Slot, targets: &[TargetRef]) -> Self {
+    pub(crate) fn new(
+        map: Arc<ShardMap>,
+        collection: Slot,
+        targets: &[TargetRef],
+        settled_at: Instant,
+    ) -> Self {
         let mut replicas = Vec::new();
         let mut offsets = vec![0];
         for entry in &map.shards {
@@ -78,6 +87,7 @@
         Self {
             map,
             collection,
+            settled_at,
             users: 0,
             retired: false,
             snapshot: None,
--- a/core/src/engine/replies.rs
+++ b/core/src/engine/replies.rs
@@ -42,8 +42,7 @@
             // It has ended already: a duplicate, or of an earlier life.
             return;
         };
-        let held = reply.held.clone();
-        self.learn_held(attempt.target, held);
+        self.learn_own(now, attempt.target, reply.held);
         self.learn_reply(now, &attempt, actions);
         if attempt.cancelled {
             return;
@@ -238,14 +237,23 @@
         }
     }
 
+    /// Notes the index versions that a target itself says it holds.
+    fn learn_own(&mut self, now: Instant, target: TargetRef, held: Vec<IndexVersion>) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.held_at = Some(now);
+        }
+        self.learn_held(target, held);
+    }
+
     /// Notes the index versions that a target holds.
     pub(super) fn learn_held(&mut self, target: TargetRef, mut held: Vec<IndexVersion>) {
         let Some(state) = self.targets.get_mut(target) else {
             return;
         };
-        if state.held == held {
+        if state.has_told && state.held == held {
             return;
         }
+        state.has_told = true;
         held.sort_unstable();
         held.dedup();
         state.held = held;
@@ -285,12 +293,9 @@
                 }
             }
             AttemptFailure::Draining => {
-                if let Some(state) = self.targets.get_mut(target) {
-                    state.draining = true;
-                }
-                self.note_changed(target);
+                self.set_draining(now, target);
             }
-            AttemptFailure::WrongVersion { held } => self.learn_held(target, held.clone()),
+            AttemptFailure::WrongVersion { held } => self.learn_own(now, target, held.clone()),
             AttemptFailure::NotHosted => self.adopt_pending_of(target),
             AttemptFailure::Expired | AttemptFailure::Cancelled => {}
         }
--- a/core/src/engine/snapshot.rs
+++ b/core/src/engine/snapshot.rs
@@ -30,13 +30,30 @@
             }
         }
     }
-    versions
+    let best = versions
         .iter()
-        .max_by_key(|entry| (entry.covered, entry.version))
-        .map(|entry| PlanSnapshot {
-            version: entry.version,
-            covered: entry.covered,
-        })
+        .max_by_key(|entry| (entry.covered, entry.version))?;
+    Some(PlanSnapshot {
+        version: best.version,
+        covered: best.covered,
+        untold: count_untold(plan, targets, best.version),
+    })
+}
+
+/// How many shards cannot be served at a version, as far as is known, but may well be.
+fn count_untold(plan: &ShardPlan, targets: &TargetTable, version: IndexVersion) -> u32 {
+    let untold = (0..plan.shard_count()).filter(|position| {
+        let mut usable = plan
+            .replicas(*position)
+            .iter()
+            .filter_map(|replica| targets.get(*replica))
+            .filter(|state| state.is_usable())
+            .peekable();
+        usable.peek().is_some()
+            && usable.clone().all(|state| !state.holds(version))
+            && usable.any(|state| !state.has_told)
+    });
+    untold.count() as u32
 }
 
 /// Whether a shard can be served at a version by a usable target.
--- a/core/src/engine/submit.rs
+++ b/core/src/engine/submit.rs
@@ -365,7 +365,7 @@
             let Some(plan) = state.current else {
                 return;
             };
-            let Some(snapshot) = self.fresh_snapshot(plan) else {
+            let Some(snapshot) = self.settled_snapshot(now, plan) else {
                 return;
             };
             let Some((key, entry)) = self.next_query(collection, plan) else {
@@ -376,6 +376,13 @@
         }
     }
 
+    /// The snapshot for new queries of a plan, unless some targets should tell their versions first.
+    fn settled_snapshot(&mut self, now: Instant, plan: Slot) -> Option<PlanSnapshot> {
+        let snapshot = self.fresh_snapshot(plan)?;
+        let settled_at = self.plans.get(plan)?.settled_at;
+        (snapshot.untold == 0 || now >= settled_at).then_some(snapshot)
+    }
+
     fn next_query(&self, collection: Slot, plan: Slot) -> Option<(FlowKey, WaitingQuery)> {
         let queue = &self.collections.get(collection)?.queue;
         let plan = self.plans.get(plan)?;
--- a/core/src/engine/target.rs
+++ b/core/src/engine/target.rs
@@ -62,10 +62,16 @@
     pub(crate) collection: Slot,
     /// Whether it stands in the daemon's data centre.
     pub(crate) local: bool,
-    /// The index versions that it holds, sorted; empty while none is known.
+    /// The index versions that it holds, sorted.
     pub(crate) held: Vec<IndexVersion>,
+    /// Whether it has told them.
+    pub(crate) has_told: bool,
+    /// When it last told of its versions in a reply of its own, beside which reports are old.
+    pub(crate) held_at: Option<Instant>,
     /// Whether it is leaving.
     pub(crate) draining: bool,
+    /// When it was last seen to be leaving.
+    pub(crate) drained_at: Option<Instant>,
     /// Until when it counts as lost.
     pub(crate) lost_until: Option<Instant>,
     /// Until when it is ejected for being slow.
@@ -98,7 +104,10 @@
             collection,
             local,
             held: Vec::new(),
+            has_told: false,
+            held_at: None,
             draining: false,
+            drained_at: None,
             lost_until: None,
             ejected_until: None,
             readmitted_at: None,
--- a/core/src/engine/timers.rs
+++ b/core/src/engine/timers.rs
@@ -25,6 +25,8 @@
     Target(TargetRef),
     /// A pending shard map is adopted, ready or not.
     Adopt(Slot),
+    /// Queries of a collection wait no longer for targets that have not told their versions.
+    Settle(Slot),
 }
 
 /// A query and where it is kept.
--- a/core/src/engine/wakes.rs
+++ b/core/src/engine/wakes.rs
@@ -21,6 +21,7 @@
                 TimerKind::Reap(attempt) => self.reap(attempt),
                 TimerKind::Target(target) => self.end_absence(now, target, actions),
                 TimerKind::Adopt(collection) => self.adopt_pending(collection),
+                TimerKind::Settle(collection) => self.mark_queue(collection),
             }
         }
     }
--- a/core/tests/engine/answers.rs
+++ b/core/tests/engine/answers.rs
@@ -92,7 +92,7 @@
 }
 
 /// What a non-idempotent request's failure makes of its outcome.
-fn execute_outcome(failure: AttemptFailure, tries: usize, outcome: Outcome) {
+fn execute_outcome(failure: &AttemptFailure, tries: usize, outcome: Outcome) {
     for policy in POLICIES {
         let mut driver = driver(policy, map(1, 2, 2));
         let mut order = request(1);
@@ -111,13 +111,13 @@
 }
 
 cases! {
-    execute_shed: execute_outcome(AttemptFailure::Shed, 2, Outcome::NotRun);
-    execute_draining: execute_outcome(AttemptFailure::Draining, 2, Outcome::NotRun);
-    execute_not_hosted: execute_outcome(AttemptFailure::NotHosted, 2, Outcome::NotRun);
-    execute_lost: execute_outcome(AttemptFailure::Lost, 1, Outcome::Unknown);
-    execute_silent: execute_outcome(AttemptFailure::Silent, 1, Outcome::Unknown);
-    execute_garbled: execute_outcome(AttemptFailure::Garbled, 1, Outcome::Unknown);
-    execute_cancelled: execute_outcome(AttemptFailure::Cancelled, 1, Outcome::Unknown);
+    execute_shed: execute_outcome(&AttemptFailure::Shed, 2, Outcome::NotRun);
+    execute_draining: execute_outcome(&AttemptFailure::Draining, 2, Outcome::NotRun);
+    execute_not_hosted: execute_outcome(&AttemptFailure::NotHosted, 2, Outcome::NotRun);
+    execute_lost: execute_outcome(&AttemptFailure::Lost, 1, Outcome::Unknown);
+    execute_silent: execute_outcome(&AttemptFailure::Silent, 1, Outcome::Unknown);
+    execute_garbled: execute_outcome(&AttemptFailure::Garbled, 1, Outcome::Unknown);
+    execute_cancelled: execute_outcome(&AttemptFailure::Cancelled, 1, Outcome::Unknown);
 }
 
 #[test]
--- a/core/tests/engine/main.rs
+++ b/core/tests/engine/main.rs
@@ -2,3 +2,4 @@
 
 mod answers;
 mod support;
+mod versions;
--- a/core/tests/engine/support.rs
+++ b/core/tests/engine/support.rs
@@ -48,19 +48,27 @@
 
     /// An engine with accounts and a map whose targets hold a version.
     pub fn ready(options: EngineOptions, map: ShardMap, version: IndexVersion) -> Self {
-        let mut driver = Self::new(options);
-        driver.tell(EngineEvent::AccountsChanged(Arc::new(AccountTable::new(
-            1,
-            vec![account(ACCOUNT)],
-        ))));
         let targets: Vec<TargetId> = map.targets.iter().map(|entry| entry.target).collect();
-        driver.put_map(map);
+        let mut driver = Self::untold(options, map);
         for target in targets {
             driver.hold(target, &[version]);
         }
         driver
     }
 
+    /// An engine with accounts and a map whose targets have not told what they hold.
+    pub fn untold(options: EngineOptions, map: ShardMap) -> Self {
+        let mut driver = Self::new(options);
+        driver.put_accounts(vec![account(ACCOUNT)]);
+        driver.put_map(map);
+        driver
+    }
+
+    pub fn put_accounts(&mut self, accounts: Vec<AccountPolicy>) {
+        let table = AccountTable::new(1, accounts);
+        self.tell(EngineEvent::AccountsChanged(Arc::new(table)));
+    }
+
     pub fn tell(&mut self, event: EngineEvent) {
         let mut actions = Vec::new();
         self.engine.handle(self.now, event, &mut actions);
--- a/daemon/src/config_service.rs
+++ b/daemon/src/config_service.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use actix::Addr;
+use futures_util::StreamExt;
 use tracing::{info, warn};
-use yuccalift_core::ShardMap;
-use yuccalift_core::event::EngineEvent;
+use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::ConfigVersion;
+use yuccalift_core::{ShardMap, TargetEntry};
 use yuccalift_kernel::ServiceGuard;
 use yuccalift_settings::DaemonSettings;
 use yuccalift_wire::codec::from_json;
+use yuccalift_wire::leaf::LeafStatus;
 use yuccalift_wire::platform::{ACCOUNTS_KEY, MAP_PREFIX, PublishedValue};
 
 use crate::lane::{EngineLane, FeedEngine};
@@ -19,6 +21,8 @@
 
 /// How long the reader rests after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How many targets are asked for their index versions at once.
+const PROBES_AT_ONCE: usize = 16;
 
 /// Watches the platform until the daemon stops.
 pub(crate) struct ConfigService {
@@ -84,7 +88,11 @@
     fn apply_map(&self, key: &str, value: &str) {
         let parsed = from_json::<ShardMap>("read shard map", key, value.as_bytes());
         match parsed.map(ShardMap::normalize) {
-            Ok(Ok(map)) => self.feed(EngineEvent::MapChanged(Arc::new(map))),
+            Ok(Ok(map)) => {
+                let map = Arc::new(map);
+                self.feed(EngineEvent::MapChanged(Arc::clone(&map)));
+                actix_rt::spawn(probe_versions(self.lane.clone(), map));
+            }
             Ok(Err(error)) => warn!(%error, key, "shard map refused"),
             Err(error) => warn!(%error, key, "shard map refused"),
         }
@@ -94,3 +102,33 @@
         self.lane.do_send(FeedEngine(event));
     }
 }
+
+/// Asks the targets of a new map which index versions they hold, since no query can be pinned to a
+/// snapshot before that is known.
+async fn probe_versions(lane: Addr<EngineLane>, map: Arc<ShardMap>) {
+    let client = awc::Client::builder().disable_redirects().finish();
+    let probes = map
+        .targets
+        .iter()
+        .map(|entry| probe_version(&client, &lane, entry));
+    futures_util::stream::iter(probes)
+        .for_each_concurrent(PROBES_AT_ONCE, |probe| probe)
+        .await;
+}
+
+async fn probe_version(client: &awc::Client, lane: &Addr<EngineLane>, entry: &TargetEntry) {
+    let url = format!("http://{}/status", entry.address);
+    let Ok(mut response) = client.get(url).send().await else {
+        return;
+    };
+    let Ok(body) = response.body().await else {
+        return;
+    };
+    let peer = entry.address.to_string();
+    if let Ok(status) = from_json::<LeafStatus>("read leaf status", &peer, &body) {
+        lane.do_send(FeedEngine(EngineEvent::TargetNews(TargetNews {
+            target: entry.target,
+            kind: TargetNewsKind::Held(status.held),
+        })));
+    }
+}
