--- a/core/src/engine/admission.rs
+++ b/core/src/engine/admission.rs
@@ -59,6 +59,7 @@
 /// The waiting queries of one collection.
 #[derive(Debug, Default)]
 pub(crate) struct AdmissionQueue {
+    reserves_starts: bool,
     flows: Vec<AccountFlow>,
     waiting: [u32; CLASSES],
     credits: [f64; CLASSES],
@@ -67,6 +68,14 @@
 }
 
 impl AdmissionQueue {
+    /// An empty queue, in which less urgent classes may have a small share of the starts.
+    pub(crate) fn new(reserves_starts: bool) -> Self {
+        Self {
+            reserves_starts,
+            ..Self::default()
+        }
+    }
+
     /// How many wait in each class.
     pub(crate) fn waiting(&self) -> [u32; CLASSES] {
         self.waiting
@@ -137,7 +146,9 @@
         if !self.remove(key, entry) {
             return;
         }
-        self.earn_credits(class, cost);
+        if self.reserves_starts {
+            self.earn_credits(class, cost);
+        }
         if let Ok(place) = self.find_flow(key) {
             let flow = &mut self.flows[place];
             self.clocks[class] = self.clocks[class].max(flow.virtual_time);
--- a/core/src/engine/choice.rs
+++ b/core/src/engine/choice.rs
@@ -19,6 +19,8 @@
 const REMOTE_FACTOR: f64 = 1.25;
 /// How much worse a wholly cold target is taken for, beyond its latency.
 const COLD_FACTOR: f64 = 3.0;
+/// One choice in so many takes a cold target for a warm one.
+const COLD_TURNS: u64 = 8;
 /// How much worse a target is taken for that reports to be fully loaded just now.
 const REPORT_FACTOR: f64 = 0.5;
 /// For how many losses in a row a shard request waits for a lost target.
@@ -182,9 +184,9 @@
         if second >= first {
             second += 1;
         }
-        let pair = self.better(candidates[first], candidates[second]);
+        let pair = self.better(candidates[first], candidates[second], dice);
         match self.local_candidate(candidates) {
-            Some(local) => self.better(local, pair),
+            Some(local) => self.better(local, pair, dice),
             None => pair,
         }
     }
@@ -197,8 +199,8 @@
         })
     }
 
-    fn better(&self, left: TargetRef, right: TargetRef) -> TargetRef {
-        if self.score(right) < self.score(left) {
+    fn better(&self, left: TargetRef, right: TargetRef, dice: u64) -> TargetRef {
+        if self.score(right, dice) < self.score(left, dice) {
             right
         } else {
             left
@@ -206,16 +208,20 @@
     }
 
     /// The expected time to a reply; less is better.
-    fn score(&self, candidate: TargetRef) -> f64 {
+    fn score(&self, candidate: TargetRef, dice: u64) -> f64 {
         let Some(state) = self.targets.get(candidate) else {
             return f64::INFINITY;
         };
         let load = f64::from(state.in_flight() + 1) / f64::from(state.limit.current().max(1));
         let usual = self.usual_seconds.unwrap_or(UNKNOWN_LATENCY_SECONDS);
-        let seconds = state.latency.careful_seconds().unwrap_or(usual);
+        let seconds = state.latency.careful_seconds(self.now, usual);
         let seconds = seconds.max(self.oldest_flight_seconds(state));
         let remote = if state.local { 1.0 } else { REMOTE_FACTOR };
-        let cold = 1.0 + COLD_FACTOR * state.coldness();
+        let cold = if tries_cold(dice) {
+            1.0
+        } else {
+            1.0 + COLD_FACTOR * state.coldness()
+        };
         let hint = 1.0 + REPORT_FACTOR * state.hinted_load(self.now);
         load * seconds * remote * cold * hint
     }
@@ -242,6 +248,11 @@
     }
 }
 
+/// Whether a cold target counts as a warm one this time: only work makes it warm.
+fn tries_cold(dice: u64) -> bool {
+    dice.is_multiple_of(COLD_TURNS)
+}
+
 /// Scales a random number to an index below a bound.
 fn scaled(random: u32, bound: usize) -> usize {
     ((u64::from(random) * bound as u64) >> 32) as usize
--- a/core/src/engine/collection.rs
+++ b/core/src/engine/collection.rs
@@ -20,3 +20,13 @@
     /// How many of its targets are ejected.
     pub(crate) ejected: u32,
 }
+
+impl CollectionState {
+    /// A collection without a plan.
+    pub(crate) fn new(reserves_starts: bool) -> Self {
+        Self {
+            queue: AdmissionQueue::new(reserves_starts),
+            ..Self::default()
+        }
+    }
+}
--- a/core/src/engine/ejection.rs
+++ b/core/src/engine/ejection.rs
@@ -63,7 +63,7 @@
             return;
         };
         let before = state.limit.current();
-        state.latency.record(latency);
+        state.latency.record(now, latency);
         let in_flight = state.in_flight() + 1;
         state.limit.on_reply(now, latency, in_flight);
         let limit = state.limit.current();
@@ -115,7 +115,7 @@
         if let Some(state) = self.targets.get_mut(attempt.target)
             && state.latency.mean().is_none_or(|mean| elapsed > mean)
         {
-            state.latency.record(elapsed);
+            state.latency.record(now, elapsed);
         }
     }
 
--- a/core/src/engine/latency.rs
+++ b/core/src/engine/latency.rs
@@ -3,10 +3,12 @@
 //!
 //! See `docs/DESIGN.md`, "Target choice" and "Hedging".
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The weight of a new sample in the moving average.
 const SAMPLE_WEIGHT: f64 = 0.3;
+/// The time in which half of what sets a target apart from its group is forgotten.
+const HALF_LIFE_SECONDS: f64 = 1.0;
 /// The weight of a new sample in the moving deviation.
 const DEVIATION_WEIGHT: f64 = 0.2;
 
@@ -16,11 +18,13 @@
     mean: f64,
     deviation: f64,
     samples: u32,
+    recorded_at: Option<Instant>,
 }
 
 impl LatencyAverage {
     /// Takes a sample.
-    pub(crate) fn record(&mut self, sample: Duration) {
+    pub(crate) fn record(&mut self, now: Instant, sample: Duration) {
+        self.recorded_at = Some(now);
         let sample = sample.as_secs_f64();
         if self.samples == 0 {
             self.mean = sample;
@@ -38,9 +42,15 @@
         (self.samples > 0).then(|| Duration::from_secs_f64(self.mean.max(0.0)))
     }
 
-    /// A careful estimate in seconds: the average and its deviation.
-    pub(crate) fn careful_seconds(&self) -> Option<f64> {
-        (self.samples > 0).then_some(self.mean + self.deviation)
+    /// A careful estimate in seconds: the average and its deviation, fading to what is usual as
+    /// the last sample ages. Without that a target that was slow once would never be asked again.
+    pub(crate) fn careful_seconds(&self, now: Instant, usual: f64) -> f64 {
+        let Some(recorded_at) = self.recorded_at else {
+            return usual;
+        };
+        let age = now.saturating_duration_since(recorded_at).as_secs_f64();
+        let kept = (-age / HALF_LIFE_SECONDS).exp2();
+        usual + (self.mean + self.deviation - usual) * kept
     }
 
     /// How many samples it rests on.
--- a/core/src/engine/maps.rs
+++ b/core/src/engine/maps.rs
@@ -57,7 +57,10 @@
         if let Some(slot) = self.names.find(name) {
             return slot;
         }
-        let slot = self.collections.insert(CollectionState::default());
+        let reserves_starts = self.options.protections.reserved_starts;
+        let slot = self
+            .collections
+            .insert(CollectionState::new(reserves_starts));
         self.names.insert(name.into(), slot);
         slot
     }
--- a/core/src/engine/options.rs
+++ b/core/src/engine/options.rs
@@ -32,6 +32,8 @@
     /// Classes, fairness between accounts and refusal of hopeless work; first in first out
     /// otherwise.
     pub ordered_admission: bool,
+    /// The small share of starts that keeps less urgent classes from starving.
+    pub reserved_starts: bool,
     /// Dropping beliefs with an age after a pause.
     pub pause_checks: bool,
     /// Restarting a query whose snapshot is gone.
@@ -50,6 +52,7 @@
             ejection: full,
             adaptive_limits: full,
             ordered_admission: full,
+            reserved_starts: full,
             pause_checks: true,
             snapshot_restart: true,
             quarantine: true,
--- a/core/tests/engine/support.rs
+++ b/core/tests/engine/support.rs
@@ -32,9 +32,8 @@
 }
 
 impl EngineDriver {
-    /// An engine that audits itself at every event and knows nothing yet.
-    pub fn new(mut options: EngineOptions) -> Self {
-        options.audit_interval = 1;
+    /// An engine that knows nothing yet.
+    pub fn new(options: EngineOptions) -> Self {
         Self {
             engine: SearchEngine::with_options(options),
             now: Instant::now(),
@@ -69,7 +68,13 @@
         self.tell(EngineEvent::AccountsChanged(Arc::new(table)));
     }
 
+    /// Tells an event, after which every invariant must hold.
     pub fn tell(&mut self, event: EngineEvent) {
+        self.tell_unaudited(event);
+        self.engine.audit();
+    }
+
+    pub fn tell_unaudited(&mut self, event: EngineEvent) {
         let mut actions = Vec::new();
         self.engine.handle(self.now, event, &mut actions);
         for action in actions {
