Add the callers' stand-in, the checks, demo, standin and the first experiments

Cause: decisions need figures from runs, and promises need checks that do not ask the daemon. Change: an open-loop load whose latency counts from when a request was due; checks that hold what callers got against what leafs ran, each shown to find a run broken that one way; yuccalift demo, standin and experiment with eleven cases as tables of fleet, load and faults, and pairs of them.

--- /dev/null
+++ b/cli/src/experiment.rs
@@ -0,0 +1,144 @@
+//! `yuccalift experiment`: runs a case against stand-ins and prints what was measured.
+//!
+//! - [`case`]: what a case is: a fleet, a load and a schedule of faults, in one table.
+//! - [`cases`]: the cases, one module each.
+//! - [`runner`]: runs a case.
+//! - [`measure`]: the figures and violations of a run.
+
+use std::io::IsTerminal;
+use std::time::Duration;
+
+use lexopt::prelude::{Long, Short, Value, ValueExt};
+use yuccalift_core::PolicyKind;
+
+use crate::error::CommandError;
+use crate::experiment::case::{ExperimentCase, find_case};
+use crate::experiment::measure::RunReport;
+use crate::experiment::runner::{RunOptions, run_case};
+
+mod case;
+mod cases;
+mod measure;
+mod runner;
+
+const HELP: &str = "\
+Usage: yuccalift experiment --list
+       yuccalift experiment NAME [--seed N] [--policy full|baseline|both] [--seconds S] [--json]
+
+NAME is a case of the list, or a pair such as crest+straggler: the fleet and the load of the
+first, with the faults of both. With --json each run prints one JSON object on one line.
+Exit status 1 if a run broke a promise.
+";
+
+/// The seed of a run that names none.
+const DEFAULT_SEED: u64 = 1;
+
+/// What the command line asks for.
+struct ExperimentArgs {
+    name: Box<str>,
+    seed: u64,
+    policies: Vec<PolicyKind>,
+    duration: Option<Duration>,
+    json: bool,
+}
+
+/// Runs the subcommand.
+pub fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
+    match read_args(parser)? {
+        None => Ok(()),
+        Some(args) => run_experiment(&args),
+    }
+}
+
+/// Reads the arguments; none if they only asked for a text, which has been printed.
+fn read_args(mut parser: lexopt::Parser) -> Result<Option<ExperimentArgs>, CommandError> {
+    let mut name = None;
+    let mut args = ExperimentArgs {
+        name: "".into(),
+        seed: DEFAULT_SEED,
+        policies: vec![PolicyKind::Full],
+        duration: None,
+        json: false,
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Short('h') | Long("help") => {
+                print!("{HELP}");
+                return Ok(None);
+            }
+            Long("list") => {
+                print_list();
+                return Ok(None);
+            }
+            Long("seed") => args.seed = parser.value()?.parse()?,
+            Long("policy") => args.policies = read_policies(&parser.value()?.string()?)?,
+            Long("seconds") => args.duration = Some(Duration::from_secs(parser.value()?.parse()?)),
+            Long("json") => args.json = true,
+            Value(value) if name.is_none() => name = Some(value.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let name = name.ok_or_else(|| lexopt::Error::from("the experiment's name is missing"))?;
+    args.name = name.into();
+    Ok(Some(args))
+}
+
+fn read_policies(text: &str) -> Result<Vec<PolicyKind>, CommandError> {
+    match text {
+        "full" => Ok(vec![PolicyKind::Full]),
+        "baseline" => Ok(vec![PolicyKind::Baseline]),
+        "both" => Ok(vec![PolicyKind::Full, PolicyKind::Baseline]),
+        other => {
+            let message = format!("--policy: found {other:?}, allowed are full, baseline, both");
+            Err(lexopt::Error::from(message).into())
+        }
+    }
+}
+
+fn print_list() {
+    for case in cases::ALL {
+        println!("{:18} {}", case.name, case.about);
+    }
+}
+
+fn run_experiment(args: &ExperimentArgs) -> Result<(), CommandError> {
+    let case = find_case(&args.name)?;
+    let mut broken = 0;
+    for &policy in &args.policies {
+        let report = run_one(&case, args, policy)?;
+        print_report(&report, args.json)?;
+        broken += report.violations.len();
+    }
+    if broken > 0 {
+        return Err(CommandError::failed(
+            format!("experiment {}", args.name),
+            &format!("{broken} violations"),
+        ));
+    }
+    Ok(())
+}
+
+fn run_one(
+    case: &ExperimentCase,
+    args: &ExperimentArgs,
+    policy: PolicyKind,
+) -> Result<RunReport, CommandError> {
+    let options = RunOptions {
+        seed: args.seed,
+        policy,
+        duration: args.duration.unwrap_or(case.duration),
+        progress: std::io::stderr().is_terminal(),
+    };
+    run_case(case, options)
+}
+
+fn print_report(report: &RunReport, json: bool) -> Result<(), CommandError> {
+    if json {
+        let line = serde_json::to_string(report)
+            .map_err(|error| CommandError::failed("write report", &error))?;
+        println!("{line}");
+    } else {
+        print!("{report}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/experiment/cases.rs
@@ -0,0 +1,138 @@
+//! The cases, one module each, and what several of them share.
+
+use std::time::Duration;
+
+use yuccalift_core::PolicyKind;
+use yuccalift_standins::{CallKind, LeafOptions, LoadStream, RateStep, StreamText};
+
+use crate::experiment::case::{CaseSpec, FaultStep};
+use crate::experiment::measure::{CaseField, CaseView};
+use crate::fleet::{COLLECTION, FleetShape};
+
+mod at_most_once;
+mod crest;
+mod drain;
+mod platform_outage;
+mod poison;
+mod replica_loss;
+mod rolling_restart;
+mod silent_connection;
+mod snapshot_change;
+mod steady;
+mod straggler;
+
+/// Every case, in the order of the list.
+pub const ALL: &[&CaseSpec] = &[
+    &steady::CASE,
+    &straggler::CASE,
+    &crest::CASE,
+    &replica_loss::CASE,
+    &drain::CASE,
+    &rolling_restart::CASE,
+    &silent_connection::CASE,
+    &poison::CASE,
+    &snapshot_change::CASE,
+    &at_most_once::CASE,
+    &platform_outage::CASE,
+];
+
+/// The account of urgent searches.
+const URGENT: &str = "race-desk";
+/// The account of searches that can wait.
+const PATIENT: &str = "ledger-view";
+/// The account of non-idempotent requests.
+const ORDERS: &str = "clash-check";
+
+/// The accounts of every case.
+const ACCOUNTS: &str = "\
+templates:
+  desk:
+    collections: [tags]
+    urgency: urgent
+    patience: 500ms
+    deadline: 2s
+    repeat: hedge
+  ledger:
+    collections: [tags]
+    urgency: patient
+    patience: 20s
+    deadline: 25s
+    repeat: retry
+    queue_limit: 10000
+  order:
+    collections: [tags]
+    urgency: urgent
+    patience: 1s
+    deadline: 3s
+    repeat: never
+accounts:
+  race-desk:
+    template: desk
+  ledger-view:
+    template: ledger
+  clash-check:
+    template: order
+";
+
+/// How long an urgent caller waits.
+const URGENT_WAIT: Duration = Duration::from_secs(2);
+/// The median service time of leafs; long enough that the machine carries the load of 90 leafs.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// The share of the leafs' capacity that the usual load takes.
+const USUAL_SHARE: f64 = 0.55;
+
+/// Ninety leafs: 30 shards in three replicas, behind three daemons.
+fn usual_shape() -> FleetShape {
+    FleetShape {
+        shards: 30,
+        replicas: 3,
+        daemons: 3,
+        leaf: LeafOptions {
+            slots: 2,
+            connections: 30,
+            service_time: SERVICE_TIME,
+            ..LeafOptions::default()
+        },
+        accounts: ACCOUNTS,
+        policy: PolicyKind::Full,
+        seed: 0,
+    }
+}
+
+/// Urgent searches at a steady rate that takes about half of the leafs' capacity.
+fn usual_load(shape: &FleetShape, _duration: Duration) -> Vec<LoadStream> {
+    let rate = shape.searches_per_second() * USUAL_SHARE;
+    vec![searches(
+        URGENT,
+        URGENT_WAIT,
+        vec![rate_from(Duration::ZERO, rate)],
+    )]
+}
+
+fn searches(account: &str, wait: Duration, rates: Vec<RateStep>) -> LoadStream {
+    LoadStream {
+        account: account.into(),
+        collection: COLLECTION.into(),
+        kind: CallKind::Search,
+        text: StreamText::Unique,
+        rates,
+        wait,
+        resends: 0,
+    }
+}
+
+fn rate_from(from: Duration, per_second: f64) -> RateStep {
+    RateStep { from, per_second }
+}
+
+fn no_load(_shape: &FleetShape, _duration: Duration) -> Vec<LoadStream> {
+    Vec::new()
+}
+
+fn no_faults(_shape: &FleetShape, _duration: Duration) -> Vec<FaultStep> {
+    Vec::new()
+}
+
+fn no_fields(_view: &CaseView) -> Vec<CaseField> {
+    Vec::new()
+}
--- /dev/null
+++ b/cli/src/experiment/cases/platform_outage.rs
@@ -0,0 +1,55 @@
+//! `platform-outage`: the platform is down, then stale, while a daemon is replaced.
+
+use std::time::Duration;
+
+use yuccalift_standins::PlatformMode;
+
+use super::{no_load, usual_load, usual_shape};
+use crate::experiment::case::{CaseSpec, FaultAction, FaultStep};
+use crate::experiment::measure::{CaseField, CaseView};
+use crate::fleet::FleetShape;
+
+/// When the platform goes down.
+const DOWN_AT: Duration = Duration::from_secs(2);
+/// When a daemon is replaced, which must learn the configuration from its peers.
+const RESTART_AT: Duration = Duration::from_secs(4);
+/// When the platform is back, with an old version.
+const STALE_AT: Duration = Duration::from_secs(7);
+/// The version that a stale platform serves.
+const STALE_VERSION: u64 = 1;
+/// When it is well again.
+const NORMAL_AT: Duration = Duration::from_secs(10);
+
+pub(super) const CASE: CaseSpec = CaseSpec {
+    name: "platform-outage",
+    about: "the platform is down, then stale; meanwhile a daemon is replaced",
+    seconds: 13,
+    shape: usual_shape,
+    load: usual_load,
+    side_load: no_load,
+    faults,
+    fields,
+};
+
+fn faults(shape: &FleetShape, _duration: Duration) -> Vec<FaultStep> {
+    let platform = |at: Duration, mode: PlatformMode| FaultStep {
+        at,
+        action: FaultAction::Platform(mode),
+    };
+    vec![
+        platform(DOWN_AT, PlatformMode::Down),
+        FaultStep {
+            at: RESTART_AT,
+            action: FaultAction::RestartDaemon(shape.daemons as usize - 1),
+        },
+        platform(STALE_AT, PlatformMode::Stale(STALE_VERSION)),
+        platform(NORMAL_AT, PlatformMode::Normal),
+    ]
+}
+
+fn fields(view: &CaseView) -> Vec<CaseField> {
+    vec![CaseField::new(
+        "platform_calls_per_s",
+        view.platform.total as f64 / view.elapsed.as_secs_f64(),
+    )]
+}
--- /dev/null
+++ b/cli/src/experiment/cases/snapshot_change.rs
@@ -0,0 +1,72 @@
+//! `snapshot-change`: targets load a new index version and shards split and move, under load.
+
+use std::time::Duration;
+
+use yuccalift_core::{ShardEntry, ShardMap};
+use yuccalift_standins::LeafCommand;
+
+use super::{no_fields, no_load, usual_load, usual_shape};
+use crate::experiment::case::{CaseSpec, FaultAction, FaultStep};
+use crate::fleet::FleetShape;
+
+/// When the first target holds the new version as well.
+const LOAD_FROM: Duration = Duration::from_secs(2);
+/// When the first target drops the old version.
+const DROP_FROM: Duration = Duration::from_secs(5);
+/// From the first target to the last.
+const SPREAD: Duration = Duration::from_secs(2);
+/// When the targets of the moved and split shards hold them as well.
+const HOST_AT: Duration = Duration::from_millis(7_500);
+/// When the map that says so is published.
+const MAP_AT: Duration = Duration::from_secs(8);
+/// When the targets drop the shards that have moved away.
+const UNHOST_AT: Duration = Duration::from_secs(11);
+
+pub(super) const CASE: CaseSpec = CaseSpec {
+    name: "snapshot-change",
+    about: "targets change index versions one by one; then a shard splits and one moves",
+    seconds: 13,
+    shape: usual_shape,
+    load: usual_load,
+    side_load: no_load,
+    faults,
+    fields: no_fields,
+};
+
+/// Shard 0 moves to the targets of shard 1, and a new shard comes on the targets of shard 2.
+fn faults(shape: &FleetShape, _duration: Duration) -> Vec<FaultStep> {
+    let leafs = shape.leafs() as usize;
+    let replicas = shape.replicas as usize;
+    let mut steps = Vec::new();
+    for leaf in 0..leafs {
+        let delay = SPREAD.mul_f64(leaf as f64 / leafs as f64);
+        let holds = |at: Duration, held: Vec<u64>| {
+            FaultStep::leafs(at + delay, [leaf], LeafCommand::Hold(held))
+        };
+        steps.push(holds(LOAD_FROM, vec![1, 2]));
+        steps.push(holds(DROP_FROM, vec![2]));
+    }
+    let hosts = |at: Duration, group: usize, shards: Vec<u32>| {
+        let group = group * replicas..(group + 1) * replicas;
+        FaultStep::leafs(at, group, LeafCommand::Host(shards))
+    };
+    steps.push(hosts(HOST_AT, 1, vec![0, 1]));
+    steps.push(hosts(HOST_AT, 2, vec![2, shape.shards]));
+    steps.push(FaultStep {
+        at: MAP_AT,
+        action: FaultAction::ChangeMap(split_and_move),
+    });
+    steps.push(hosts(UNHOST_AT, 0, Vec::new()));
+    steps
+}
+
+fn split_and_move(mut map: ShardMap) -> ShardMap {
+    map.epoch += 1;
+    let moved = map.shards[1].replicas.clone();
+    map.shards[0].replicas = moved;
+    map.shards.push(ShardEntry {
+        shard: map.shards.len() as u32,
+        replicas: map.shards[2].replicas.clone(),
+    });
+    map
+}
--- /dev/null
+++ b/cli/src/experiment/cases/steady.rs
@@ -0,0 +1,15 @@
+//! `steady`: nothing is wrong; shows what the policy costs.
+
+use super::{no_faults, no_fields, no_load, usual_load, usual_shape};
+use crate::experiment::case::CaseSpec;
+
+pub(super) const CASE: CaseSpec = CaseSpec {
+    name: "steady",
+    about: "half load and nothing wrong",
+    seconds: 12,
+    shape: usual_shape,
+    load: usual_load,
+    side_load: no_load,
+    faults: no_faults,
+    fields: no_fields,
+};
--- /dev/null
+++ b/cli/src/experiment/runner.rs
@@ -0,0 +1,137 @@
+//! Runs a case: starts the fleet and the load, acts the faults at their times, gathers the end.
+
+use std::time::{Duration, Instant};
+
+use yuccalift_core::PolicyKind;
+use yuccalift_standins::{CallerLoad, LeafStandin, RunEvidence, RunningLoad};
+
+use crate::error::CommandError;
+use crate::experiment::case::{ExperimentCase, FaultAction, FaultStep};
+use crate::experiment::measure::{CaseView, RunReport, make_report};
+use crate::fleet::{FleetShape, TestFleet};
+use crate::processor::DaemonTime;
+
+/// How often the progress line is written.
+const PROGRESS_PERIOD: Duration = Duration::from_millis(500);
+/// How long the fleet runs before the load, so that daemons have read the platform's lists.
+const SETTLE_TIME: Duration = Duration::from_millis(700);
+
+/// How a case is run.
+#[derive(Clone, Copy, Debug)]
+pub struct RunOptions {
+    /// The seed of the load and of the leafs.
+    pub seed: u64,
+    /// Which decisions the daemons make.
+    pub policy: PolicyKind,
+    /// For how long requests are due.
+    pub duration: Duration,
+    /// Whether a progress line is written.
+    pub progress: bool,
+}
+
+/// Runs a case once.
+pub fn run_case(case: &ExperimentCase, options: RunOptions) -> Result<RunReport, CommandError> {
+    let shape = FleetShape {
+        policy: options.policy,
+        seed: options.seed,
+        ..case.shape()
+    };
+    let streams = case.streams(&shape, options.duration);
+    let faults = case.faults(&shape, options.duration);
+    let mut fleet = TestFleet::start(shape)?;
+    std::thread::sleep(SETTLE_TIME);
+    let processor = DaemonTime::start();
+    let load = CallerLoad {
+        daemons: fleet.daemon_list(),
+        streams: streams.clone(),
+        seed: options.seed,
+        duration: options.duration,
+    };
+    let running = load
+        .start()
+        .map_err(|error| CommandError::failed("start callers", &error))?;
+    let start = Instant::now();
+    act_faults(&mut fleet, &faults, start)?;
+    if options.progress {
+        show_progress(case, options, start, &running);
+    }
+    let calls = running.join();
+    let daemon_time = processor.elapsed();
+    let leafs = fleet.leaf_records();
+    let view = CaseView {
+        arrivals: gather_arrivals(&fleet),
+        platform: fleet.platform().calls(),
+        elapsed: start.elapsed(),
+        evidence: RunEvidence {
+            calls,
+            leafs,
+            epochs: fleet.epochs().to_vec(),
+        },
+        streams,
+        daemon_time,
+    };
+    fleet.stop();
+    Ok(make_report(case, options, &view))
+}
+
+fn act_faults(
+    fleet: &mut TestFleet,
+    faults: &[FaultStep],
+    start: Instant,
+) -> Result<(), CommandError> {
+    for step in faults {
+        std::thread::sleep((start + step.at).saturating_duration_since(Instant::now()));
+        act_fault(fleet, &step.action)?;
+    }
+    Ok(())
+}
+
+fn act_fault(fleet: &mut TestFleet, action: &FaultAction) -> Result<(), CommandError> {
+    match action {
+        FaultAction::Leafs { leafs, command } => {
+            for &leaf in leafs {
+                fleet.leafs().leafs()[leaf].command(command.clone());
+            }
+        }
+        FaultAction::Platform(mode) => fleet.platform().set_mode(*mode),
+        FaultAction::ChangeMap(change) => {
+            let map = change(fleet.map().clone());
+            fleet.put_map(map)?;
+        }
+        FaultAction::MarkLeaving(leafs) => {
+            for &leaf in leafs {
+                fleet.mark_leaving(leaf);
+            }
+        }
+        FaultAction::RestartDaemon(position) => fleet.restart_daemon(*position)?,
+    }
+    Ok(())
+}
+
+fn show_progress(
+    case: &ExperimentCase,
+    options: RunOptions,
+    start: Instant,
+    running: &RunningLoad,
+) {
+    while start.elapsed() < options.duration {
+        std::thread::sleep(PROGRESS_PERIOD);
+        eprint!(
+            "\r{} {:?} seed {}: {:.0} of {} s, {} requests answered ",
+            case.name,
+            options.policy,
+            options.seed,
+            start.elapsed().as_secs_f64(),
+            options.duration.as_secs(),
+            running.finished(),
+        );
+    }
+    eprintln!();
+}
+
+fn gather_arrivals(fleet: &TestFleet) -> Vec<u64> {
+    let leafs = fleet.leafs().leafs().iter();
+    let mut arrivals: Vec<u64> = leafs.flat_map(LeafStandin::arrivals).collect();
+    arrivals.sort_unstable();
+    arrivals
+}
--- /dev/null
+++ b/cli/src/fleet.rs
@@ -0,0 +1,366 @@
+//! A fleet in this process: the platform, leafs and daemons, over real connections on loopback.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use yuccalift_core::ids::{CollectionName, MapEpoch, ShardId};
+use yuccalift_core::{PolicyKind, ShardEntry, ShardMap, TargetEntry};
+use yuccalift_daemon::Daemon;
+use yuccalift_settings::{DaemonSettings, ListenerLimits, LogFormat, LogSettings};
+use yuccalift_standins::check::EpochShards;
+use yuccalift_standins::{
+    DaemonList, LeafFleet, LeafOptions, LeafRecord, PlatformOptions, PlatformStandin,
+};
+use yuccalift_wire::platform::{
+    ACCOUNTS_KEY, FLEET_KEY, FleetBounds, HostEntry, HostList, HostState, MAP_PREFIX,
+};
+
+use crate::error::CommandError;
+
+/// The collection that a fleet serves.
+pub const COLLECTION: &str = "tags";
+/// The data centre of every host of a fleet.
+const DATA_CENTRE: &str = "dc-1";
+/// How many threads serve the leafs.
+const LEAF_THREADS: usize = 2;
+/// How long a fleet may take until each daemon answers that it is ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often a daemon is asked whether it is ready.
+const READY_PERIOD: Duration = Duration::from_millis(20);
+/// How long a daemon's graceful stop may take.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How large a fleet is, and what its leafs are like.
+#[derive(Clone, Debug)]
+pub struct FleetShape {
+    /// How many shards the collection has.
+    pub shards: u32,
+    /// How many leafs hold each shard; each leaf holds one.
+    pub replicas: u32,
+    /// How many daemons there are.
+    pub daemons: u32,
+    /// What each leaf is like; seed, shards and spells are set for each.
+    pub leaf: LeafOptions,
+    /// The templates and accounts.
+    pub accounts: &'static str,
+    /// Which decisions the daemons make.
+    pub policy: PolicyKind,
+    /// The seed of the leafs.
+    pub seed: u64,
+}
+
+impl FleetShape {
+    /// How many leafs there are.
+    pub fn leafs(&self) -> u32 {
+        self.shards * self.replicas
+    }
+
+    /// How many shard requests a second the leafs can run.
+    pub fn shard_requests_per_second(&self) -> f64 {
+        let mean = self.leaf.service_time.as_secs_f64()
+            * (self.leaf.service_sigma * self.leaf.service_sigma / 2.0).exp();
+        f64::from(self.leafs() * self.leaf.slots) / mean
+    }
+
+    /// How many searches over all shards a second the leafs can run.
+    pub fn searches_per_second(&self) -> f64 {
+        self.shard_requests_per_second() / f64::from(self.shards)
+    }
+
+    fn leaf_options(&self) -> Vec<LeafOptions> {
+        let option = |position: u32| LeafOptions {
+            seed: self
+                .seed
+                .wrapping_mul(1_000)
+                .wrapping_add(u64::from(position)),
+            shards: vec![position / self.replicas],
+            ..self.leaf.clone()
+        };
+        (0..self.leafs()).map(option).collect()
+    }
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct TestFleet {
+    shape: FleetShape,
+    platform: PlatformStandin,
+    leafs: LeafFleet,
+    hosts: Vec<FleetHost>,
+    list: DaemonList,
+    map: ShardMap,
+    epochs: Vec<EpochShards>,
+    target_hosts: Vec<HostEntry>,
+}
+
+/// An entry host with its daemon.
+#[derive(Debug)]
+struct FleetHost {
+    settings: DaemonSettings,
+    daemon: Option<Daemon>,
+}
+
+impl TestFleet {
+    /// Starts a fleet and waits until each daemon is ready.
+    pub fn start(shape: FleetShape) -> Result<Self, CommandError> {
+        let platform = PlatformStandin::start(PlatformOptions::default())
+            .map_err(|error| CommandError::failed("start platform", &error))?;
+        let leafs = LeafFleet::start(shape.leaf_options(), LEAF_THREADS)
+            .map_err(|error| CommandError::failed("start leafs", &error))?;
+        let map = first_map(&shape, &leafs);
+        let target_hosts = map.targets.iter().map(target_host).collect();
+        let mut fleet = Self {
+            platform,
+            leafs,
+            hosts: Vec::new(),
+            list: DaemonList::default(),
+            epochs: Vec::new(),
+            target_hosts,
+            map: map.clone(),
+            shape,
+        };
+        fleet.platform.put_value(ACCOUNTS_KEY, fleet.shape.accounts);
+        fleet.put_bounds()?;
+        fleet.put_map(map)?;
+        for position in 0..fleet.shape.daemons {
+            fleet.add_host(position)?;
+        }
+        fleet.publish_hosts();
+        fleet.wait_ready()?;
+        Ok(fleet)
+    }
+
+    /// The platform.
+    pub fn platform(&self) -> &PlatformStandin {
+        &self.platform
+    }
+
+    /// The leafs, in the order of their shards.
+    pub fn leafs(&self) -> &LeafFleet {
+        &self.leafs
+    }
+
+    /// The shape that the fleet was started with.
+    pub fn shape(&self) -> &FleetShape {
+        &self.shape
+    }
+
+    /// The shard map that was published last.
+    pub fn map(&self) -> &ShardMap {
+        &self.map
+    }
+
+    /// The daemons as callers see them.
+    pub fn daemon_list(&self) -> DaemonList {
+        self.list.clone()
+    }
+
+    /// The shards of each map that was published.
+    pub fn epochs(&self) -> &[EpochShards] {
+        &self.epochs
+    }
+
+    /// Publishes a shard map.
+    pub fn put_map(&mut self, map: ShardMap) -> Result<(), CommandError> {
+        let value = serde_json::to_string(&map)
+            .map_err(|error| CommandError::failed("write shard map", &error))?;
+        self.epochs.push(EpochShards {
+            epoch: map.epoch,
+            shards: map.shards.iter().map(|entry| entry.shard).collect(),
+        });
+        self.platform
+            .put_value(&format!("{MAP_PREFIX}{}", map.collection), &value);
+        self.map = map;
+        Ok(())
+    }
+
+    /// Marks a target's host as leaving in the platform's list.
+    pub fn mark_leaving(&mut self, leaf: usize) {
+        self.target_hosts[leaf].state = HostState::Leaving;
+        self.publish_hosts();
+    }
+
+    /// Stops a daemon gracefully and starts another in its place, as a rolling restart does.
+    ///
+    /// Callers learn of a stop by the daemon's readiness alone, as the platform's balancer does.
+    pub fn restart_daemon(&mut self, position: usize) -> Result<(), CommandError> {
+        if let Some(daemon) = self.hosts[position].daemon.take() {
+            daemon.stop();
+        }
+        let settings = DaemonSettings {
+            seed_peers: self.peer_addresses(),
+            ..self.hosts[position].settings.clone()
+        };
+        let daemon = start_daemon(settings)?;
+        self.hosts[position].daemon = Some(daemon);
+        self.publish_hosts();
+        Ok(())
+    }
+
+    /// Where the daemons accept callers.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let daemons = self.hosts.iter().filter_map(|host| host.daemon.as_ref());
+        daemons.map(|daemon| daemon.addresses().caller).collect()
+    }
+
+    /// What the leafs have recorded.
+    pub fn leaf_records(&self) -> Vec<LeafRecord> {
+        let records = self.leafs.leafs().iter().enumerate();
+        records
+            .map(|(position, leaf)| LeafRecord {
+                name: format!("leaf-{position}").into(),
+                connections_limit: self.shape.leaf.connections,
+                runs: leaf.runs(),
+                counts: leaf.counts(),
+                connections: leaf.connections(),
+            })
+            .collect()
+    }
+
+    /// Stops the daemons, then the stand-ins.
+    pub fn stop(mut self) {
+        let daemons = self.hosts.iter_mut().filter_map(|host| host.daemon.take());
+        let running: Vec<Daemon> = daemons.collect();
+        for daemon in &running {
+            daemon.stop_token().cancel();
+        }
+        for daemon in running {
+            daemon.stop();
+        }
+        self.leafs.stop();
+        self.platform.stop();
+    }
+
+    fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let daemons = self.hosts.iter().filter_map(|host| host.daemon.as_ref());
+        daemons.map(|daemon| daemon.addresses().peer).collect()
+    }
+
+    fn put_bounds(&self) -> Result<(), CommandError> {
+        let most = self.shape.daemons + 1;
+        let bounds = FleetBounds {
+            daemons: most,
+            daemons_per_data_centre: most,
+        };
+        let value = serde_json::to_string(&bounds)
+            .map_err(|error| CommandError::failed("write fleet bounds", &error))?;
+        self.platform.put_value(FLEET_KEY, &value);
+        Ok(())
+    }
+
+    fn add_host(&mut self, position: u32) -> Result<(), CommandError> {
+        let settings = DaemonSettings {
+            host: format!("entry-{position}").into(),
+            data_centre: DATA_CENTRE.into(),
+            caller_listen: any_port(),
+            peer_listen: any_port(),
+            operator_listen: any_port(),
+            platform: vec![self.platform.address()],
+            seed_peers: self.peer_addresses(),
+            shared_key: "only for tests on loopback".into(),
+            limits: ListenerLimits::default(),
+            log: LogSettings {
+                format: LogFormat::Text,
+                level: "warn".into(),
+            },
+            statsd: None,
+            policy: self.shape.policy,
+            stop_timeout: STOP_TIMEOUT,
+        };
+        let daemon = start_daemon(settings.clone())?;
+        self.hosts.push(FleetHost {
+            settings,
+            daemon: Some(daemon),
+        });
+        Ok(())
+    }
+
+    /// Publishes the list of hosts, and tells callers where the daemons are.
+    fn publish_hosts(&self) {
+        let hosts = self.hosts.iter();
+        let entry_hosts = hosts.filter_map(FleetHost::entry).collect();
+        self.platform.set_hosts(HostList {
+            entry_hosts,
+            target_hosts: self.target_hosts.clone(),
+        });
+        self.list.replace(&self.caller_addresses());
+    }
+
+    fn wait_ready(&self) -> Result<(), CommandError> {
+        let until = Instant::now() + READY_TIMEOUT;
+        let addresses = self.caller_addresses();
+        actix_rt::System::new().block_on(async {
+            let client = awc::Client::default();
+            for address in addresses {
+                while !is_ready(&client, address).await {
+                    if Instant::now() > until {
+                        let step = format!("wait until ready, peer {address}");
+                        return Err(CommandError::failed(step, &"it takes too long"));
+                    }
+                    actix_rt::time::sleep(READY_PERIOD).await;
+                }
+            }
+            Ok(())
+        })
+    }
+}
+
+impl FleetHost {
+    fn entry(&self) -> Option<HostEntry> {
+        let daemon = self.daemon.as_ref()?;
+        Some(HostEntry {
+            host: self.settings.host.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            peer_address: daemon.addresses().peer.to_string().into(),
+            state: HostState::Live,
+        })
+    }
+}
+
+async fn is_ready(client: &awc::Client, address: SocketAddr) -> bool {
+    let asked = client.get(format!("http://{address}/ready")).send().await;
+    asked.is_ok_and(|response| response.status().is_success())
+}
+
+fn start_daemon(settings: DaemonSettings) -> Result<Daemon, CommandError> {
+    let step = format!("start daemon, peer {}", settings.host);
+    Daemon::start(settings).map_err(|error| CommandError::failed(step, &error))
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn target_host(target: &TargetEntry) -> HostEntry {
+    HostEntry {
+        host: target.host.clone(),
+        data_centre: target.data_centre.clone(),
+        peer_address: "".into(),
+        state: HostState::Live,
+    }
+}
+
+/// The map in which each shard is on the leafs that were started for it.
+fn first_map(shape: &FleetShape, leafs: &LeafFleet) -> ShardMap {
+    let targets = leafs.leafs().iter().zip(0..);
+    let targets = targets.map(|(leaf, target)| TargetEntry {
+        target,
+        address: leaf.address(),
+        data_centre: DATA_CENTRE.into(),
+        host: format!("target-{target:04}").into(),
+        slots: shape.leaf.slots,
+        connections: shape.leaf.connections,
+        connect_ms: shape.leaf.connect_cost.as_millis() as u32,
+    });
+    let shards = (0..shape.shards).map(|shard: ShardId| ShardEntry {
+        shard,
+        replicas: (shard * shape.replicas..(shard + 1) * shape.replicas).collect(),
+    });
+    let epoch: MapEpoch = 1;
+    ShardMap {
+        collection: CollectionName::from(COLLECTION),
+        epoch,
+        shards: shards.collect(),
+        targets: targets.collect(),
+    }
+}
--- a/standins/src/gate.rs
+++ b/standins/src/gate.rs
@@ -33,6 +33,8 @@
     refused: u64,
     cut: CancellationToken,
     down_until: Option<Instant>,
+    silenced_at: Option<Instant>,
+    retire_max: Duration,
 }
 
 #[derive(Debug)]
@@ -41,6 +43,16 @@
     silent: Arc<AtomicBool>,
 }
 
+impl GateState {
+    fn count_silent(&self) -> u32 {
+        let silent = self
+            .open
+            .iter()
+            .filter(|entry| entry.silent.load(Ordering::Relaxed));
+        silent.count() as u32
+    }
+}
+
 /// What a gate has counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -51,6 +63,11 @@
     pub peak: u32,
     /// Connections that were closed at once since the limit was reached.
     pub refused: u64,
+    /// Silent connections that the other end still holds.
+    pub silent: u32,
+    /// The longest that the other end held a silent connection before it closed it, in
+    /// milliseconds from when connections were last made silent.
+    pub retire_max_ms: u64,
 }
 
 impl ConnectionGate {
@@ -67,6 +84,8 @@
                 refused: 0,
                 cut: CancellationToken::new(),
                 down_until: None,
+                silenced_at: None,
+                retire_max: Duration::ZERO,
             }),
         }
     }
@@ -78,6 +97,8 @@
             open: state.open.len() as u32,
             peak: state.peak,
             refused: state.refused,
+            silent: state.count_silent(),
+            retire_max_ms: state.retire_max.as_millis() as u64,
         }
     }
 
@@ -85,7 +106,8 @@
     ///
     /// Returns how many connections that concerned.
     pub fn silence_open(&self) -> usize {
-        let state = self.lock();
+        let mut state = self.lock();
+        state.silenced_at = Some(Instant::now());
         for connection in &state.open {
             connection.silent.store(true, Ordering::Relaxed);
         }
@@ -141,7 +163,12 @@
     fn release(&self, id: u64) {
         let mut state = self.lock();
         if let Ok(position) = state.open.binary_search_by_key(&id, |entry| entry.id) {
-            state.open.remove(position);
+            let closed = state.open.remove(position);
+            if closed.silent.load(Ordering::Relaxed)
+                && let Some(silenced_at) = state.silenced_at
+            {
+                state.retire_max = state.retire_max.max(silenced_at.elapsed());
+            }
         }
     }
 
--- a/standins/src/leaf.rs
+++ b/standins/src/leaf.rs
@@ -21,7 +21,7 @@
 mod http;
 mod state;
 
-pub use command::{LeafCommand, LoadReport, SlowSpells};
+pub use command::{DrainSign, LeafCommand, LoadReport, SlowSpells};
 pub use fleet::LeafFleet;
 pub use options::LeafOptions;
 pub use record::{LeafCounts, LeafRun, RunEnd, RunKind};
@@ -101,6 +101,12 @@
         self.core.runs()
     }
 
+    /// A hash of request id and shard for each request for work that arrived, the refused ones
+    /// included.
+    pub fn arrivals(&self) -> Vec<u64> {
+        self.core.arrivals()
+    }
+
     /// What it has counted of requests.
     pub fn counts(&self) -> LeafCounts {
         self.core.counts()
--- a/standins/src/leaf/command.rs
+++ b/standins/src/leaf/command.rs
@@ -9,11 +9,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LeafCommand {
-    /// Starts to drain: it says so in its status and, if `refuse`, refuses new work.
-    Drain {
-        /// Whether new work is refused.
-        refuse: bool,
-    },
+    /// Starts to drain; how it shows that is the sign's affair.
+    Drain(DrainSign),
     /// Takes work again.
     Undrain,
     /// Changes the index versions that it holds.
@@ -35,6 +32,18 @@
     },
 }
 
+/// How a draining leaf shows that it drains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DrainSign {
+    /// It does not; only the platform's list of hosts does.
+    None,
+    /// Its status says so.
+    Status,
+    /// Its status says so, and it refuses new work.
+    Refusal,
+}
+
 /// Spells during which a leaf is slow, which no report of its own shows.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/standins/src/leaf/core.rs
+++ b/standins/src/leaf/core.rs
@@ -50,6 +50,10 @@
         self.lock().runs.clone()
     }
 
+    pub(super) fn arrivals(&self) -> Vec<u64> {
+        self.lock().arrivals.clone()
+    }
+
     pub(super) fn counts(&self) -> LeafCounts {
         self.lock().counts
     }
@@ -62,15 +66,8 @@
         let now = Instant::now();
         let mut state = self.lock();
         match command {
-            LeafCommand::Drain { refuse } => {
-                state.drained_at = Some(now);
-                state.refuses = refuse;
-                state.counts.work_after_drain_ms = None;
-            }
-            LeafCommand::Undrain => {
-                state.drained_at = None;
-                state.refuses = false;
-            }
+            LeafCommand::Drain(sign) => state.drain(Some(sign), now),
+            LeafCommand::Undrain => state.drain(None, now),
             LeafCommand::Hold(held) => state.held = held,
             LeafCommand::Host(shards) => state.shards = shards,
             LeafCommand::Slow(factor) => state.slow_factor = factor,
@@ -185,8 +182,8 @@
         now: Instant,
     ) -> Result<CancellationToken, LeafRefusal> {
         let mut state = self.lock();
-        state.count_arrival(now);
-        let code = if state.refuses {
+        state.count_arrival(request, now);
+        let code = if state.refuses() {
             Some(LeafRefusalCode::Draining)
         } else if state.shards.binary_search(&request.shard).is_err() {
             Some(LeafRefusalCode::NotHosted)
--- a/standins/src/leaf/state.rs
+++ b/standins/src/leaf/state.rs
@@ -1,14 +1,15 @@
 //! What changes while a leaf runs, behind one lock.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::ids::{AttemptId, IndexVersion, ShardId};
-use yuccalift_wire::leaf::{LeafState, LeafStatus};
+use yuccalift_wire::leaf::{LeafRequest, LeafState, LeafStatus};
 
-use super::command::{LoadReport, SlowSpells};
+use super::command::{DrainSign, LoadReport, SlowSpells};
 use super::options::LeafOptions;
 use super::record::{LeafCounts, LeafRun, RunEnd};
 
@@ -20,6 +21,13 @@
     pub(super) token: CancellationToken,
 }
 
+/// A drain that has begun.
+#[derive(Clone, Copy, Debug)]
+struct RunningDrain {
+    sign: DrainSign,
+    began: Instant,
+}
+
 /// A load report as it was made some time ago.
 #[derive(Clone, Copy, Debug)]
 struct MadeReport {
@@ -32,8 +40,7 @@
 pub(super) struct LeafMutable {
     pub(super) held: Vec<IndexVersion>,
     pub(super) shards: Vec<ShardId>,
-    pub(super) drained_at: Option<Instant>,
-    pub(super) refuses: bool,
+    drain: Option<RunningDrain>,
     pub(super) slow_factor: f64,
     pub(super) spells: Option<SlowSpells>,
     pub(super) spells_from: Instant,
@@ -41,6 +48,7 @@
     pub(super) cold_until: Instant,
     pub(super) counts: LeafCounts,
     pub(super) runs: Vec<LeafRun>,
+    pub(super) arrivals: Vec<u64>,
     pub(super) open: Vec<OpenAttempt>,
     made_report: MadeReport,
     rng: ChaCha8Rng,
@@ -51,8 +59,7 @@
         Self {
             held: options.held.clone(),
             shards: options.shards.clone(),
-            drained_at: None,
-            refuses: false,
+            drain: None,
             slow_factor: 1.0,
             spells: options.spells,
             spells_from: now,
@@ -60,6 +67,7 @@
             cold_until: now + options.cold_period,
             counts: LeafCounts::default(),
             runs: Vec::new(),
+            arrivals: Vec::new(),
             open: Vec::new(),
             made_report: MadeReport {
                 load: 0.0,
@@ -70,14 +78,30 @@
     }
 
     /// Counts a request that arrives.
-    pub(super) fn count_arrival(&mut self, now: Instant) {
+    pub(super) fn count_arrival(&mut self, request: &LeafRequest, now: Instant) {
         self.counts.received += 1;
-        if let Some(drained_at) = self.drained_at {
-            let since = now.duration_since(drained_at);
+        let mut hasher = DefaultHasher::new();
+        request.request.hash(&mut hasher);
+        request.shard.hash(&mut hasher);
+        self.arrivals.push(hasher.finish());
+        if let Some(drain) = self.drain {
+            let since = now.duration_since(drain.began);
             self.counts.work_after_drain_ms = Some(since.as_millis() as u64);
         }
     }
 
+    /// Begins to drain, or ends it where there is no sign.
+    pub(super) fn drain(&mut self, sign: Option<DrainSign>, now: Instant) {
+        self.drain = sign.map(|sign| RunningDrain { sign, began: now });
+        self.counts.work_after_drain_ms = None;
+    }
+
+    /// Whether new work is refused because it drains.
+    pub(super) fn refuses(&self) -> bool {
+        self.drain
+            .is_some_and(|drain| drain.sign == DrainSign::Refusal)
+    }
+
     /// Draws the service time of a run that begins now.
     pub(super) fn service_time(&mut self, options: &LeafOptions, now: Instant) -> Duration {
         let spread = (options.service_sigma * standard_normal(&mut self.rng)).exp();
@@ -93,7 +117,10 @@
     }
 
     pub(super) fn status(&mut self, slots: u32, now: Instant) -> LeafStatus {
-        let state = if self.drained_at.is_some() {
+        let shows_drain = self
+            .drain
+            .is_some_and(|drain| drain.sign != DrainSign::None);
+        let state = if shows_drain {
             LeafState::Draining
         } else if now < self.cold_until {
             LeafState::Cold
--- a/standins/tests/standins.rs
+++ b/standins/tests/standins.rs
@@ -6,7 +6,7 @@
 use awc::Client;
 use awc::error::SendRequestError;
 use yuccalift_standins::leaf::options::CRASH_MARK;
-use yuccalift_standins::leaf::{RunEnd, RunKind};
+use yuccalift_standins::leaf::{DrainSign, RunEnd, RunKind};
 use yuccalift_standins::{
     LeafCommand, LeafFleet, LeafOptions, LeafStandin, PlatformMode, PlatformOptions,
     PlatformStandin,
@@ -338,7 +338,7 @@
     a_leaf_crashes_and_returns: leaf_crashes_and_returns();
     a_leaf_goes_silent: leaf_goes_silent();
     a_draining_leaf_refuses:
-        leaf_refuses(LeafCommand::Drain { refuse: true }, |_| {}, LeafRefusalCode::Draining);
+        leaf_refuses(LeafCommand::Drain(DrainSign::Refusal), |_| {}, LeafRefusalCode::Draining);
     a_leaf_refuses_a_version_that_it_lacks:
         leaf_refuses(LeafCommand::Hold(vec![2]), |_| {}, LeafRefusalCode::WrongVersion);
     a_leaf_refuses_a_shard_that_it_lacks:
