--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -52,6 +52,8 @@
     OwnerUnreachable,
     /// The caller sends more requests a second than the listener allows.
     RateLimited,
+    /// The key that peers and operators must show is missing or wrong.
+    KeyInvalid,
     /// Something in the daemon failed.
     Internal,
 }
--- a/daemon/src/bin/yuccaliftd.rs
+++ b/daemon/src/bin/yuccaliftd.rs
@@ -4,7 +4,7 @@
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 use tokio::signal::unix::{SignalKind, signal};
-use yuccalift_daemon::Daemon;
+use yuccalift_daemon::{Daemon, start_logging};
 use yuccalift_settings::DaemonSettings;
 
 const HELP: &str = "\
@@ -93,6 +93,7 @@
 }
 
 fn serve(settings: DaemonSettings) -> Result<ExitCode, String> {
+    let _log = start_logging(&settings.log);
     let daemon = Daemon::start(settings).map_err(|error| error.to_string())?;
     let token = daemon.stop_token();
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/daemon/src/config_service.rs
+++ b/daemon/src/config_service.rs
@@ -5,17 +5,17 @@
 use std::time::Duration;
 
 use actix::Addr;
-use tracing::{info, warn};
-use yuccalift_core::ShardMap;
 use yuccalift_core::event::EngineEvent;
 use yuccalift_core::ids::ConfigVersion;
 use yuccalift_kernel::ServiceGuard;
-use yuccalift_settings::DaemonSettings;
-use yuccalift_wire::codec::from_json;
+use yuccalift_settings::{DaemonSettings, SettingsErrors, parse_accounts, parse_shard_map};
 use yuccalift_wire::platform::{ACCOUNTS_KEY, MAP_PREFIX, PublishedValue};
 
+use crate::events::LogEvent;
 use crate::lane::{EngineLane, FeedEngine};
+use crate::metrics::{DaemonMetric, MetricsClient};
 use crate::platform_reader::watch_values;
+use crate::status_board::StatusBoard;
 
 /// How long the reader rests after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -24,14 +24,23 @@
 pub(crate) struct ConfigService {
     lane: Addr<EngineLane>,
     ready: Arc<AtomicBool>,
+    board: StatusBoard,
+    metrics: MetricsClient,
     version: ConfigVersion,
 }
 
 impl ConfigService {
-    pub(crate) fn new(lane: Addr<EngineLane>, ready: Arc<AtomicBool>) -> Self {
+    pub(crate) fn new(
+        lane: Addr<EngineLane>,
+        ready: Arc<AtomicBool>,
+        board: StatusBoard,
+        metrics: MetricsClient,
+    ) -> Self {
         Self {
             lane,
             ready,
+            board,
+            metrics,
             version: 0,
         }
     }
@@ -49,7 +58,8 @@
                 result = watch => match result {
                     Ok(changes) => self.apply(changes.version, &changes.changes),
                     Err(error) => {
-                        warn!(%error, "platform not read");
+                        let fault = error.to_string();
+                        LogEvent::PlatformUnread { fault: &fault }.emit();
                         tokio::time::sleep(RETRY_PAUSE).await;
                     }
                 },
@@ -66,28 +76,45 @@
         }
         self.version = version;
         self.ready.store(true, Ordering::Release);
-        info!(version, "configuration in force");
+        self.board.set_config_version(version);
+        self.metrics.gauge(DaemonMetric::ConfigVersion, version);
+        LogEvent::ConfigurationInForce { version }.emit();
     }
 
     fn apply_value(&self, change: &PublishedValue) {
-        let Some(value) = &change.value else { return };
-        if change.key.as_ref() == ACCOUNTS_KEY {
-            match yuccalift_settings::parse_accounts(ACCOUNTS_KEY, value, change.version) {
-                Ok(table) => self.feed(EngineEvent::AccountsChanged(Arc::new(table))),
-                Err(errors) => warn!(%errors, "accounts refused"),
+        let result = match &change.value {
+            Some(value) if change.key.as_ref() == ACCOUNTS_KEY => {
+                self.apply_accounts(change, value)
             }
-        } else if change.key.starts_with(MAP_PREFIX) {
-            self.apply_map(&change.key, value);
+            Some(value) if change.key.starts_with(MAP_PREFIX) => self.apply_map(change, value),
+            _ => Ok(()),
+        };
+        match result {
+            Ok(()) => self.board.clear_refused(&change.key),
+            Err(errors) => self.refuse(change, &errors.to_string()),
         }
     }
 
-    fn apply_map(&self, key: &str, value: &str) {
-        let parsed = from_json::<ShardMap>("read shard map", key, value.as_bytes());
-        match parsed.map(ShardMap::normalize) {
-            Ok(Ok(map)) => self.feed(EngineEvent::MapChanged(Arc::new(map))),
-            Ok(Err(error)) => warn!(%error, key, "shard map refused"),
-            Err(error) => warn!(%error, key, "shard map refused"),
+    fn apply_accounts(&self, change: &PublishedValue, value: &str) -> Result<(), SettingsErrors> {
+        let table = parse_accounts(ACCOUNTS_KEY, value, change.version)?;
+        self.feed(EngineEvent::AccountsChanged(Arc::new(table)));
+        Ok(())
+    }
+
+    fn apply_map(&self, change: &PublishedValue, value: &str) -> Result<(), SettingsErrors> {
+        let map = parse_shard_map(&change.key, value)?;
+        self.feed(EngineEvent::MapChanged(Arc::new(map)));
+        Ok(())
+    }
+
+    fn refuse(&self, change: &PublishedValue, fault: &str) {
+        self.board.note_refused(&change.key, fault);
+        LogEvent::ValueRefused {
+            key: &change.key,
+            version: change.version,
+            fault,
         }
+        .emit();
     }
 
     fn feed(&self, event: EngineEvent) {
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -7,21 +7,28 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use actix::{Actor, Addr, Arbiter};
-use actix_web::{App, HttpServer, web};
+use actix_web::web;
 use snafu::ResultExt;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::ids::Incarnation;
-use yuccalift_kernel::{Kernel, ServiceGuard, StopReport};
+use yuccalift_kernel::{Kernel, StopReport};
 use yuccalift_settings::DaemonSettings;
 
 use crate::caller::{self, CallerState};
 use crate::config_service::ConfigService;
-use crate::error::{BindSnafu, DaemonError, EndedSnafu, ThreadSnafu};
+use crate::error::{BindSnafu, DaemonError, EndedSnafu, MetricsSnafu, ThreadSnafu};
+use crate::events::LogEvent;
 use crate::lane::{EngineLane, LANE_SERVICE};
+use crate::listener::{ListenerSpec, serve};
+use crate::metrics::{METRICS_SERVICE, MetricsClient};
+use crate::operator::{self, OperatorState};
+use crate::status_board::{STATUS_SERVICE, StatusBoard};
 
 /// How many threads serve callers.
 const CALLER_WORKERS: usize = 2;
+/// How many threads serve operators.
+const OPERATOR_WORKERS: usize = 1;
 
 /// A running daemon; dropping it does not stop it, [`Daemon::stop`] does.
 #[derive(Debug)]
@@ -132,48 +139,83 @@
 ) -> StopReport {
     let mut kernel = Kernel::new();
     let limit = settings.stop_timeout;
-    let started = start_services(&mut kernel, &settings, listeners);
+    let started = start_services(&mut kernel, &settings, listeners, &stop);
     let failed = started.is_err();
     let _starter_waits = up.send(started);
     if !failed {
         stop.cancelled().await;
+        log_stop(&settings);
     }
-    kernel.stop(limit).await
+    let report = kernel.stop(limit).await;
+    log_end(&settings, &report);
+    report
 }
 
 fn start_services(
     kernel: &mut Kernel,
     settings: &DaemonSettings,
     listeners: BoundListeners,
+    stop: &CancellationToken,
 ) -> Result<(), DaemonError> {
+    let addresses = listeners.addresses(settings)?;
+    let incarnation = new_incarnation();
     let ready = Arc::new(AtomicBool::new(false));
-    let lane = start_lane(kernel, settings)?;
+    let board = StatusBoard::default();
+    kernel.registry().publish(STATUS_SERVICE, board.clone())?;
+    let metrics = start_metrics(kernel, settings)?;
+    let lane = start_lane(kernel, settings, incarnation)?;
     let guard = kernel.start("config");
-    let config = ConfigService::new(lane.clone(), Arc::clone(&ready));
+    let config = ConfigService::new(
+        lane.clone(),
+        Arc::clone(&ready),
+        board.clone(),
+        metrics.clone(),
+    );
     actix::spawn(config.run(settings.clone(), guard));
-    let guard = kernel.start("caller");
-    start_caller(
-        CallerState { lane, ready },
-        settings,
-        listeners.caller,
-        guard,
-    )?;
-    drop((listeners.peer, listeners.operator));
+    let state = OperatorState {
+        host: settings.host.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation,
+        ready: Arc::clone(&ready),
+        stop: stop.clone(),
+        lane: lane.clone(),
+        board,
+    };
+    start_operator(kernel, state, settings, listeners.operator, metrics.clone())?;
+    let state = CallerState { lane, ready };
+    start_caller(kernel, state, settings, listeners.caller, metrics)?;
+    drop(listeners.peer);
+    log_start(settings, addresses, incarnation);
     Ok(())
 }
 
+fn start_metrics(
+    kernel: &mut Kernel,
+    settings: &DaemonSettings,
+) -> Result<MetricsClient, DaemonError> {
+    let address = settings.statsd.unwrap_or(settings.operator_listen);
+    let metrics = MetricsClient::connect(settings.statsd).context(MetricsSnafu { address })?;
+    kernel
+        .registry()
+        .publish(METRICS_SERVICE, metrics.clone())?;
+    let guard = kernel.start(METRICS_SERVICE);
+    actix::spawn(metrics.clone().run(guard));
+    Ok(metrics)
+}
+
 fn start_lane(
     kernel: &mut Kernel,
     settings: &DaemonSettings,
+    incarnation: Incarnation,
 ) -> Result<Addr<EngineLane>, DaemonError> {
     let guard = kernel.start(LANE_SERVICE);
-    let incarnation = new_incarnation();
+    let metrics: MetricsClient = kernel.registry().find(METRICS_SERVICE)?;
     let sender = format!("{}/{incarnation}", settings.host).into_boxed_str();
     let policy = settings.policy;
     let arbiter = Arbiter::new();
     let handle = arbiter.handle();
     let lane = EngineLane::start_in_arbiter(&handle, move |_| {
-        EngineLane::new(policy, incarnation, sender)
+        EngineLane::new(policy, incarnation, sender, metrics)
     });
     kernel.registry().publish(LANE_SERVICE, lane.clone())?;
     actix::spawn(async move {
@@ -184,40 +226,91 @@
 }
 
 fn start_caller(
+    kernel: &mut Kernel,
     state: CallerState,
     settings: &DaemonSettings,
     listener: TcpListener,
-    guard: ServiceGuard,
+    metrics: MetricsClient,
 ) -> Result<(), DaemonError> {
-    let body_limit = settings.limits.body_bytes;
-    let address = settings.caller_listen;
-    let data = web::Data::new(state.clone());
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(data.clone())
-            .app_data(web::PayloadConfig::new(body_limit))
-            .configure(caller::configure)
-    })
-    .workers(CALLER_WORKERS)
-    .disable_signals()
-    .shutdown_timeout(settings.stop_timeout.as_secs())
-    .client_request_timeout(settings.limits.header_timeout)
-    .listen(listener)
-    .context(BindSnafu {
-        listener: "caller",
-        address,
-    })?
-    .run();
-    let handle = server.handle();
-    actix::spawn(server);
+    let spec = ListenerSpec {
+        name: "caller",
+        address: settings.caller_listen,
+        workers: CALLER_WORKERS,
+        limits: settings.limits,
+        key: None,
+        stop_timeout: settings.stop_timeout,
+    };
+    let ready = Arc::clone(&state.ready);
+    let data = web::Data::new(state);
+    let handle = serve(listener, &spec, metrics, move |config| {
+        config.app_data(data.clone());
+        caller::configure(config);
+    })?;
+    let guard = kernel.start("caller");
     actix::spawn(async move {
         guard.token.cancelled().await;
-        state.ready.store(false, Ordering::Release);
+        ready.store(false, Ordering::Release);
         handle.stop(true).await;
     });
     Ok(())
 }
 
+fn start_operator(
+    kernel: &mut Kernel,
+    state: OperatorState,
+    settings: &DaemonSettings,
+    listener: TcpListener,
+    metrics: MetricsClient,
+) -> Result<(), DaemonError> {
+    let spec = ListenerSpec {
+        name: "operator",
+        address: settings.operator_listen,
+        workers: OPERATOR_WORKERS,
+        limits: settings.limits,
+        key: Some(settings.shared_key.clone()),
+        stop_timeout: settings.stop_timeout,
+    };
+    let data = web::Data::new(state);
+    let handle = serve(listener, &spec, metrics, move |config| {
+        config.app_data(data.clone());
+        operator::configure(config);
+    })?;
+    let guard = kernel.start("operator");
+    actix::spawn(async move {
+        guard.token.cancelled().await;
+        handle.stop(true).await;
+    });
+    Ok(())
+}
+
+fn log_start(settings: &DaemonSettings, addresses: DaemonAddresses, incarnation: Incarnation) {
+    LogEvent::DaemonStarted {
+        host: &settings.host,
+        data_centre: &settings.data_centre,
+        incarnation,
+        callers: &addresses.caller.to_string(),
+        peers: &addresses.peer.to_string(),
+        operators: &addresses.operator.to_string(),
+    }
+    .emit();
+}
+
+fn log_stop(settings: &DaemonSettings) {
+    LogEvent::StopStarted {
+        host: &settings.host,
+        limit_ms: settings.stop_timeout.as_millis() as u64,
+    }
+    .emit();
+}
+
+fn log_end(settings: &DaemonSettings, report: &StopReport) {
+    LogEvent::DaemonStopped {
+        host: &settings.host,
+        overdue: &report.overdue.join(" "),
+    }
+    .emit();
+}
+
 /// The incarnation of a process that starts now: later starts are greater, as long as the host's
 /// clock goes forward from one start to the next.
 fn new_incarnation() -> Incarnation {
--- a/daemon/src/error.rs
+++ b/daemon/src/error.rs
@@ -37,4 +37,12 @@
         /// What the registry says.
         source: RegistryError,
     },
+    /// Metrics could not be set up.
+    #[snafu(display("open metrics socket, peer {address}: {source}"))]
+    Metrics {
+        /// Where metrics should go.
+        address: std::net::SocketAddr,
+        /// What the library says.
+        source: cadence::MetricError,
+    },
 }
--- /dev/null
+++ b/daemon/src/events.rs
@@ -0,0 +1,122 @@
+//! The numbered events of the daemon's log; nothing else is logged.
+//!
+//! One table makes the enum, its catalogue and the writing of a line, so that they cannot differ;
+//! a test holds `docs/EVENTS.md` to the same table. Numbers are never used again for another event,
+//! since operators' alarms rest on them.
+
+use tracing::Level;
+
+/// The target of every line, by which a subscriber can tell the daemon's lines from a library's.
+pub const LOG_TARGET: &str = "yuccalift";
+
+/// An event of the catalogue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventSpec {
+    /// Its number; the hundreds stand for the part of the daemon.
+    pub number: u16,
+    /// Its name.
+    pub name: &'static str,
+    /// Its level.
+    pub level: Level,
+    /// The names of its fields.
+    pub fields: &'static [&'static str],
+    /// What it tells.
+    pub meaning: &'static str,
+}
+
+macro_rules! log_events {
+    ($life:lifetime; $(
+        #[doc = $meaning:literal]
+        $number:literal $level:ident $name:literal $variant:ident { $($field:ident: $type:ty),* $(,)? }
+    )+) => {
+        /// An event with what belongs to it; times are in milliseconds.
+        #[derive(Clone, Copy, Debug, PartialEq)]
+        pub enum LogEvent<$life> {
+            $(
+                #[doc = $meaning]
+                $variant {
+                    $(
+                        #[doc = concat!("The field `", stringify!($field), "`.")]
+                        $field: $type,
+                    )*
+                },
+            )+
+        }
+
+        /// The catalogue, in the order of the numbers.
+        pub const EVENTS: &[EventSpec] = &[
+            $(EventSpec {
+                number: $number,
+                name: $name,
+                level: Level::$level,
+                fields: &[$(stringify!($field)),*],
+                meaning: $meaning,
+            },)+
+        ];
+
+        impl LogEvent<'_> {
+            /// Writes the event's line, if its level is logged.
+            pub fn emit(&self) {
+                match *self {
+                    $(Self::$variant { $($field),* } => tracing::event!(
+                        target: LOG_TARGET,
+                        Level::$level,
+                        number = $number,
+                        event = $name,
+                        $($field = $field),*
+                    ),)+
+                }
+            }
+        }
+    };
+}
+
+log_events! { 'a;
+    #[doc = "The listeners accept; the daemon is not ready before 201."]
+    101 INFO "daemon_started" DaemonStarted {
+        host: &'a str, data_centre: &'a str, incarnation: u64, callers: &'a str, peers: &'a str,
+        operators: &'a str,
+    }
+    #[doc = "A graceful stop began."]
+    102 INFO "stop_started" StopStarted { host: &'a str, limit_ms: u64 }
+    #[doc = "The daemon ended; `overdue` names the services that were not done in time."]
+    103 INFO "daemon_stopped" DaemonStopped { host: &'a str, overdue: &'a str }
+    #[doc = "A configuration version is in force."]
+    201 INFO "configuration_in_force" ConfigurationInForce { version: u64 }
+    #[doc = "A published value was refused; the last good one stays in force."]
+    202 WARN "value_refused" ValueRefused { key: &'a str, version: u64, fault: &'a str }
+    #[doc = "The platform could not be read; what is in force stays so."]
+    203 WARN "platform_unread" PlatformUnread { fault: &'a str }
+    #[doc = "A query was admitted and its shard requests were placed at one snapshot."]
+    401 INFO "query_planned" QueryPlanned {
+        query: u64, epoch: u64, version: u64, shards: u32, waited_ms: u64,
+    }
+    #[doc = "A query waits for capacity."]
+    402 INFO "query_queued" QueryQueued { query: u64, waiting: u32 }
+    #[doc = "A query began again whole, at another snapshot."]
+    403 INFO "query_restarted" QueryRestarted { query: u64, epoch: u64, version: u64 }
+    #[doc = "A shard was asked a second time beside a slow first request."]
+    404 INFO "shard_hedged" ShardHedged { query: u64, shard: u32, slow: u32, target: u32 }
+    #[doc = "A shard was asked again after a failed request."]
+    405 INFO "shard_retried" ShardRetried { query: u64, shard: u32, target: u32 }
+    #[doc = "A shard is missing from the answer."]
+    406 WARN "shard_missed" ShardMissed { query: u64, shard: u32, reason: &'a str }
+    #[doc = "A request was refused as a whole."]
+    407 WARN "query_refused" QueryRefused {
+        query: u64, code: &'a str, outcome: &'a str, step: &'a str, peer: &'a str,
+    }
+    #[doc = "A request was answered."]
+    408 DEBUG "query_answered" QueryAnswered {
+        query: u64, asked: u32, answered: u32, took_ms: u64,
+    }
+    #[doc = "A slow or failing target gets no work for a moment."]
+    501 WARN "target_ejected" TargetEjected { target: u32, period_ms: u64 }
+    #[doc = "An ejected target gets work again."]
+    502 INFO "target_readmitted" TargetReadmitted { target: u32 }
+    #[doc = "The limit of requests in flight to a target changed."]
+    503 DEBUG "target_limit_changed" TargetLimitChanged { target: u32, limit: u32 }
+    #[doc = "A call to a listener was refused before it was read."]
+    801 WARN "call_refused" CallRefused { listener: &'a str, peer: &'a str, reason: &'a str }
+    #[doc = "An operator asked for a graceful stop."]
+    802 INFO "drain_asked" DrainAsked { peer: &'a str }
+}
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -9,13 +9,16 @@
 
 use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
 use tokio::sync::oneshot;
-use tracing::info;
-use yuccalift_core::action::{AttemptPlan, EngineAction, EngineStatus};
+use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
 use yuccalift_core::event::EngineEvent;
 use yuccalift_core::ids::{AttemptId, QueryId, TargetId};
-use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest};
+use yuccalift_core::{
+    EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
+};
 
+use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::leaf_client::LeafClient;
+use crate::metrics::{DaemonMetric, MetricsClient};
 
 /// The name under which the lane's address is published.
 pub const LANE_SERVICE: &str = "lane";
@@ -50,6 +53,7 @@
 /// A caller whose request is in the engine.
 struct WaitingCaller {
     query: QueryId,
+    since: Instant,
     reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
 }
 
@@ -64,6 +68,7 @@
 pub struct EngineLane {
     engine: SearchEngine,
     sender: Box<str>,
+    metrics: MetricsClient,
     callers: Vec<WaitingCaller>,
     links: Vec<TargetLink>,
     actions: Vec<EngineAction>,
@@ -82,10 +87,11 @@
 
 impl EngineLane {
     /// Makes a lane; `sender` names the process to targets.
-    pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>) -> Self {
+    pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>, metrics: MetricsClient) -> Self {
         Self {
             engine: SearchEngine::new(policy, seed),
             sender,
+            metrics,
             callers: Vec::new(),
             links: Vec::new(),
             actions: Vec::new(),
@@ -109,11 +115,12 @@
             EngineAction::Cancel { attempt, target } => self.cancel(attempt, target, context),
             EngineAction::Answer { query, answer } => self.reply(query, Ok(answer)),
             EngineAction::Refuse { query, refusal } => self.reply(query, Err(refusal)),
-            EngineAction::Decided(decision) => info!(?decision, "decided"),
+            EngineAction::Decided(decision) => self.note_decision(&decision),
         }
     }
 
     fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
+        self.note_attempt(plan.cause);
         let client = self.link(plan.target, plan.address);
         let call = async move { client.call(plan).await };
         context.spawn(
@@ -159,9 +166,48 @@
             return;
         };
         let caller = self.callers.remove(position);
+        self.note_end(query, caller.since, &result);
         let _caller_may_have_gone = caller.reply.send(result);
     }
 
+    fn note_decision(&self, decision: &EngineDecision) {
+        log_decision(decision);
+        match decision {
+            EngineDecision::Planned { .. } => self.metrics.count(DaemonMetric::QueriesPlanned, 1),
+            EngineDecision::Ejected { .. } => self.metrics.count(DaemonMetric::TargetsEjected, 1),
+            _ => {}
+        }
+    }
+
+    fn note_attempt(&self, cause: AttemptCause) {
+        self.metrics.count(DaemonMetric::LeafRequests, 1);
+        match cause {
+            AttemptCause::First => {}
+            AttemptCause::Hedge => self.metrics.count(DaemonMetric::LeafHedges, 1),
+            AttemptCause::Retry => self.metrics.count(DaemonMetric::LeafRetries, 1),
+        }
+    }
+
+    fn note_end(&self, query: QueryId, since: Instant, result: &Result<SearchAnswer, Refusal>) {
+        let took = since.elapsed();
+        match result {
+            Ok(answer) => {
+                log_answer(query, &answer.coverage, took);
+                let coverage = &answer.coverage;
+                self.metrics.count(DaemonMetric::QueriesAnswered, 1);
+                self.metrics.time(DaemonMetric::QueryTime, took);
+                let asked = u64::from(coverage.asked);
+                self.metrics.count(DaemonMetric::ShardsAsked, asked);
+                let missing = coverage.missing.len() as u64;
+                self.metrics.count(DaemonMetric::ShardsMissing, missing);
+            }
+            Err(refusal) => {
+                log_refusal(query, refusal);
+                self.metrics.count(DaemonMetric::QueriesRefused, 1);
+            }
+        }
+    }
+
     fn schedule_wake(&mut self, context: &mut Context<Self>) {
         let Some(due) = self.engine.next_wake() else {
             return;
@@ -212,6 +258,7 @@
                     position,
                     WaitingCaller {
                         query,
+                        since: Instant::now(),
                         reply: msg.reply,
                     },
                 );
--- /dev/null
+++ b/daemon/src/metrics.rs
@@ -0,0 +1,174 @@
+//! The metrics of the daemon, sent as `StatsD` over UDP where the settings name an address.
+//!
+//! One table gives each metric's name, kind and unit; a test holds `docs/METRICS.md` to it. A
+//! metric is a hint for graphs and never delays a request: what cannot be sent is dropped.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::{
+    BufferedUdpMetricSink, Counted, Gauged, MetricError, QueuingMetricSink, StatsdClient, Timed,
+};
+use yuccalift_kernel::ServiceGuard;
+
+/// The name under which the client is published.
+pub const METRICS_SERVICE: &str = "metrics";
+
+/// The prefix of each metric's name.
+pub const METRIC_PREFIX: &str = "yuccalift";
+
+/// How often metrics that wait for a full packet are sent all the same.
+const FLUSH_PERIOD: Duration = Duration::from_secs(1);
+
+/// How many metrics may wait to be sent before more are dropped.
+const QUEUE_METRICS: usize = 4096;
+
+/// What kind of figure a metric is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MetricKind {
+    /// A count that only grows.
+    Counter,
+    /// A value as it is now.
+    Gauge,
+    /// A duration.
+    Timer,
+}
+
+/// A metric of the catalogue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MetricSpec {
+    /// Its name, after the prefix.
+    pub name: &'static str,
+    /// Its kind.
+    pub kind: MetricKind,
+    /// Its unit.
+    pub unit: &'static str,
+    /// What it tells.
+    pub meaning: &'static str,
+}
+
+macro_rules! metrics {
+    ($(
+        #[doc = $meaning:literal]
+        $variant:ident $name:literal $kind:ident $unit:literal
+    )+) => {
+        /// A metric.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum DaemonMetric {
+            $(
+                #[doc = $meaning]
+                $variant,
+            )+
+        }
+
+        /// The catalogue.
+        pub const METRICS: &[MetricSpec] = &[
+            $(MetricSpec {
+                name: $name,
+                kind: MetricKind::$kind,
+                unit: $unit,
+                meaning: $meaning,
+            },)+
+        ];
+
+        impl DaemonMetric {
+            fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $name,)+
+                }
+            }
+        }
+    };
+}
+
+metrics! {
+    #[doc = "Requests admitted and planned."]
+    QueriesPlanned "queries.planned" Counter "requests"
+    #[doc = "Requests answered, whole or not."]
+    QueriesAnswered "queries.answered" Counter "requests"
+    #[doc = "Requests refused as a whole."]
+    QueriesRefused "queries.refused" Counter "requests"
+    #[doc = "From a request's arrival to its answer."]
+    QueryTime "queries.time" Timer "milliseconds"
+    #[doc = "Shards asked by answered requests."]
+    ShardsAsked "shards.asked" Counter "shards"
+    #[doc = "Shards missing from answers."]
+    ShardsMissing "shards.missing" Counter "shards"
+    #[doc = "Requests sent to targets."]
+    LeafRequests "leaf.requests" Counter "requests"
+    #[doc = "Requests sent to targets beside a slow first one."]
+    LeafHedges "leaf.hedges" Counter "requests"
+    #[doc = "Requests sent to targets after a failed one."]
+    LeafRetries "leaf.retries" Counter "requests"
+    #[doc = "Ejections of slow or failing targets."]
+    TargetsEjected "targets.ejected" Counter "ejections"
+    #[doc = "Calls that a listener refused before reading them."]
+    CallsRefused "listeners.refused" Counter "calls"
+    #[doc = "The configuration version in force."]
+    ConfigVersion "config.version" Gauge "version"
+}
+
+/// Sends metrics, or does nothing where no address is set; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct MetricsClient {
+    statsd: Option<Arc<StatsdClient>>,
+}
+
+impl MetricsClient {
+    /// A client that sends to the address.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricError`] if no socket can be had.
+    pub fn connect(address: SocketAddr) -> Result<Self, MetricError> {
+        let local: SocketAddr = match address {
+            SocketAddr::V4(_) => ([0, 0, 0, 0], 0).into(),
+            SocketAddr::V6(_) => ([0_u16; 8], 0).into(),
+        };
+        let socket = UdpSocket::bind(local)?;
+        socket.set_nonblocking(true)?;
+        let sink = BufferedUdpMetricSink::from(address, socket)?;
+        let queue = QueuingMetricSink::with_capacity(sink, QUEUE_METRICS);
+        let statsd = Some(Arc::new(StatsdClient::from_sink(METRIC_PREFIX, queue)));
+        Ok(Self { statsd })
+    }
+
+    /// Adds to a counter.
+    pub fn count(&self, metric: DaemonMetric, number: u64) {
+        if let Some(statsd) = &self.statsd {
+            let _dropped = statsd.count(metric.name(), number);
+        }
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, metric: DaemonMetric, value: u64) {
+        if let Some(statsd) = &self.statsd {
+            let _dropped = statsd.gauge(metric.name(), value);
+        }
+    }
+
+    /// Notes a duration.
+    pub fn time(&self, metric: DaemonMetric, duration: Duration) {
+        if let Some(statsd) = &self.statsd {
+            let _dropped = statsd.time(metric.name(), duration);
+        }
+    }
+
+    /// Sends what waits from time to time, until the guard's token is cancelled.
+    pub(crate) async fn run(self, guard: ServiceGuard) {
+        while !guard.token.is_cancelled() {
+            tokio::select! {
+                () = guard.token.cancelled() => {}
+                () = tokio::time::sleep(FLUSH_PERIOD) => {}
+            }
+            self.flush();
+        }
+    }
+
+    fn flush(&self) {
+        if let Some(statsd) = &self.statsd {
+            let _dropped = statsd.flush();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/operator.rs
@@ -0,0 +1,103 @@
+//! The operators' listener: the daemon's status, and the order to stop.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use actix::Addr;
+use actix_web::{HttpRequest, HttpResponse, web};
+use tokio_util::sync::CancellationToken;
+use yuccalift_core::action::{EngineStatus, TargetStatus};
+use yuccalift_core::ids::{DataCentreName, HostName, Incarnation};
+use yuccalift_core::{Refusal, RefusalCode};
+use yuccalift_wire::operator::{StatusReport, TargetReport};
+
+use crate::caller::refusal_response;
+use crate::events::LogEvent;
+use crate::lane::{EngineLane, GetStatus};
+use crate::status_board::{StatusBoard, StatusView};
+
+/// What the handlers of the operators' listener share.
+#[derive(Clone)]
+pub(crate) struct OperatorState {
+    /// The daemon's host.
+    pub(crate) host: HostName,
+    /// Its data centre.
+    pub(crate) data_centre: DataCentreName,
+    /// Its incarnation.
+    pub(crate) incarnation: Incarnation,
+    /// Whether it takes requests.
+    pub(crate) ready: Arc<AtomicBool>,
+    /// Cancelled to start the graceful stop.
+    pub(crate) stop: CancellationToken,
+    /// The lane, for the engine's part.
+    pub(crate) lane: Addr<EngineLane>,
+    /// What the other services have told.
+    pub(crate) board: StatusBoard,
+}
+
+/// Adds the operators' routes to a listener.
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
+    config.route("/v1/status", web::get().to(status));
+    config.route("/v1/drain", web::post().to(drain));
+}
+
+async fn status(state: web::Data<OperatorState>) -> HttpResponse {
+    match state.lane.send(GetStatus).await {
+        Ok(answer) => HttpResponse::Ok().json(state.report(&answer.0)),
+        Err(error) => {
+            let message = error.to_string();
+            let refusal = Refusal::not_run(RefusalCode::Internal, "ask lane for status", message);
+            refusal_response(&refusal)
+        }
+    }
+}
+
+async fn drain(state: web::Data<OperatorState>, request: HttpRequest) -> HttpResponse {
+    let peer = request
+        .peer_addr()
+        .map_or_else(String::new, |address| address.to_string());
+    LogEvent::DrainAsked { peer: &peer }.emit();
+    state.stop.cancel();
+    HttpResponse::Accepted().finish()
+}
+
+impl OperatorState {
+    fn report(&self, engine: &EngineStatus) -> StatusReport {
+        let StatusView {
+            config_version,
+            refused_values,
+            peers,
+            quarantines,
+            control,
+        } = self.board.view();
+        StatusReport {
+            host: self.host.clone(),
+            data_centre: self.data_centre.clone(),
+            incarnation: self.incarnation,
+            ready: self.ready.load(Ordering::Acquire),
+            stopping: self.stop.is_cancelled(),
+            config_version,
+            refused_values: refused_values
+                .into_iter()
+                .map(|value| value.fault)
+                .collect(),
+            peers,
+            targets: engine.targets.iter().map(target_report).collect(),
+            running: engine.running,
+            waiting: engine.waiting,
+            quarantines,
+            control,
+        }
+    }
+}
+
+fn target_report(status: &TargetStatus) -> TargetReport {
+    TargetReport {
+        target: status.target,
+        state: status.state.into(),
+        in_flight: status.in_flight,
+        limit: status.limit,
+        connections: status.connections,
+        latency_ms: status.latency.as_secs_f64() * 1000.0,
+    }
+}
