--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -193,8 +193,10 @@
     kernel: &mut Kernel,
     settings: &DaemonSettings,
 ) -> Result<MetricsClient, DaemonError> {
-    let address = settings.statsd.unwrap_or(settings.operator_listen);
-    let metrics = MetricsClient::connect(settings.statsd).context(MetricsSnafu { address })?;
+    let metrics = match settings.statsd {
+        Some(address) => MetricsClient::connect(address).context(MetricsSnafu { address })?,
+        None => MetricsClient::default(),
+    };
     kernel
         .registry()
         .publish(METRICS_SERVICE, metrics.clone())?;
--- /dev/null
+++ b/daemon/tests/listeners.rs
@@ -0,0 +1,208 @@
+//! What the listeners refuse, and that a refusal disturbs nothing else.
+
+#[allow(dead_code, reason = "each test file uses its own part of the support")]
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::time::{Duration, Instant};
+
+use support::{TestSite, wait_ready};
+use yuccalift_core::{Outcome, Refusal, RefusalCode};
+use yuccalift_daemon::Daemon;
+use yuccalift_testkit::cases;
+use yuccalift_wire::operator::{KEY_HEADER, StatusReport};
+
+const KEY: &str = "test-key-test-key";
+/// The smallest body limit that settings allow, in bytes.
+const BODY_LIMIT: usize = 1024;
+/// How long the daemon of these tests waits for a head, and for a body.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a test waits for what must happen.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Which listener a call goes to.
+#[derive(Clone, Copy)]
+enum Listener {
+    Caller,
+    Operator,
+}
+
+/// A call that must be refused.
+struct BadCall {
+    listener: Listener,
+    method: awc::http::Method,
+    path: &'static str,
+    key: Option<&'static str>,
+    body: Vec<u8>,
+}
+
+fn start(site: &TestSite) -> Daemon {
+    let mut settings = site.settings("entry-1");
+    settings.limits.body_bytes = BODY_LIMIT;
+    settings.limits.header_timeout = HEADER_TIMEOUT;
+    let daemon = Daemon::start(settings).expect("the daemon starts");
+    wait_ready(daemon.addresses().caller);
+    daemon
+}
+
+fn address(daemon: &Daemon, listener: Listener) -> SocketAddr {
+    match listener {
+        Listener::Caller => daemon.addresses().caller,
+        Listener::Operator => daemon.addresses().operator,
+    }
+}
+
+fn send(address: SocketAddr, call: BadCall) -> (u16, Vec<u8>) {
+    actix_rt::System::new().block_on(async move {
+        let url = format!("http://{address}{}", call.path);
+        let mut request = awc::Client::default().request(call.method, url);
+        if let Some(key) = call.key {
+            request = request.insert_header((KEY_HEADER, key));
+        }
+        let mut response = request
+            .send_body(call.body)
+            .await
+            .expect("there is an answer");
+        let body = response.body().await.expect("the body is whole");
+        (response.status().as_u16(), body.to_vec())
+    })
+}
+
+fn status(daemon: &Daemon) -> StatusReport {
+    let call = BadCall {
+        listener: Listener::Operator,
+        method: awc::http::Method::GET,
+        path: "/v1/status",
+        key: Some(KEY),
+        body: Vec::new(),
+    };
+    let (status, body) = send(address(daemon, call.listener), call);
+    assert_eq!(status, 200, "the key opens the operators' listener");
+    serde_json::from_slice(&body).expect("the report is read")
+}
+
+fn is_refused(call: BadCall, expected: u16, code: RefusalCode) {
+    let site = TestSite::start(1, 1);
+    let daemon = start(&site);
+    let (found, body) = send(address(&daemon, call.listener), call);
+    assert_eq!(found, expected, "the status tells the kind of refusal");
+    let refusal: Refusal = serde_json::from_slice(&body).expect("the refusal is typed");
+    assert_eq!(refusal.code, code, "the code tells why");
+    assert_eq!(refusal.outcome, Outcome::NotRun, "nothing ran");
+    assert!(status(&daemon).ready, "the daemon goes on");
+    daemon.stop();
+}
+
+fn call(listener: Listener, path: &'static str, key: Option<&'static str>) -> BadCall {
+    BadCall {
+        listener,
+        method: awc::http::Method::POST,
+        path,
+        key,
+        body: b"{}".to_vec(),
+    }
+}
+
+fn large(path: &'static str) -> BadCall {
+    BadCall {
+        body: vec![b' '; BODY_LIMIT + 1],
+        ..call(Listener::Caller, path, None)
+    }
+}
+
+cases! {
+    malformed_body: is_refused(call(Listener::Caller, "/v1/search", None), 400, RefusalCode::BadRequest);
+    large_body: is_refused(large("/v1/search"), 413, RefusalCode::BadRequest);
+    unknown_path: is_refused(call(Listener::Caller, "/v2/search", None), 404, RefusalCode::BadRequest);
+    wrong_method: is_refused(call(Listener::Caller, "/ready", None), 404, RefusalCode::BadRequest);
+    missing_key: is_refused(call(Listener::Operator, "/v1/drain", None), 401, RefusalCode::KeyInvalid);
+    wrong_key: is_refused(call(Listener::Operator, "/v1/drain", Some("test-key-test-kez")), 401, RefusalCode::KeyInvalid);
+    short_key: is_refused(call(Listener::Operator, "/v1/drain", Some("test")), 401, RefusalCode::KeyInvalid);
+}
+
+/// Sends a part of a call and nothing more; the daemon must end the wait by itself.
+fn part_of_a_call_is_given_up(part: &str, answer: &str) {
+    let site = TestSite::start(1, 1);
+    let daemon = start(&site);
+    let mut stream = TcpStream::connect(daemon.addresses().caller).expect("it accepts");
+    stream
+        .set_read_timeout(Some(PATIENCE))
+        .expect("a time-out can be set");
+    stream.write_all(part.as_bytes()).expect("the part is sent");
+    let mut shown = Vec::new();
+    let _closed_or_reset = stream.read_to_end(&mut shown);
+    let shown = String::from_utf8_lossy(&shown);
+    assert!(
+        shown.starts_with(answer),
+        "the wait ends with {answer}: {shown}"
+    );
+    assert!(status(&daemon).ready, "the daemon goes on");
+    daemon.stop();
+}
+
+cases! {
+    half_a_head: part_of_a_call_is_given_up("POST /v1/search HTTP/1.1\r\nHo", "HTTP/1.1 408");
+    half_a_body: part_of_a_call_is_given_up(
+        "POST /v1/search HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 9\r\n\r\n{",
+        "HTTP/1.1 408",
+    );
+    no_http: part_of_a_call_is_given_up("\u{1}\u{2}\u{3}\r\n\r\n", "HTTP/1.1 400");
+}
+
+#[test]
+fn calls_beyond_the_rate_are_refused() {
+    let site = TestSite::start(1, 1);
+    let mut settings = site.settings("entry-1");
+    settings.limits.requests_per_second = 1;
+    let daemon = Daemon::start(settings).expect("the daemon starts");
+    wait_ready(daemon.addresses().caller);
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let (status, body) = send(
+            daemon.addresses().caller,
+            call(Listener::Caller, "/v1/search", None),
+        );
+        if status == 429 {
+            let refusal: Refusal = serde_json::from_slice(&body).expect("the refusal is typed");
+            assert_eq!(refusal.code, RefusalCode::RateLimited, "the code tells why");
+            break;
+        }
+        assert!(Instant::now() < end, "the limit is met in time");
+    }
+    wait_ready(daemon.addresses().caller);
+    daemon.stop();
+}
+
+#[test]
+fn drain_ends_the_daemon() {
+    let site = TestSite::start(1, 1);
+    let daemon = start(&site);
+    let drain = call(Listener::Operator, "/v1/drain", Some(KEY));
+    let (found, _body) = send(daemon.addresses().operator, drain);
+    assert_eq!(found, 202, "the order is taken");
+    let report = daemon.join();
+    assert!(
+        report.overdue.is_empty(),
+        "every service stops in time: {report:?}"
+    );
+}
+
+#[test]
+fn metrics_reach_the_statsd_address() {
+    let site = TestSite::start(1, 1);
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket can be had");
+    socket
+        .set_read_timeout(Some(PATIENCE))
+        .expect("a time-out can be set");
+    let mut settings = site.settings("entry-1");
+    settings.statsd = socket.local_addr().ok();
+    let daemon = Daemon::start(settings).expect("the daemon starts");
+    let mut packet = [0; 1500];
+    let mut shown = String::new();
+    while !shown.contains("yuccalift.config.version:") {
+        let length = socket.recv(&mut packet).expect("a packet comes in time");
+        shown.push_str(&String::from_utf8_lossy(&packet[..length]));
+    }
+    daemon.stop();
+}
--- a/settings/src/daemon.rs
+++ b/settings/src/daemon.rs
@@ -42,7 +42,7 @@
 pub struct ListenerLimits {
     /// The largest body, in bytes.
     pub body_bytes: usize,
-    /// How long a caller may take to send its headers.
+    /// How long a caller may take to send its headers, and then its body.
     pub header_timeout: Duration,
     /// Requests a second from all callers of one listener.
     pub requests_per_second: u32,
--- a/settings/src/daemon_file.rs
+++ b/settings/src/daemon_file.rs
@@ -19,6 +19,9 @@
 const FORMATS: &[&str] = &["text", "json"];
 const LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
 
+/// The shortest header time-out: the HTTP library counts in steps of half a second.
+const MIN_HEADER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The fields of a daemon's settings.
 pub const DAEMON_FIELDS: &[FieldSpec] = &[
     FieldSpec {
@@ -81,11 +84,11 @@
     FieldSpec {
         name: "limits.header_timeout",
         kind: FieldKind::Duration {
-            min: Duration::from_millis(100),
+            min: MIN_HEADER_TIMEOUT,
             max: Duration::from_secs(60),
         },
         default: FieldDefault::Value("5s"),
-        help: "how long a caller may take to send its headers",
+        help: "how long a caller may take to send its headers, and then its body",
     },
     FieldSpec {
         name: "limits.requests_per_second",
