--- a/core/src/engine/choice.rs
+++ b/core/src/engine/choice.rs
@@ -19,6 +19,8 @@
 const REMOTE_FACTOR: f64 = 1.25;
 /// How much worse a wholly cold target is taken for, beyond its latency.
 const COLD_FACTOR: f64 = 3.0;
+/// What a target's score must be under, as a share of another's, to be better.
+const NEAR_EQUAL: f64 = 0.85;
 /// One choice in so many takes a cold target for a warm one.
 const COLD_TURNS: u64 = 8;
 /// How much worse a target is taken for that reports to be fully loaded just now.
@@ -200,7 +202,8 @@
     }
 
     fn better(&self, left: TargetRef, right: TargetRef, dice: u64) -> TargetRef {
-        if self.score(right, dice) < self.score(left, dice) {
+        // Near equals are taken in random order, so that each is asked often enough to be known.
+        if self.score(right, dice) < self.score(left, dice) * NEAR_EQUAL {
             right
         } else {
             left
--- a/core/src/engine/latency.rs
+++ b/core/src/engine/latency.rs
@@ -24,15 +24,18 @@
 impl LatencyAverage {
     /// Takes a sample.
     pub(crate) fn record(&mut self, now: Instant, sample: Duration) {
+        let kept = self.kept_share(now);
         self.recorded_at = Some(now);
         let sample = sample.as_secs_f64();
         if self.samples == 0 {
             self.mean = sample;
             self.deviation = 0.0;
         } else {
+            // The older the last sample is, the more the new one counts.
             let difference = sample - self.mean;
-            self.mean += SAMPLE_WEIGHT * difference;
-            self.deviation += DEVIATION_WEIGHT * (difference.abs() - self.deviation);
+            self.mean += (1.0 - (1.0 - SAMPLE_WEIGHT) * kept) * difference;
+            self.deviation *= kept;
+            self.deviation += DEVIATION_WEIGHT * (difference.abs() * kept - self.deviation);
         }
         self.samples = self.samples.saturating_add(1);
     }
@@ -45,12 +48,16 @@
     /// A careful estimate in seconds: the average and its deviation, fading to what is usual as
     /// the last sample ages. Without that a target that was slow once would never be asked again.
     pub(crate) fn careful_seconds(&self, now: Instant, usual: f64) -> f64 {
+        usual + (self.mean + self.deviation - usual) * self.kept_share(now)
+    }
+
+    /// How much of what was known is still worth something, 0 to 1.
+    fn kept_share(&self, now: Instant) -> f64 {
         let Some(recorded_at) = self.recorded_at else {
-            return usual;
+            return 0.0;
         };
         let age = now.saturating_duration_since(recorded_at).as_secs_f64();
-        let kept = (-age / HALF_LIFE_SECONDS).exp2();
-        usual + (self.mean + self.deviation - usual) * kept
+        (-age / HALF_LIFE_SECONDS).exp2()
     }
 
     /// How many samples it rests on.
--- a/core/tests/engine/interruptions.rs
+++ b/core/tests/engine/interruptions.rs
@@ -4,8 +4,7 @@
 
 use yuccalift_core::event::{AttemptFailure, TargetShare};
 use yuccalift_core::{
-    EngineDecision, EngineEvent, EngineOptions, MissingReason, Outcome, PolicyKind, ProtectionSet,
-    RefusalCode,
+    EngineEvent, EngineOptions, MissingReason, Outcome, PolicyKind, ProtectionSet, RefusalCode,
 };
 
 use crate::support::{EngineDriver, map};
@@ -46,21 +45,16 @@
     hold_back(&mut driver, 1);
     while let Some(plan) = sends.pop() {
         driver.fail(&plan, AttemptFailure::Lost);
-        sends.extend(driver.take_sends());
-        sent = sent.max(0) + driver.sends.len();
+        let again = driver.take_sends();
+        sent += again.len();
+        sends.extend(again);
     }
-    driver.submit(2);
-    let of_crashing = |(query, refusal): &(u64, yuccalift_core::Refusal)| {
-        *query == 1 && refusal.code == RefusalCode::Quarantined
-    };
     assert!(
-        !driver.refusals.iter().any(of_crashing),
+        driver.refusals.is_empty(),
         "it ran, so it is answered with what is missing"
     );
-    let tries = driver.decisions.iter().filter(
-        |decision| matches!(decision, EngineDecision::Retried { query, .. } if *query == 1),
-    );
-    2 + tries.count()
+    assert_eq!(driver.answers.len(), 1, "its caller is told once");
+    sent
 }
 
 #[test]
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `operator`, [`status_board`]: the operators' listener and what it tells.
 //! - `listener`, [`rate_limit`]: the key, the limits and the typed errors of all listeners.
 //! - `config_service`, `platform_reader`: what the platform publishes.
+//! - `version_probe`: the first question to the targets of a new map.
 //! - `leaf_client`: the connections to one target.
 //! - [`events`], [`logging`], `decision_log`: the numbered events of the log.
 //! - [`metrics`]: what is sent as `StatsD`.
