--- a/core/src/engine/replies.rs
+++ b/core/src/engine/replies.rs
@@ -11,7 +11,6 @@
 use crate::engine::SearchEngine;
 use crate::engine::query::{FailedTry, LiveAttempt, ShardStage};
 use crate::engine::timers::{QueryRef, TargetRef, TimerKind};
-use crate::engine::wakes::REAP_DELAY;
 use crate::event::{AttemptFailure, AttemptReply};
 use crate::ids::{AttemptId, IndexVersion};
 use crate::search::RequestKind;
@@ -138,7 +137,8 @@
         }
     }
 
-    /// Gives up on an attempt in flight: its reply is no longer wanted.
+    /// Gives up on an attempt in flight: its reply is no longer wanted. It holds its connection
+    /// until its end is reported, however long that takes, so that the share is never exceeded.
     pub(super) fn cancel(&mut self, attempt: AttemptId, actions: &mut Vec<EngineAction>) {
         let Some(entry) = self.attempts.get_mut(attempt) else {
             return;
@@ -148,8 +148,6 @@
         let Some(state) = self.queries.get(entry.query) else {
             return;
         };
-        let due = state.deadline + REAP_DELAY;
-        self.timers.add(due, TimerKind::Reap(attempt));
         // A non-idempotent request that is under way is left to end in its own way.
         if state.kind == RequestKind::Search {
             actions.push(EngineAction::Cancel { attempt, target });
--- a/core/src/engine/timers.rs
+++ b/core/src/engine/timers.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use crate::engine::slots::Slot;
-use crate::ids::{AttemptId, QueryId, TargetId};
+use crate::ids::{QueryId, TargetId};
 
 /// What is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -19,8 +19,6 @@
     Patience(QueryRef),
     /// A look at a query's outstanding shard requests.
     Hedge(QueryRef),
-    /// The end of a cancelled attempt whose end nobody reported.
-    Reap(AttemptId),
     /// A target's ejection or loss is over.
     Target(TargetRef),
     /// A pending shard map is adopted, ready or not.
--- a/core/src/engine/wakes.rs
+++ b/core/src/engine/wakes.rs
@@ -1,14 +1,10 @@
 //! What happens when a timer comes due.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::action::EngineAction;
 use crate::engine::SearchEngine;
 use crate::engine::timers::TimerKind;
-use crate::ids::AttemptId;
-
-/// How long after its deadline a cancelled attempt whose end nobody reported is forgotten.
-pub(super) const REAP_DELAY: Duration = Duration::from_secs(1);
 
 impl SearchEngine {
     /// Runs every timer that is due; void ones do nothing.
@@ -18,21 +14,10 @@
                 TimerKind::Deadline(query) => self.end_deadline(query, actions),
                 TimerKind::Patience(query) => self.end_patience(now, query, actions),
                 TimerKind::Hedge(query) => self.watch_shards(now, due, query, actions),
-                TimerKind::Reap(attempt) => self.reap(attempt),
                 TimerKind::Target(target) => self.end_absence(now, target, actions),
                 TimerKind::Adopt(collection) => self.adopt_pending(collection),
                 TimerKind::Settle(collection) => self.mark_queue(collection),
             }
         }
     }
-
-    fn reap(&mut self, attempt: AttemptId) {
-        let cancelled = self
-            .attempts
-            .get(attempt)
-            .is_some_and(|entry| entry.cancelled);
-        if cancelled {
-            self.end_attempt(attempt);
-        }
-    }
 }
