Start the control plane's services in the daemon, unfinished

Cause: the control plane's decisions had nobody to carry them out. Ruled out: nothing was tried beside it. Before and after: nothing was measured with this commit. Conclusion: an interim state, kept in the history.

--- /dev/null
+++ b/core/tests/config_store.rs
@@ -0,0 +1,277 @@
+//! The configuration store: it converges from any mix of platform and peers and never steps back.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use yuccalift_core::control::config_store::OfferVerdict;
+use yuccalift_core::control::{ConfigStore, ConfigValue, DeltaContent, StoreChange, ValuePatch};
+use yuccalift_core::ids::ConfigVersion;
+use yuccalift_testkit::cases;
+
+const NO_LIMIT: usize = usize::MAX;
+
+/// Values that begin with this are refused by the check of these tests.
+const BAD: &str = "bad";
+
+fn check(_key: &str, value: &str) -> Result<(), Box<str>> {
+    if value.starts_with(BAD) {
+        return Err("it begins with bad".into());
+    }
+    Ok(())
+}
+
+fn value(key: &str, version: ConfigVersion, text: &str) -> ConfigValue {
+    ConfigValue {
+        key: key.into(),
+        version,
+        value: Some(Arc::from(text)),
+    }
+}
+
+fn publish(store: &mut ConfigStore, version: ConfigVersion, values: &[ConfigValue]) {
+    store.take_published(version, values, &mut Vec::new());
+}
+
+fn pass_on(from: &ConfigStore, to: &mut ConfigStore, limit: usize) -> OfferVerdict {
+    let delta = from.delta_since(to.version(), to.wanted(), limit);
+    to.take_delta(&delta, &mut Vec::new())
+}
+
+fn in_force(store: &ConfigStore, key: &str) -> Option<String> {
+    let value = store.in_force(key)?.value.as_deref()?;
+    Some(value.to_owned())
+}
+
+/// What the platform publishes over time: change `n` makes version `n + 1`.
+#[derive(Clone, Debug)]
+struct PublishedChange {
+    key: u8,
+    text: Option<String>,
+}
+
+/// What happens to one of the stores.
+#[derive(Clone, Debug)]
+enum StoreStep {
+    Read {
+        store: usize,
+        version: usize,
+    },
+    Pass {
+        from: usize,
+        to: usize,
+        limit: usize,
+    },
+}
+
+fn change() -> impl Strategy<Value = PublishedChange> {
+    let text = prop_oneof![
+        4 => "[a-dé]{0,60}".prop_map(Some),
+        1 => "bad[a-c]{0,20}".prop_map(Some),
+        1 => Just(None),
+    ];
+    (0..4_u8, text).prop_map(|(key, text)| PublishedChange { key, text })
+}
+
+fn step() -> impl Strategy<Value = StoreStep> {
+    prop_oneof![
+        (0..3_usize, 0..=40_usize).prop_map(|(store, version)| StoreStep::Read { store, version }),
+        (0..3_usize, 0..3_usize, 1..200_usize).prop_map(|(from, to, limit)| StoreStep::Pass {
+            from,
+            to,
+            limit
+        }),
+    ]
+}
+
+/// The platform as it was at a version, as a stale platform would show it.
+fn as_of(history: &[PublishedChange], version: usize) -> (ConfigVersion, Vec<ConfigValue>) {
+    let version = version.min(history.len());
+    let mut newest: Vec<ConfigValue> = Vec::new();
+    for (position, change) in history[..version].iter().enumerate() {
+        let next = ConfigValue {
+            key: format!("key{}", change.key).into(),
+            version: position as ConfigVersion + 1,
+            value: change.text.as_deref().map(Arc::from),
+        };
+        newest.retain(|known| known.key != next.key);
+        newest.push(next);
+    }
+    (version as ConfigVersion, newest)
+}
+
+proptest! {
+    /// Any mix of reads of any age and deltas of any size leaves all stores equal in the end, and
+    /// on the way no version steps back, of a store or of a key in force.
+    #[test]
+    fn stores_converge_and_never_step_back(
+        history in prop::collection::vec(change(), 1..40),
+        steps in prop::collection::vec(step(), 0..80),
+    ) {
+        let mut stores: Vec<ConfigStore> = (0..3).map(|_| ConfigStore::new(check)).collect();
+        for step in steps {
+            let before: Vec<ConfigStore> = stores.clone();
+            match step {
+                StoreStep::Read { store, version } => {
+                    let (version, values) = as_of(&history, version);
+                    publish(&mut stores[store], version, &values);
+                }
+                StoreStep::Pass { from, to, limit } => {
+                    let source = stores[from].clone();
+                    pass_on(&source, &mut stores[to], limit);
+                }
+            }
+            for (old, new) in before.iter().zip(&stores) {
+                prop_assert!(new.version() >= old.version(), "a store's version steps back");
+                for key in 0..4 {
+                    let key = format!("key{key}");
+                    let was = old.in_force(&key).map_or(0, |value| value.version);
+                    if let Some(now) = new.in_force(&key) {
+                        prop_assert!(now.version >= was, "a key in force steps back");
+                    }
+                }
+            }
+        }
+        let (version, values) = as_of(&history, history.len());
+        publish(&mut stores[0], version, &values);
+        for target in 1..3 {
+            let source = stores[0].clone();
+            for _ in 0..200 {
+                pass_on(&source, &mut stores[target], 64);
+            }
+            prop_assert_eq!(stores[target].version(), stores[0].version());
+            prop_assert_eq!(stores[target].hash(), stores[0].hash());
+        }
+    }
+
+    #[test]
+    fn patches_lead_from_any_text_to_any_other(old in ".{0,80}", new in ".{0,80}") {
+        let patch = ValuePatch::between(1, &old, 2, &new);
+        let patched = patch.apply(&old);
+        prop_assert_eq!(patched.as_deref(), Some(new.as_str()));
+    }
+
+    #[test]
+    fn patches_for_another_text_are_refused(
+        old in "[ab]{1,40}",
+        new in "[ab]{1,40}",
+        other in "[ab]{1,40}",
+    ) {
+        let patch = ValuePatch::between(1, &old, 2, &new);
+        if let Some(patched) = patch.apply(&other) {
+            prop_assert_eq!(&*patched, new.as_str(), "a patch yields its value or nothing");
+        }
+    }
+}
+
+#[test]
+fn stale_platform_changes_nothing() {
+    let mut store = ConfigStore::new(check);
+    publish(&mut store, 5, &[value("a", 5, "new")]);
+    let mut changes = Vec::new();
+    let verdict = store.take_published(3, &[value("a", 3, "old")], &mut changes);
+    assert_eq!(verdict, OfferVerdict::Stale, "an older offer is told apart");
+    assert_eq!(changes, Vec::new(), "an older offer changes nothing");
+    assert_eq!(in_force(&store, "a").as_deref(), Some("new"));
+}
+
+#[test]
+fn old_value_under_a_new_version_does_not_replace_a_newer_one() {
+    let mut store = ConfigStore::new(check);
+    publish(&mut store, 5, &[value("a", 5, "new")]);
+    publish(
+        &mut store,
+        6,
+        &[value("a", 3, "old"), value("b", 6, "other")],
+    );
+    assert_eq!(in_force(&store, "a").as_deref(), Some("new"));
+    assert_eq!(store.version(), 6);
+}
+
+#[test]
+fn bad_value_leaves_the_last_good_one_in_force() {
+    let mut store = ConfigStore::new(check);
+    publish(&mut store, 1, &[value("a", 1, "good")]);
+    let mut changes = Vec::new();
+    store.take_published(2, &[value("a", 2, "bad idea")], &mut changes);
+    assert!(matches!(&changes[..], [StoreChange::Refused(refused)] if &*refused.key == "a"));
+    assert_eq!(in_force(&store, "a").as_deref(), Some("good"));
+    assert_eq!(
+        store.refused().len(),
+        1,
+        "the refused value can be seen by name"
+    );
+    publish(&mut store, 3, &[value("a", 3, "better")]);
+    assert_eq!(in_force(&store, "a").as_deref(), Some("better"));
+    assert_eq!(store.refused(), Vec::new());
+}
+
+/// A fresh daemon that first hears of the bad value gets the last good one from a peer.
+fn fresh_store_gets_the_last_good_value(reads_platform_first: bool) {
+    let mut old = ConfigStore::new(check);
+    publish(&mut old, 1, &[value("a", 1, "good")]);
+    publish(&mut old, 2, &[value("a", 2, "bad idea")]);
+    let mut fresh = ConfigStore::new(check);
+    if reads_platform_first {
+        publish(&mut fresh, 2, &[value("a", 2, "bad idea")]);
+        assert_eq!(in_force(&fresh, "a"), None);
+    }
+    pass_on(&old, &mut fresh, NO_LIMIT);
+    assert_eq!(in_force(&fresh, "a").as_deref(), Some("good"));
+    assert_eq!(fresh.wanted().len(), 0, "nothing more is asked for");
+}
+
+cases! {
+    last_good_from_peer_alone: fresh_store_gets_the_last_good_value(false);
+    last_good_after_platform: fresh_store_gets_the_last_good_value(true);
+}
+
+#[test]
+fn small_change_of_a_large_value_is_sent_as_a_patch() {
+    let large = "x".repeat(900_000);
+    let changed = format!("{}y{}", &large[..400_000], &large[400_000..]);
+    let mut store = ConfigStore::new(check);
+    publish(&mut store, 1, &[value("a", 1, &large)]);
+    let mut peer = store.clone();
+    publish(&mut store, 2, &[value("a", 2, &changed)]);
+    let delta = store.delta_since(1, &[], NO_LIMIT);
+    assert!(delta.bytes() < 100, "{} bytes are sent", delta.bytes());
+    peer.take_delta(&delta, &mut Vec::new());
+    assert_eq!(peer.hash(), store.hash());
+}
+
+#[test]
+fn patch_that_does_not_fit_is_followed_by_the_whole_value() {
+    let mut store = ConfigStore::new(check);
+    publish(&mut store, 1, &[value("a", 1, &"x".repeat(100))]);
+    let mut peer = ConfigStore::new(check);
+    // The peer holds another text at the same version, as after a damaged read.
+    publish(&mut peer, 1, &[value("a", 1, &"z".repeat(100))]);
+    publish(&mut store, 2, &[value("a", 2, &"x".repeat(101))]);
+    let delta = store.delta_since(1, &[], NO_LIMIT);
+    assert!(matches!(delta.entries[0].content, DeltaContent::Patches(_)));
+    assert_eq!(pass_on(&store, &mut peer, NO_LIMIT), OfferVerdict::Mismatch);
+    assert_eq!(
+        peer.version(),
+        1,
+        "the version is not reached without the value"
+    );
+    assert_eq!(pass_on(&store, &mut peer, NO_LIMIT), OfferVerdict::Advanced);
+    assert_eq!(in_force(&peer, "a"), Some("x".repeat(101)));
+}
+
+#[test]
+fn oversize_value_is_refused_by_name_and_passed_on_without_its_text() {
+    let mut store = ConfigStore::new(check);
+    publish(&mut store, 1, &[value("a", 1, "good")]);
+    publish(
+        &mut store,
+        2,
+        &[value("a", 2, &"x".repeat(1024 * 1024 + 1))],
+    );
+    assert_eq!(in_force(&store, "a").as_deref(), Some("good"));
+    let mut peer = ConfigStore::new(check);
+    pass_on(&store, &mut peer, NO_LIMIT);
+    assert_eq!(peer.version(), 2);
+    assert_eq!(in_force(&peer, "a").as_deref(), Some("good"));
+    assert_eq!(peer.refused().len(), 1);
+}
--- /dev/null
+++ b/core/tests/fleet_limits.rs
@@ -0,0 +1,158 @@
+//! Limits of the whole fleet, kept by daemons that can't see each other: connections and calls.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use yuccalift_core::TargetEntry;
+use yuccalift_core::control::call_budget::FLEET_POLLS_PER_SECOND;
+use yuccalift_core::control::connection_share::admitted_mean;
+use yuccalift_core::control::reader_election::{FLEET_READERS, reader_count, reader_rank};
+use yuccalift_core::control::{CallBudget, DaemonPlace, FleetBounds, connection_shares};
+use yuccalift_testkit::cases;
+
+/// Calls a second that the platform answers, over all daemons.
+const PLATFORM_LIMIT: f64 = 2_000.0;
+
+fn target(number: u32, connections: u32, data_centre: &str) -> TargetEntry {
+    TargetEntry {
+        target: number,
+        address: SocketAddr::from(([127, 0, 0, 1], 9000)),
+        data_centre: data_centre.into(),
+        host: "leaf".into(),
+        slots: 3,
+        connections,
+        connect_ms: 6,
+    }
+}
+
+/// Every daemon that the bounds allow, the data centre `dc0` filled first.
+fn full_fleet(bounds: &FleetBounds) -> Vec<DaemonPlace> {
+    (0..bounds.daemons)
+        .map(|number| DaemonPlace {
+            host: format!("entry-{number}").into(),
+            data_centre: format!("dc{}", number / bounds.daemons_per_data_centre).into(),
+        })
+        .collect()
+}
+
+fn total_shares(bounds: &FleetBounds, entry: &TargetEntry) -> u32 {
+    full_fleet(bounds)
+        .iter()
+        .map(|place| connection_shares(place, bounds, std::slice::from_ref(entry))[0].connections)
+        .sum()
+}
+
+proptest! {
+    #[test]
+    fn shares_of_a_full_fleet_stay_within_the_limit(
+        daemons in 1..60_u32,
+        per_data_centre in 1..60_u32,
+        connections in 1..200_u32,
+    ) {
+        let bounds = FleetBounds {
+            daemons,
+            daemons_per_data_centre: per_data_centre.min(daemons),
+        };
+        let total = total_shares(&bounds, &target(1, connections, "dc0"));
+        prop_assert!(total <= connections, "{} of {} connections", total, connections);
+    }
+
+    /// However the fleet is cut into views of one size, its readers stay within their bound.
+    #[test]
+    fn readers_of_a_cut_fleet_stay_within_the_bound(daemons in 1..5_000_u32, view in 1..300_u32) {
+        let bounds = FleetBounds { daemons, daemons_per_data_centre: daemons };
+        let views = daemons / view;
+        let readers = views as usize * reader_count(view as usize, &bounds);
+        prop_assert!(readers <= FLEET_READERS as usize);
+    }
+}
+
+/// What one daemon takes from its budget in ten seconds, trying all the time.
+fn calls_in_ten_seconds(bounds: &FleetBounds, is_reader: bool) -> u32 {
+    let start = Instant::now();
+    let mut budget = CallBudget::new(start);
+    budget.set_rate(start, bounds, is_reader);
+    (0..10_000_u64)
+        .filter(|&millisecond| budget.take(start + Duration::from_millis(millisecond)))
+        .count() as u32
+}
+
+/// A fleet in which every daemon sees only itself and calls as often as it may.
+fn isolated_fleet_stays_under_the_limit(daemons: u32) {
+    let bounds = FleetBounds {
+        daemons,
+        daemons_per_data_centre: daemons.min(206),
+    };
+    assert_eq!(reader_count(1, &bounds), 0, "a daemon alone does not watch");
+    let calls = f64::from(daemons * calls_in_ten_seconds(&bounds, false)) / 10.0;
+    assert!(
+        calls <= 2.5 * FLEET_POLLS_PER_SECOND,
+        "{calls} calls a second"
+    );
+    assert!(calls < PLATFORM_LIMIT / 2.0);
+}
+
+/// The largest number of readers, each calling as often as it may.
+#[test]
+fn busy_readers_stay_under_the_limit() {
+    let calls = calls_in_ten_seconds(&FleetBounds::default(), true);
+    let fleet = f64::from(FLEET_READERS * calls) / 10.0;
+    assert!(fleet < PLATFORM_LIMIT / 2.0, "{fleet} calls a second");
+}
+
+/// Over many targets of the design's size, the daemons that hashing admits stay within the limit,
+/// and it admits enough for each target to be reached.
+fn hashing_keeps_the_limit(connections: u32) {
+    let bounds = FleetBounds {
+        daemons: 3_500,
+        daemons_per_data_centre: 206,
+    };
+    let places: Vec<DaemonPlace> = full_fleet(&bounds).into_iter().take(206).collect();
+    let targets: Vec<TargetEntry> = (0..500)
+        .map(|number| target(number, connections, "dc0"))
+        .collect();
+    let mut totals = vec![0; targets.len()];
+    for place in &places {
+        for share in connection_shares(place, &bounds, &targets) {
+            totals[share.target as usize] += share.connections;
+        }
+    }
+    let worst = totals.iter().max().copied().unwrap_or(0);
+    assert!(worst <= connections, "{worst} of {connections} connections");
+    let mean = f64::from(totals.iter().sum::<u32>()) / 500.0;
+    let meant = admitted_mean(connections);
+    assert!(
+        (mean - meant).abs() < meant / 10.0,
+        "{mean} admitted, {meant} meant"
+    );
+}
+
+cases! {
+    isolated_fleet_of_today: isolated_fleet_stays_under_the_limit(250);
+    isolated_fleet_of_the_design: isolated_fleet_stays_under_the_limit(3_500);
+    hashing_thirty_connections: hashing_keeps_the_limit(30);
+    hashing_a_hundred_and_ten_connections: hashing_keeps_the_limit(110);
+}
+
+#[test]
+fn next_rank_takes_over_when_a_reader_is_gone() {
+    let hosts: Vec<String> = (0..20).map(|number| format!("entry-{number}")).collect();
+    let rank = |host: &str, gone: &str| {
+        let others = hosts.iter().map(String::as_str);
+        reader_rank(
+            host,
+            others.filter(|other| *other != host && *other != gone),
+        )
+    };
+    let mut ranks: Vec<usize> = hosts.iter().map(|host| rank(host, "")).collect();
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..20).collect::<Vec<_>>(), "each rank is held once");
+    let first = hosts.iter().find(|host| rank(host, "") == 0);
+    let third = hosts.iter().find(|host| rank(host, "") == 2);
+    let (first, third) = (
+        first.expect("rank 0 is held"),
+        third.expect("rank 2 is held"),
+    );
+    assert_eq!(rank(third, first), 1, "the third becomes the second");
+}
--- /dev/null
+++ b/daemon/src/control/force_service.rs
@@ -0,0 +1,165 @@
+//! Puts what the control plane decided in force: accounts, shard maps, shares and news reach the
+//! engine, and the daemon becomes ready.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Addr;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio_util::sync::CancellationToken;
+use yuccalift_core::control::{
+    ConfigValue, DaemonPlace, FleetBounds, NewsKind, connection_shares,
+};
+use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
+use yuccalift_core::ids::HostName;
+use yuccalift_core::{ShardMap, TargetEntry};
+use yuccalift_kernel::ServiceGuard;
+use yuccalift_wire::platform::{ACCOUNTS_KEY, FLEET_KEY, MAP_PREFIX};
+
+use super::control_lane::{AnnounceNews, ControlLane, ControlOutput, SetBounds};
+use super::notice_log::log_notice;
+use crate::lane::{EngineLane, FeedEngine};
+use crate::ready_flag::ReadyFlag;
+
+/// How long a target is taken to drain after the platform's list said so last.
+const DRAINING_LIFE: Duration = Duration::from_secs(60);
+
+/// Takes the control plane's output until the daemon stops.
+pub(crate) struct ForceService {
+    pub(crate) place: DaemonPlace,
+    pub(crate) lane: Addr<EngineLane>,
+    pub(crate) control: Addr<ControlLane>,
+    pub(crate) ready: Arc<ReadyFlag>,
+    pub(crate) stop: CancellationToken,
+    pub(crate) bounds: Option<FleetBounds>,
+    pub(crate) maps: Vec<Arc<ShardMap>>,
+}
+
+impl ForceService {
+    /// Runs until the guard's token is cancelled.
+    pub(crate) async fn run(
+        mut self,
+        mut output: UnboundedReceiver<ControlOutput>,
+        guard: ServiceGuard,
+    ) {
+        loop {
+            let next = tokio::select! {
+                () = guard.token.cancelled() => return,
+                next = output.recv() => next,
+            };
+            match next {
+                Some(output) => self.take(output),
+                None => return,
+            }
+        }
+    }
+
+    fn take(&mut self, output: ControlOutput) {
+        match output {
+            ControlOutput::InForce(value) => self.put_in_force(&value),
+            ControlOutput::News { kind, active } => self.feed(news_event(kind, active)),
+            ControlOutput::LeavingHosts(hosts) => self.announce_draining(&hosts),
+            ControlOutput::Ready(ready) => self.ready.set_confirmed(ready),
+            ControlOutput::Replaced => {
+                tracing::warn!("a later process runs on this host; stopping");
+                self.stop.cancel();
+            }
+            ControlOutput::Noticed(notice) => log_notice(&notice),
+            ControlOutput::PlatformUnread(fault) => {
+                tracing::warn!(fault = &*fault, "platform not read");
+            }
+        }
+    }
+
+    /// Feeds a value that has passed its check; what can't be read all the same is passed over.
+    fn put_in_force(&mut self, value: &ConfigValue) {
+        let key = value.key.as_ref();
+        if key == ACCOUNTS_KEY {
+            self.put_accounts(value);
+        } else if key == FLEET_KEY {
+            self.put_bounds(value);
+        } else if let Some(collection) = key.strip_prefix(MAP_PREFIX) {
+            self.put_map(collection, value);
+        }
+    }
+
+    fn put_accounts(&self, value: &ConfigValue) {
+        let text = value.value.as_deref().unwrap_or("accounts: []");
+        if let Ok(table) = yuccalift_settings::parse_accounts(ACCOUNTS_KEY, text, value.version) {
+            self.feed(EngineEvent::AccountsChanged(Arc::new(table)));
+        }
+    }
+
+    /// Takes the fleet's bounds. A removed key leaves the last ones in force: shares must rest on
+    /// some bound, and the last one is still what the others go by.
+    fn put_bounds(&mut self, value: &ConfigValue) {
+        let text = value.value.as_deref().unwrap_or_default();
+        if let Ok(bounds) = yuccalift_settings::parse_fleet(FLEET_KEY, text) {
+            self.control.do_send(SetBounds(bounds.clone()));
+            self.bounds = Some(bounds);
+            self.feed_shares();
+            self.ready.set_bounded();
+        }
+    }
+
+    fn put_map(&mut self, collection: &str, value: &ConfigValue) {
+        self.maps
+            .retain(|known| known.collection.as_ref() != collection);
+        match &value.value {
+            None => self.feed(EngineEvent::MapRemoved(collection.into())),
+            Some(text) => {
+                let Ok(map) = yuccalift_settings::parse_shard_map(&value.key, text) else {
+                    return;
+                };
+                let map = Arc::new(map);
+                self.maps.push(Arc::clone(&map));
+                self.feed_shares();
+                self.feed(EngineEvent::MapChanged(map));
+            }
+        }
+    }
+
+    fn feed_shares(&self) {
+        let Some(bounds) = &self.bounds else {
+            return;
+        };
+        let targets: Vec<TargetEntry> = self
+            .maps
+            .iter()
+            .flat_map(|map| map.targets.iter().cloned())
+            .collect();
+        let shares = connection_shares(&self.place, bounds, &targets);
+        self.feed(EngineEvent::SharesChanged(shares.into()));
+    }
+
+    fn announce_draining(&self, hosts: &[HostName]) {
+        let targets = self.maps.iter().flat_map(|map| map.targets.iter());
+        for entry in targets.filter(|entry| hosts.contains(&entry.host)) {
+            self.control.do_send(AnnounceNews {
+                kind: NewsKind::Draining(entry.target),
+                life: DRAINING_LIFE,
+            });
+        }
+    }
+
+    fn feed(&self, event: EngineEvent) {
+        self.lane.do_send(FeedEngine(event));
+    }
+}
+
+fn news_event(kind: NewsKind, active: bool) -> EngineEvent {
+    match kind {
+        NewsKind::Quarantine(fingerprint) => EngineEvent::Quarantine {
+            fingerprint,
+            held: active,
+        },
+        NewsKind::Draining(target) => EngineEvent::TargetNews(TargetNews {
+            target,
+            kind: if active {
+                TargetNewsKind::Draining
+            } else {
+                TargetNewsKind::Live
+            },
+        }),
+    }
+}
--- /dev/null
+++ b/daemon/src/control/peer_client.rs
@@ -0,0 +1,67 @@
+//! Sends exchanges to peers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::{Client, Connector};
+use yuccalift_core::control::ExchangeMessage;
+use yuccalift_core::control::exchange::MAX_MESSAGE_BYTES;
+use yuccalift_wire::codec::{from_rmp, to_rmp};
+use yuccalift_wire::operator::KEY_HEADER;
+use yuccalift_wire::peer::EXCHANGE_PATH;
+
+use super::control_traffic::ControlTraffic;
+
+/// How long one exchange may take.
+pub(crate) const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an idle connection to a peer is kept; a random peer is rarely asked twice sooner.
+const IDLE_KEEP: Duration = Duration::from_secs(4);
+
+/// An exchange that failed.
+#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("exchange, peer {peer}: {message}"))]
+pub(crate) struct ExchangeError {
+    peer: SocketAddr,
+    message: Box<str>,
+}
+
+/// Makes the client for calls to peers and to the platform.
+pub(crate) fn control_client() -> Client {
+    let connector = Connector::new()
+        .timeout(EXCHANGE_TIMEOUT)
+        .conn_keep_alive(IDLE_KEEP);
+    Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .finish()
+}
+
+/// Sends a message to a peer and waits for its answer.
+pub(crate) async fn exchange(
+    client: Client,
+    peer: SocketAddr,
+    key: &str,
+    message: &ExchangeMessage,
+    traffic: &ControlTraffic,
+) -> Result<ExchangeMessage, ExchangeError> {
+    let fail = |message: String| ExchangeError {
+        peer,
+        message: message.into(),
+    };
+    let name = peer.to_string();
+    let body = to_rmp("write exchange", &name, message).map_err(|error| fail(error.to_string()))?;
+    traffic.sent(body.len());
+    let request = client
+        .post(format!("http://{peer}{EXCHANGE_PATH}"))
+        .timeout(EXCHANGE_TIMEOUT)
+        .insert_header((KEY_HEADER, key));
+    let sent = request.send_body(body).await;
+    let mut response = sent.map_err(|error| fail(error.to_string()))?;
+    if !response.status().is_success() {
+        return Err(fail(format!("status {}", response.status())));
+    }
+    let body = response.body().limit(MAX_MESSAGE_BYTES).await;
+    let body = body.map_err(|error| fail(error.to_string()))?;
+    traffic.received(body.len());
+    from_rmp("read exchange", &name, &body).map_err(|error| fail(error.to_string()))
+}
--- /dev/null
+++ b/daemon/src/control/peer_listener.rs
@@ -0,0 +1,75 @@
+//! The peers' listener: exchanges over HTTP with the shared key.
+
+use actix::Addr;
+use actix_web::{HttpRequest, HttpResponse, web};
+use yuccalift_core::control::exchange::MAX_MESSAGE_BYTES;
+use yuccalift_wire::codec::{from_rmp, to_rmp};
+use yuccalift_wire::operator::KEY_HEADER;
+use yuccalift_wire::peer::{EXCHANGE_PATH, ExchangeMessage};
+
+use super::control_lane::{ControlLane, TakeExchange};
+
+/// What the handlers of the peers' listener share.
+#[derive(Clone, Debug)]
+pub struct PeerState {
+    /// The lane that answers.
+    pub lane: Addr<ControlLane>,
+    /// The key that a peer must show.
+    pub key: Box<str>,
+}
+
+/// Adds the exchange to a listener.
+pub fn configure(config: &mut web::ServiceConfig) {
+    let resource = web::resource(EXCHANGE_PATH)
+        .app_data(web::PayloadConfig::new(MAX_MESSAGE_BYTES))
+        .route(web::post().to(take_exchange));
+    config.service(resource);
+}
+
+/// Whether a request shows the shared key; compared in a time that does not tell how much of it
+/// is right.
+pub fn shows_key(request: &HttpRequest, key: &str) -> bool {
+    let shown = request.headers().get(KEY_HEADER);
+    let shown = shown.map_or(&[][..], |value| value.as_bytes());
+    let differing = shown
+        .iter()
+        .zip(key.bytes())
+        .fold(0, |sum, (left, right)| sum | (left ^ right));
+    shown.len() == key.len() && differing == 0
+}
+
+async fn take_exchange(
+    request: HttpRequest,
+    state: web::Data<PeerState>,
+    body: web::Bytes,
+) -> HttpResponse {
+    if !shows_key(&request, &state.key) {
+        return HttpResponse::Forbidden().finish();
+    }
+    answer(&request, &state.lane, &body).await
+}
+
+/// Answers an exchange whose key has been checked.
+pub(crate) async fn answer(
+    request: &HttpRequest,
+    lane: &Addr<ControlLane>,
+    body: &[u8],
+) -> HttpResponse {
+    let peer = request
+        .peer_addr()
+        .map_or_else(String::new, |peer| peer.to_string());
+    let message: ExchangeMessage = match from_rmp("read exchange", &peer, body) {
+        Ok(message) => message,
+        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+    };
+    let bytes = body.len();
+    let Ok(reply) = lane.send(TakeExchange { message, bytes }).await else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
+    match to_rmp("write exchange", &peer, &reply) {
+        Ok(body) => HttpResponse::Ok()
+            .content_type("application/msgpack")
+            .body(body),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
--- a/wire/src/platform.rs
+++ b/wire/src/platform.rs
@@ -9,6 +9,7 @@
 //! [`MAP_PREFIX`] are JSON shard maps; [`FLEET_KEY`] is a JSON [`FleetBounds`].
 
 use serde::{Deserialize, Serialize};
+pub use yuccalift_core::control::FleetBounds;
 use yuccalift_core::ids::{ConfigVersion, DataCentreName, HostName, ValueKey};
 
 /// The key of the client accounts' document.
@@ -73,14 +74,3 @@
     /// Hosts of targets, sorted by name.
     pub target_hosts: Vec<HostEntry>,
 }
-
-/// The most daemons that the operators ever run at once, hosts that come before others have gone
-/// included; connection shares rest on it, since no daemon can count those it cannot see.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct FleetBounds {
-    /// The most daemons of the whole fleet.
-    pub daemons: u32,
-    /// The most daemons of one data centre.
-    pub daemons_per_data_centre: u32,
-}
