--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -34,7 +34,7 @@
 pub const PAUSE_LIMIT: Duration = Duration::from_secs(2);
 /// How long a daemon that knows a configuration waits for a peer to confirm it, at the start and
 /// after a pause, before it takes requests all the same.
-pub const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
+pub const CONFIRM_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What one control plane is made of.
 #[derive(Clone, Debug)]
@@ -305,6 +305,9 @@
     /// newest, once it is known to be alone, or once nobody has answered for a while.
     fn update_ready(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
         let knows = self.store.version() > 0;
+        if !knows {
+            self.ready.since = now;
+        }
         let caught_up = self.store.version() >= self.ready.heard_version;
         let has_heard = self.ready.heard_peer && caught_up;
         let timed_out = now >= self.ready.since + CONFIRM_TIMEOUT;
--- a/core/src/control/node/reading.rs
+++ b/core/src/control/node/reading.rs
@@ -45,6 +45,7 @@
     next_hosts: Instant,
     next_poll: Instant,
     first_look: Option<Instant>,
+    wants_hosts: bool,
 }
 
 impl ReadingPlan {
@@ -60,6 +61,7 @@
             next_hosts: now,
             next_poll: now + window.mul_f64(rng.random()),
             first_look: Some(now + settled),
+            wants_hosts: false,
         }
     }
 
@@ -73,7 +75,13 @@
         let plan = &mut self.reading;
         if !plan.is_reader {
             let look = plan.first_look.unwrap_or(plan.next_poll);
-            return plan.next_poll.min(look);
+            let due = plan.next_poll.min(look);
+            let hosts = now + plan.budget.wait(now);
+            return if plan.wants_hosts {
+                due.min(hosts)
+            } else {
+                due
+            };
         }
         let values = if plan.in_flight {
             plan.next_hosts
@@ -95,6 +103,10 @@
         } else if !is_leaving {
             self.look_first(now, view, rank);
             self.poll(now, view, actions);
+            if self.reading.wants_hosts && self.reading.budget.take(now) {
+                self.reading.wants_hosts = false;
+                actions.push(ControlAction::ReadHosts);
+            }
         }
     }
 
@@ -121,9 +133,7 @@
             };
             actions.push(ControlAction::Noticed(notice));
         }
-        if !self.knows_peers() && self.reading.budget.take(now) {
-            actions.push(ControlAction::ReadHosts);
-        }
+        self.reading.wants_hosts = !self.knows_peers();
     }
 
     pub(super) fn take_read_failure(&mut self, now: Instant) {
--- a/daemon/src/caller.rs
+++ b/daemon/src/caller.rs
@@ -1,7 +1,6 @@
 //! The callers' listener: searches over HTTP.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use actix::Addr;
@@ -16,6 +15,7 @@
 use yuccalift_wire::codec::from_json;
 
 use crate::lane::{EngineLane, FeedEngine, SubmitRequest};
+use crate::ready_flag::ReadyFlag;
 
 /// What the handlers of the callers' listener share.
 #[derive(Clone)]
@@ -23,7 +23,7 @@
     /// The lane that runs the requests.
     pub(crate) lane: Addr<EngineLane>,
     /// Whether the daemon takes requests.
-    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) ready: Arc<ReadyFlag>,
 }
 
 /// Adds the callers' routes to a listener.
@@ -33,7 +33,7 @@
 }
 
 async fn ready(state: web::Data<CallerState>) -> HttpResponse {
-    if state.ready.load(Ordering::Acquire) {
+    if state.ready.is_ready() {
         HttpResponse::Ok().finish()
     } else {
         HttpResponse::ServiceUnavailable().finish()
--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -7,9 +7,7 @@
 use actix::Addr;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::sync::CancellationToken;
-use yuccalift_core::control::{
-    ConfigValue, DaemonPlace, FleetBounds, NewsKind, connection_shares,
-};
+use yuccalift_core::control::{ConfigValue, DaemonPlace, FleetBounds, NewsKind, connection_shares};
 use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::HostName;
 use yuccalift_core::{ShardMap, TargetEntry};
--- /dev/null
+++ b/daemon/src/control/start.rs
@@ -0,0 +1,180 @@
+//! Starts the control plane's services of one daemon.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use actix::{Actor, Addr, Arbiter};
+use actix_web::{App, HttpServer, web};
+use snafu::ResultExt;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use yuccalift_core::control::{ControlSettings, DaemonPlace, MemberRecord, MemberState};
+use yuccalift_core::event::EngineEvent;
+use yuccalift_core::ids::Incarnation;
+use yuccalift_kernel::{Kernel, watch_pauses};
+use yuccalift_settings::DaemonSettings;
+
+use super::control_lane::{
+    CONTROL_SERVICE, ControlLane, ControlOutput, LaneSettings, LeaveFleet, TakePause,
+};
+use super::force_service::ForceService;
+use super::peer_listener::{self, PeerState};
+use super::stop_grace::stop_grace;
+use super::value_check::check_value;
+use crate::error::{BindSnafu, DaemonError, ThreadSnafu};
+use crate::lane::{EngineLane, FeedEngine};
+use crate::ready_flag::ReadyFlag;
+
+/// The seconds that peers' exchanges get to finish when the listener stops.
+const PEER_STOP_SECONDS: u64 = 1;
+
+/// What the control plane's services are started with.
+pub(crate) struct ControlParts {
+    /// The engine's lane.
+    pub(crate) lane: Addr<EngineLane>,
+    /// Whether the daemon takes requests.
+    pub(crate) ready: Arc<ReadyFlag>,
+    /// The daemon's process.
+    pub(crate) incarnation: Incarnation,
+    /// Where peers reach it.
+    pub(crate) peer_address: SocketAddr,
+    /// A token whose cancellation stops the daemon.
+    pub(crate) stop: CancellationToken,
+}
+
+/// Starts the control plane and what puts its decisions in force.
+pub(crate) fn start_control(
+    kernel: &mut Kernel,
+    settings: &DaemonSettings,
+    parts: ControlParts,
+) -> Result<Addr<ControlLane>, DaemonError> {
+    let (sender, output) = mpsc::unbounded_channel();
+    let control = start_lane(kernel, settings, &parts, sender)?;
+    let place = DaemonPlace {
+        host: settings.host.clone(),
+        data_centre: settings.data_centre.clone(),
+    };
+    let guard = kernel.start("force");
+    let force = ForceService {
+        place,
+        lane: parts.lane.clone(),
+        control: control.clone(),
+        ready: parts.ready,
+        stop: parts.stop.clone(),
+        bounds: None,
+        maps: Vec::new(),
+    };
+    actix::spawn(force.run(output, guard));
+    start_pause_watch(&control, parts.lane, parts.stop)?;
+    Ok(control)
+}
+
+/// Starts the peers' listener.
+pub(crate) fn start_peer_listener(
+    kernel: &mut Kernel,
+    settings: &DaemonSettings,
+    control: Addr<ControlLane>,
+    listener: TcpListener,
+) -> Result<(), DaemonError> {
+    let guard = kernel.start("peer");
+    let address = settings.peer_listen;
+    let state = web::Data::new(PeerState {
+        lane: control,
+        key: settings.shared_key.clone(),
+    });
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(state.clone())
+            .configure(peer_listener::configure)
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(PEER_STOP_SECONDS)
+    .client_request_timeout(settings.limits.header_timeout)
+    .listen(listener)
+    .context(BindSnafu {
+        listener: "peer",
+        address,
+    })?
+    .run();
+    let handle = server.handle();
+    actix::spawn(server);
+    actix::spawn(async move {
+        guard.token.cancelled().await;
+        handle.stop(true).await;
+    });
+    Ok(())
+}
+
+/// Starts the first step of a graceful stop: the daemon says that it is leaving, to the balancer
+/// by its readiness and to its peers, and goes on serving until both have had time to act on it.
+pub(crate) fn start_farewell(
+    kernel: &mut Kernel,
+    settings: &DaemonSettings,
+    control: Addr<ControlLane>,
+    ready: Arc<ReadyFlag>,
+) {
+    let guard = kernel.start("farewell");
+    let grace = stop_grace(settings.stop_timeout);
+    actix::spawn(async move {
+        guard.token.cancelled().await;
+        ready.set_stopping();
+        control.do_send(LeaveFleet);
+        tokio::time::sleep(grace).await;
+    });
+}
+
+fn start_lane(
+    kernel: &mut Kernel,
+    settings: &DaemonSettings,
+    parts: &ControlParts,
+    output: mpsc::UnboundedSender<ControlOutput>,
+) -> Result<Addr<ControlLane>, DaemonError> {
+    let guard = kernel.start(CONTROL_SERVICE);
+    let lane_settings = LaneSettings {
+        node: ControlSettings {
+            own: MemberRecord {
+                host: settings.host.clone(),
+                data_centre: settings.data_centre.clone(),
+                address: parts.peer_address,
+                incarnation: parts.incarnation,
+                refutation: 0,
+                state: MemberState::Alive,
+            },
+            seeds: settings.seed_peers.clone(),
+            seed: parts.incarnation,
+            check: check_value,
+        },
+        key: settings.shared_key.clone(),
+        platform: settings.platform.clone(),
+    };
+    let arbiter = Arbiter::new();
+    let handle = arbiter.handle();
+    let lane =
+        ControlLane::start_in_arbiter(&handle, move |_| ControlLane::new(lane_settings, output));
+    kernel.registry().publish(CONTROL_SERVICE, lane.clone())?;
+    actix::spawn(async move {
+        guard.token.cancelled().await;
+        arbiter.stop();
+    });
+    Ok(lane)
+}
+
+fn start_pause_watch(
+    control: &Addr<ControlLane>,
+    lane: Addr<EngineLane>,
+    stop: CancellationToken,
+) -> Result<(), DaemonError> {
+    let control = control.clone();
+    let on_pause = move |pause| {
+        control.do_send(TakePause(pause));
+        lane.do_send(FeedEngine(EngineEvent::Paused(pause)));
+        tracing::warn!(
+            pause_ms = pause.as_millis() as u64,
+            "the process was paused"
+        );
+    };
+    watch_pauses(stop, on_pause).context(ThreadSnafu {
+        thread: "pause-watch",
+    })
+}
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -2,7 +2,6 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -16,9 +15,10 @@
 use yuccalift_settings::DaemonSettings;
 
 use crate::caller::{self, CallerState};
-use crate::config_service::ConfigService;
+use crate::control::start::{ControlParts, start_control, start_farewell, start_peer_listener};
 use crate::error::{BindSnafu, DaemonError, EndedSnafu, ThreadSnafu};
 use crate::lane::{EngineLane, LANE_SERVICE};
+use crate::ready_flag::ReadyFlag;
 
 /// How many threads serve callers.
 const CALLER_WORKERS: usize = 2;
@@ -132,7 +132,7 @@
 ) -> StopReport {
     let mut kernel = Kernel::new();
     let limit = settings.stop_timeout;
-    let started = start_services(&mut kernel, &settings, listeners);
+    let started = start_services(&mut kernel, &settings, listeners, &stop);
     let failed = started.is_err();
     let _starter_waits = up.send(started);
     if !failed {
@@ -141,33 +141,44 @@
     kernel.stop(limit).await
 }
 
+/// Starts the services; the last started stops first, so the farewell stands last, and callers
+/// are served until what they need has nothing more to do.
 fn start_services(
     kernel: &mut Kernel,
     settings: &DaemonSettings,
     listeners: BoundListeners,
+    stop: &CancellationToken,
 ) -> Result<(), DaemonError> {
-    let ready = Arc::new(AtomicBool::new(false));
-    let lane = start_lane(kernel, settings)?;
-    let guard = kernel.start("config");
-    let config = ConfigService::new(lane.clone(), Arc::clone(&ready));
-    actix::spawn(config.run(settings.clone(), guard));
+    let ready = Arc::new(ReadyFlag::default());
+    let incarnation = new_incarnation();
+    let addresses = listeners.addresses(settings)?;
+    let lane = start_lane(kernel, settings, incarnation)?;
+    let parts = ControlParts {
+        lane: lane.clone(),
+        ready: Arc::clone(&ready),
+        incarnation,
+        peer_address: addresses.peer,
+        stop: stop.clone(),
+    };
+    let control = start_control(kernel, settings, parts)?;
+    start_peer_listener(kernel, settings, control.clone(), listeners.peer)?;
     let guard = kernel.start("caller");
-    start_caller(
-        CallerState { lane, ready },
-        settings,
-        listeners.caller,
-        guard,
-    )?;
-    drop((listeners.peer, listeners.operator));
+    let state = CallerState {
+        lane,
+        ready: Arc::clone(&ready),
+    };
+    start_caller(state, settings, listeners.caller, guard)?;
+    start_farewell(kernel, settings, control, ready);
+    drop(listeners.operator);
     Ok(())
 }
 
 fn start_lane(
     kernel: &mut Kernel,
     settings: &DaemonSettings,
+    incarnation: Incarnation,
 ) -> Result<Addr<EngineLane>, DaemonError> {
     let guard = kernel.start(LANE_SERVICE);
-    let incarnation = new_incarnation();
     let sender = format!("{}/{incarnation}", settings.host).into_boxed_str();
     let policy = settings.policy;
     let arbiter = Arbiter::new();
@@ -191,7 +202,7 @@
 ) -> Result<(), DaemonError> {
     let body_limit = settings.limits.body_bytes;
     let address = settings.caller_listen;
-    let data = web::Data::new(state.clone());
+    let data = web::Data::new(state);
     let server = HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
@@ -212,7 +223,6 @@
     actix::spawn(server);
     actix::spawn(async move {
         guard.token.cancelled().await;
-        state.ready.store(false, Ordering::Release);
         handle.stop(true).await;
     });
     Ok(())
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -5,13 +5,14 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
 
 use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
 use tokio::sync::oneshot;
 use tracing::info;
 use yuccalift_core::action::{AttemptPlan, EngineAction, EngineStatus};
-use yuccalift_core::event::EngineEvent;
+use yuccalift_core::event::{EngineEvent, TargetShare};
 use yuccalift_core::ids::{AttemptId, QueryId, TargetId};
 use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest};
 
@@ -20,9 +21,6 @@
 /// The name under which the lane's address is published.
 pub const LANE_SERVICE: &str = "lane";
 
-/// How many connections a daemon holds to a target before its share is known.
-const FIRST_SHARE: u32 = 2;
-
 /// Asks the lane to run a request; the answer or refusal comes through `reply`.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -66,6 +64,7 @@
     sender: Box<str>,
     callers: Vec<WaitingCaller>,
     links: Vec<TargetLink>,
+    shares: Arc<[TargetShare]>,
     actions: Vec<EngineAction>,
     wake: Option<Instant>,
 }
@@ -88,6 +87,7 @@
             sender,
             callers: Vec::new(),
             links: Vec::new(),
+            shares: Arc::default(),
             actions: Vec::new(),
             wake: None,
         }
@@ -138,7 +138,7 @@
         {
             return Rc::clone(&self.links[position].client);
         }
-        let client = LeafClient::new(address, &self.sender, FIRST_SHARE);
+        let client = LeafClient::new(address, &self.sender, self.share(target));
         let link = TargetLink {
             target,
             address,
@@ -151,6 +151,14 @@
         client
     }
 
+    /// The connections that may be held to a target; none before the shares are known.
+    fn share(&self, target: TargetId) -> u32 {
+        let found = self
+            .shares
+            .binary_search_by_key(&target, |share| share.target);
+        found.map_or(0, |position| self.shares[position].connections)
+    }
+
     fn reply(&mut self, query: QueryId, result: Result<SearchAnswer, Refusal>) {
         let Ok(position) = self
             .callers
@@ -233,12 +241,9 @@
             self.callers.remove(position);
         }
         if let EngineEvent::SharesChanged(shares) = &msg.0 {
+            self.shares = Arc::clone(shares);
             for link in &self.links {
-                if let Ok(position) =
-                    shares.binary_search_by_key(&link.target, |share| share.target)
-                {
-                    link.client.set_limit(shares[position].connections);
-                }
+                link.client.set_limit(self.share(link.target));
             }
         }
         self.feed(msg.0, ctx);
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -31,6 +31,8 @@
     template: race
 ";
 
+const FLEET: &str = r#"{"daemons": 12, "daemons_per_data_centre": 4}"#;
+
 /// Leafs and a platform that publishes them.
 pub struct TestSite {
     /// The platform.
@@ -57,6 +59,7 @@
         let map = serde_json::to_string(&map).expect("a map has a JSON form");
         platform.put_value("map/tags", &map);
         platform.put_value("accounts", ACCOUNTS);
+        platform.put_value("fleet", FLEET);
         Self { platform, leafs }
     }
 
--- a/kernel/src/pause_watch.rs
+++ b/kernel/src/pause_watch.rs
@@ -11,7 +11,7 @@
 /// How often the clocks are compared.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
 /// How much later than due a wake-up is taken for a pause.
-pub const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
+pub const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Starts the watch on a thread of its own; `on_pause` is called on it with the pause's length,
 /// until the token is cancelled.
