--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -1,10 +1,12 @@
 //! The actor that runs the control plane and carries out its actions.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, MessageResult};
+use actix::{
+    Actor, ActorContext, ActorFutureExt, AsyncContext, Context, Handler, Message, MessageResult,
+};
 use actix::{SpawnHandle, WrapFuture};
 use awc::Client;
 use tokio::sync::mpsc::UnboundedSender;
@@ -31,6 +33,8 @@
     pub key: Box<str>,
     /// Where the platform answers.
     pub platform: Vec<SocketAddr>,
+    /// The address that calls leave from; any if absent.
+    pub calls_from: Option<IpAddr>,
 }
 
 /// What the control plane decided for the other services.
@@ -92,6 +96,11 @@
 #[rtype(result = "()")]
 pub struct LeaveFleet;
 
+/// Ends the lane at once, without a word to the others.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct StopLane;
+
 /// Asks what the control plane knows.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "ControlSnapshot")]
@@ -150,7 +159,7 @@
             key: settings.key,
             platform: settings.platform,
             platform_turn: 0,
-            client: ControlClient(control_client()),
+            client: ControlClient(control_client(settings.calls_from)),
             traffic: Arc::default(),
             output,
             wake: None,
@@ -347,6 +356,14 @@
     }
 }
 
+impl Handler<StopLane> for ControlLane {
+    type Result = ();
+
+    fn handle(&mut self, _msg: StopLane, ctx: &mut Self::Context) {
+        ctx.stop();
+    }
+}
+
 impl Handler<GetControl> for ControlLane {
     type Result = MessageResult<GetControl>;
 
--- /dev/null
+++ b/daemon/src/control/fleet_probe.rs
@@ -0,0 +1,413 @@
+//! Many control planes in one process, over real TCP on loopback, to measure how their cost and
+//! the spread of a change grow with the fleet.
+//!
+//! Each has a listener of its own and runs the very [`ControlLane`] that the daemon runs; they
+//! share a few threads. See `docs/CAPACITY.md`.
+
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use actix::{Actor, Addr, Arbiter, ArbiterHandle};
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use snafu::ResultExt;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+use yuccalift_core::control::{ControlSettings, MemberRecord, MemberState};
+use yuccalift_core::ids::{ConfigVersion, Incarnation};
+use yuccalift_wire::peer::EXCHANGE_PATH;
+use yuccalift_wire::platform::FLEET_KEY;
+
+use super::control_lane::{
+    AnnounceNews, ControlLane, ControlOutput, ControlSnapshot, GetControl, LaneSettings,
+    LeaveFleet, SetBounds, StopLane, TakePause,
+};
+use super::peer_listener::{answer, shows_key};
+use super::value_check::check_value;
+use crate::error::{BindSnafu, DaemonError, EndedSnafu, ThreadSnafu};
+
+/// The key that the control planes of a probe show each other.
+const PROBE_KEY: &str = "probe-key-probe-key";
+/// How many threads serve the listeners.
+const LISTENER_WORKERS: usize = 2;
+/// How many threads run the lanes.
+const LANE_THREADS: usize = 4;
+/// The listen backlog of each listener.
+const BACKLOG: u32 = 64;
+
+/// One control plane of a probe.
+#[derive(Clone, Debug)]
+pub struct ProbeDaemon {
+    /// Its data centre, counted from 0.
+    pub data_centre: usize,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where the others reach it, if not where it listens.
+    pub reached_at: Option<SocketAddr>,
+    /// Where it reaches the platform.
+    pub platform: SocketAddr,
+    /// Peers that it asks first.
+    pub seeds: Vec<SocketAddr>,
+    /// The address that its calls leave from, if not any.
+    pub calls_from: Option<IpAddr>,
+}
+
+/// When a configuration version was reached by a control plane.
+#[derive(Clone, Copy, Debug)]
+struct ReachedVersion {
+    version: ConfigVersion,
+    at: Instant,
+}
+
+/// What one control plane has told.
+#[derive(Debug, Default)]
+struct ProbeRecord {
+    reached: Vec<ReachedVersion>,
+    ready: bool,
+    replaced: bool,
+}
+
+#[derive(Debug)]
+struct ProbeSlot {
+    daemon: ProbeDaemon,
+    address: SocketAddr,
+    lane: RwLock<Option<Addr<ControlLane>>>,
+    record: Arc<Mutex<ProbeRecord>>,
+}
+
+/// Many control planes in one process.
+#[derive(Debug)]
+pub struct FleetProbe {
+    slots: Arc<Vec<ProbeSlot>>,
+    arbiters: Vec<ArbiterHandle>,
+    next_incarnation: Incarnation,
+    stop: CancellationToken,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl FleetProbe {
+    /// Binds listeners for a probe, at ports that the system chooses.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError`] if an address can't be had.
+    pub fn bind(ips: &[IpAddr]) -> Result<Vec<TcpListener>, DaemonError> {
+        let bind = |ip: &IpAddr| {
+            let address = SocketAddr::new(*ip, 0);
+            TcpListener::bind(address).context(BindSnafu {
+                listener: "probe",
+                address,
+            })
+        };
+        ips.iter().map(bind).collect()
+    }
+
+    /// Starts one control plane for each listener.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError`] if the threads can't be made or a listener can't be served.
+    pub fn start(
+        daemons: Vec<ProbeDaemon>,
+        listeners: Vec<TcpListener>,
+    ) -> Result<Self, DaemonError> {
+        let slots = Arc::new(daemons.into_iter().map(ProbeSlot::new).collect::<Vec<_>>());
+        let stop = CancellationToken::new();
+        let (up, started) = oneshot::channel();
+        let served = Arc::clone(&slots);
+        let token = stop.clone();
+        let thread = std::thread::Builder::new()
+            .name("fleet-probe".to_owned())
+            .spawn(move || actix::System::new().block_on(serve(served, listeners, up, token)))
+            .context(ThreadSnafu { thread: "probe" })?;
+        let arbiters = match started.blocking_recv() {
+            Ok(started) => started?,
+            Err(_closed) => return EndedSnafu { host: "probe" }.fail(),
+        };
+        let mut probe = Self {
+            slots,
+            arbiters,
+            next_incarnation: 1,
+            stop,
+            thread: Some(thread),
+        };
+        for position in 0..probe.slots.len() {
+            probe.restart(position);
+        }
+        Ok(probe)
+    }
+
+    /// How many control planes it has.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Whether it has none.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Starts a control plane anew, as a replaced process on the same host; the one before it is
+    /// ended without a word.
+    pub fn restart(&mut self, position: usize) {
+        self.kill(position);
+        let incarnation = self.next_incarnation;
+        self.next_incarnation += 1;
+        let arbiter = &self.arbiters[position % self.arbiters.len()];
+        self.slots[position].start(position, incarnation, arbiter);
+    }
+
+    /// Ends a control plane without a word to the others.
+    pub fn kill(&self, position: usize) {
+        let slot = &self.slots[position];
+        let mut lane = slot.lane.write().unwrap_or_else(PoisonError::into_inner);
+        if let Some(lane) = lane.take() {
+            lane.do_send(StopLane);
+        }
+    }
+
+    /// Has a control plane say that it is leaving.
+    pub fn leave(&self, position: usize) {
+        self.tell(position, LeaveFleet);
+    }
+
+    /// Tells a control plane that its process was paused.
+    pub fn pause(&self, position: usize, pause: Duration) {
+        self.tell(position, TakePause(pause));
+    }
+
+    /// Has a control plane announce news.
+    pub fn announce(&self, position: usize, news: AnnounceNews) {
+        self.tell(position, news);
+    }
+
+    /// What a control plane knows; none if it has been ended.
+    pub fn snapshot(&self, position: usize) -> Option<ControlSnapshot> {
+        let lane = self.slots[position].lane()?;
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let arbiter = &self.arbiters[position % self.arbiters.len()];
+        arbiter.spawn(async move {
+            if let Ok(snapshot) = lane.send(GetControl).await {
+                let _asker_may_have_gone = sender.send(snapshot);
+            }
+        });
+        receiver.recv().ok()
+    }
+
+    /// What every control plane that has not been ended knows.
+    pub fn snapshots(&self) -> Vec<ControlSnapshot> {
+        (0..self.len())
+            .filter_map(|position| self.snapshot(position))
+            .collect()
+    }
+
+    /// Whether a control plane has a configuration that it may take requests with.
+    pub fn is_ready(&self, position: usize) -> bool {
+        self.slots[position].record().ready
+    }
+
+    /// Whether a control plane has heard of a later process on its host.
+    pub fn is_replaced(&self, position: usize) -> bool {
+        self.slots[position].record().replaced
+    }
+
+    /// When a control plane reached a version, if it has.
+    pub fn reached_at(&self, position: usize, version: ConfigVersion) -> Option<Instant> {
+        let record = self.slots[position].record();
+        let reached = record
+            .reached
+            .iter()
+            .find(|reached| reached.version >= version)?;
+        Some(reached.at)
+    }
+
+    /// Waits until every control plane that has not been ended has reached a version; false if
+    /// that takes longer than `limit`.
+    pub fn wait_for(&self, version: ConfigVersion, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        loop {
+            let lacks = (0..self.len()).any(|position| {
+                self.slots[position].lane().is_some()
+                    && self.reached_at(position, version).is_none()
+            });
+            if !lacks {
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn tell<M>(&self, position: usize, message: M)
+    where
+        M: actix::Message<Result = ()> + Send + 'static,
+        ControlLane: actix::Handler<M>,
+    {
+        if let Some(lane) = self.slots[position].lane() {
+            lane.do_send(message);
+        }
+    }
+}
+
+impl Drop for FleetProbe {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            tracing::error!("the probe's thread panicked");
+        }
+    }
+}
+
+impl ProbeSlot {
+    fn new(daemon: ProbeDaemon) -> Self {
+        Self {
+            address: daemon.listen,
+            daemon,
+            lane: RwLock::new(None),
+            record: Arc::default(),
+        }
+    }
+
+    fn lane(&self) -> Option<Addr<ControlLane>> {
+        let lane = self.lane.read().unwrap_or_else(PoisonError::into_inner);
+        lane.clone()
+    }
+
+    fn record(&self) -> std::sync::MutexGuard<'_, ProbeRecord> {
+        lock(&self.record)
+    }
+
+    fn start(&self, position: usize, incarnation: Incarnation, arbiter: &ArbiterHandle) {
+        *self.record() = ProbeRecord::default();
+        let settings = self.lane_settings(position, incarnation);
+        let (sender, output) = mpsc::unbounded_channel();
+        let lane =
+            ControlLane::start_in_arbiter(arbiter, move |_| ControlLane::new(settings, sender));
+        arbiter.spawn(record_output(
+            output,
+            lane.clone(),
+            Arc::clone(&self.record),
+        ));
+        let mut slot = self.lane.write().unwrap_or_else(PoisonError::into_inner);
+        *slot = Some(lane);
+    }
+
+    fn lane_settings(&self, position: usize, incarnation: Incarnation) -> LaneSettings {
+        let daemon = &self.daemon;
+        LaneSettings {
+            node: ControlSettings {
+                own: MemberRecord {
+                    host: format!("entry-{position:04}").into(),
+                    data_centre: format!("dc-{:02}", daemon.data_centre).into(),
+                    address: daemon.reached_at.unwrap_or(daemon.listen),
+                    incarnation,
+                    refutation: 0,
+                    state: MemberState::Alive,
+                },
+                seeds: daemon.seeds.clone(),
+                seed: incarnation,
+                check: check_value,
+            },
+            key: PROBE_KEY.into(),
+            platform: vec![daemon.platform],
+            calls_from: daemon.calls_from,
+        }
+    }
+}
+
+fn lock(record: &Mutex<ProbeRecord>) -> std::sync::MutexGuard<'_, ProbeRecord> {
+    record.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn record_output(
+    mut output: mpsc::UnboundedReceiver<ControlOutput>,
+    lane: Addr<ControlLane>,
+    record: Arc<Mutex<ProbeRecord>>,
+) {
+    while let Some(output) = output.recv().await {
+        match output {
+            ControlOutput::InForce(value) => {
+                let at = Instant::now();
+                let version = value.version;
+                lock(&record).reached.push(ReachedVersion { version, at });
+                let text = value.value.as_deref().unwrap_or_default();
+                if value.key.as_ref() == FLEET_KEY
+                    && let Ok(bounds) = yuccalift_settings::parse_fleet(FLEET_KEY, text)
+                {
+                    lane.do_send(SetBounds(bounds));
+                }
+            }
+            ControlOutput::Ready(ready) => lock(&record).ready = ready,
+            ControlOutput::Replaced => lock(&record).replaced = true,
+            ControlOutput::News { .. }
+            | ControlOutput::LeavingHosts(_)
+            | ControlOutput::Noticed(_)
+            | ControlOutput::PlatformUnread(_) => {}
+        }
+    }
+}
+
+async fn serve(
+    slots: Arc<Vec<ProbeSlot>>,
+    listeners: Vec<TcpListener>,
+    up: oneshot::Sender<Result<Vec<ArbiterHandle>, DaemonError>>,
+    stop: CancellationToken,
+) {
+    let arbiters: Vec<Arbiter> = (0..LANE_THREADS).map(|_| Arbiter::new()).collect();
+    let handles = arbiters.iter().map(Arbiter::handle).collect();
+    let state = web::Data::from(slots);
+    let mut server = HttpServer::new(move || {
+        App::new()
+            .app_data(state.clone())
+            .app_data(web::PayloadConfig::new(
+                yuccalift_core::control::exchange::MAX_MESSAGE_BYTES,
+            ))
+            .route(EXCHANGE_PATH, web::post().to(take_exchange))
+    })
+    .workers(LISTENER_WORKERS)
+    .backlog(BACKLOG)
+    .disable_signals()
+    .shutdown_timeout(0);
+    for listener in listeners {
+        server = match server.listen(listener) {
+            Ok(server) => server,
+            Err(source) => {
+                let error = DaemonError::Thread {
+                    thread: "probe listener",
+                    source,
+                };
+                let _starter_waits = up.send(Err(error));
+                return;
+            }
+        };
+    }
+    let server = server.run();
+    let handle = server.handle();
+    actix::spawn(server);
+    let _starter_waits = up.send(Ok(handles));
+    stop.cancelled().await;
+    handle.stop(false).await;
+    for arbiter in arbiters {
+        arbiter.stop();
+    }
+}
+
+/// Answers for the control plane whose listener the request came to.
+async fn take_exchange(
+    request: HttpRequest,
+    slots: web::Data<Vec<ProbeSlot>>,
+    body: web::Bytes,
+) -> HttpResponse {
+    let local = request.app_config().local_addr();
+    let slot = slots.iter().find(|slot| slot.address == local);
+    match slot.and_then(ProbeSlot::lane) {
+        Some(lane) if shows_key(&request, PROBE_KEY) => answer(&request, &lane, &body).await,
+        Some(_) => HttpResponse::Forbidden().finish(),
+        None => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -8,11 +8,13 @@
 //! - `start`, `stop_grace`: the services' start, and the first step of a graceful stop.
 //! - `notice_log`: a line in the log for what was noticed.
 //! - [`control_traffic`]: what control costs.
+//! - [`fleet_probe`]: many control planes in one process, to measure slopes.
 //!
 //! See `docs/DESIGN.md`, "Configuration" and "Membership".
 
 pub mod control_lane;
 pub mod control_traffic;
+pub mod fleet_probe;
 mod force_service;
 mod notice_log;
 mod peer_client;
@@ -24,7 +26,8 @@
 
 pub use control_lane::{
     AnnounceNews, CONTROL_SERVICE, ControlLane, ControlOutput, ControlSnapshot, GetControl,
-    LaneSettings, LeaveFleet, SetBounds, TakeExchange, TakePause,
+    LaneSettings, LeaveFleet, SetBounds, StopLane, TakeExchange, TakePause,
 };
 pub use control_traffic::ControlTraffic;
+pub use fleet_probe::{FleetProbe, ProbeDaemon};
 pub use value_check::check_value;
--- a/daemon/src/control/peer_client.rs
+++ b/daemon/src/control/peer_client.rs
@@ -1,6 +1,6 @@
 //! Sends exchanges to peers.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use awc::{Client, Connector};
@@ -26,10 +26,13 @@
 }
 
 /// Makes the client for calls to peers and to the platform.
-pub(crate) fn control_client() -> Client {
-    let connector = Connector::new()
+pub(crate) fn control_client(calls_from: Option<IpAddr>) -> Client {
+    let mut connector = Connector::new()
         .timeout(EXCHANGE_TIMEOUT)
         .conn_keep_alive(IDLE_KEEP);
+    if let Some(address) = calls_from {
+        connector = connector.local_address(address);
+    }
     Client::builder()
         .connector(connector)
         .disable_redirects()
--- a/daemon/src/control/start.rs
+++ b/daemon/src/control/start.rs
@@ -147,6 +147,7 @@
         },
         key: settings.shared_key.clone(),
         platform: settings.platform.clone(),
+        calls_from: None,
     };
     let arbiter = Arbiter::new();
     let handle = arbiter.handle();
