--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -18,6 +18,8 @@
 /// How often readiness is asked.
 const READY_POLL: Duration = Duration::from_millis(10);
 
+const FLEET: &str = r#"{"daemons": 3, "daemons_per_data_centre": 3}"#;
+
 const ACCOUNTS: &str = "
 templates:
   race:
@@ -31,6 +33,8 @@
     template: race
 ";
 
+const FLEET: &str = r#"{"daemons": 12, "daemons_per_data_centre": 4}"#;
+
 /// Leafs and a platform that publishes them.
 pub struct TestSite {
     /// The platform.
@@ -57,6 +61,8 @@
         let map = serde_json::to_string(&map).expect("a map has a JSON form");
         platform.put_value("map/tags", &map);
         platform.put_value("accounts", ACCOUNTS);
+        platform.put_value("fleet", FLEET);
+        platform.put_value("fleet", FLEET);
         Self { platform, leafs }
     }
 
