--- /dev/null
+++ b/cli/src/drain.rs
@@ -0,0 +1,35 @@
+//! `yuccalift drain`: starts the graceful stop of a daemon.
+
+use awc::http::Method;
+
+use crate::error::CommandError;
+use crate::operator_client::{OPERATOR_HELP, OperatorCall};
+
+const HELP: &str = "\
+yuccalift drain: start the graceful stop of a daemon
+
+Usage: yuccalift drain ADDR [--key-file FILE]
+
+The daemon stops being ready, finishes what it has, and ends. The command does not wait for that.
+
+Options:
+  --key-file FILE  read the shared key from FILE
+  -h, --help       print this text
+
+Exit status: 0 the stop has begun, 1 the call failed or was refused, 2 bad use.
+";
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// [`CommandError::Failed`] if the daemon does not take the order.
+pub fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
+    let Some(call) = OperatorCall::read(parser, false)? else {
+        print!("{HELP}\n{OPERATOR_HELP}");
+        return Ok(());
+    };
+    call.send("drain", Method::POST, "/v1/drain")?;
+    println!("{}: the graceful stop has begun", call.address);
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/input.rs
@@ -0,0 +1,14 @@
+//! Reading the files that a command is given.
+
+use crate::error::CommandError;
+
+/// The text of a file.
+///
+/// # Errors
+///
+/// [`CommandError::BadInput`] if it cannot be read as text.
+pub fn read_file(file: &str) -> Result<String, CommandError> {
+    std::fs::read_to_string(file).map_err(|error| CommandError::BadInput {
+        message: format!("read file {file}: {error}").into(),
+    })
+}
--- /dev/null
+++ b/cli/src/status.rs
@@ -0,0 +1,146 @@
+//! `yuccalift status`: what a daemon tells of itself.
+
+use std::fmt::Write as _;
+
+use awc::http::Method;
+use yuccalift_wire::codec::from_json;
+use yuccalift_wire::operator::StatusReport;
+
+use crate::error::CommandError;
+use crate::operator_client::{OPERATOR_HELP, OperatorCall};
+use crate::table::TextTable;
+
+const HELP: &str = "\
+yuccalift status: what a daemon tells of itself
+
+Usage: yuccalift status ADDR [--json] [--key-file FILE]
+
+Shows the configuration version, peers, targets with their state and the limits in force, queues,
+and quarantines.
+
+Options:
+  --json           print the report as JSON
+  --key-file FILE  read the shared key from FILE
+  -h, --help       print this text
+
+Exit status: 0 good, 1 the call failed or was refused, 2 bad use.
+";
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// [`CommandError::Failed`] if the daemon does not answer.
+pub fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
+    let Some(call) = OperatorCall::read(parser, true)? else {
+        print!("{HELP}\n{OPERATOR_HELP}");
+        return Ok(());
+    };
+    let body = call.send("status", Method::GET, "/v1/status")?;
+    let peer = call.address.to_string();
+    let report: StatusReport = from_json("read status", &peer, &body)
+        .map_err(|error| CommandError::failed(call.step("status"), &error))?;
+    if call.json {
+        println!("{}", String::from_utf8_lossy(&body));
+    } else {
+        print!("{}", render(&report));
+    }
+    Ok(())
+}
+
+fn render(report: &StatusReport) -> String {
+    let mut text = render_head(report);
+    text.push_str(&render_peers(report));
+    text.push_str(&render_targets(report));
+    text.push_str(&render_quarantines(report));
+    for fault in &report.refused_values {
+        let _infallible = writeln!(text, "\nrefused value: {fault}");
+    }
+    text
+}
+
+fn render_head(report: &StatusReport) -> String {
+    let state = match (report.stopping, report.ready) {
+        (true, _) => "stopping",
+        (false, true) => "ready",
+        (false, false) => "not ready",
+    };
+    let [urgent, normal, patient] = report.waiting;
+    let control = report.control;
+    format!(
+        "host {} in {}, incarnation {}, {state}\n\
+         configuration version {}, {} refused values\n\
+         {} running; waiting: {urgent} urgent, {normal} normal, {patient} patient\n\
+         control: {} messages sent, {} bytes, {} platform calls\n",
+        report.host,
+        report.data_centre,
+        report.incarnation,
+        report.config_version,
+        report.refused_values.len(),
+        report.running,
+        control.messages_sent,
+        control.bytes,
+        control.platform_calls,
+    )
+}
+
+fn render_peers(report: &StatusReport) -> String {
+    let mut table = TextTable::new([
+        "PEER",
+        "DATA CENTRE",
+        "STATE",
+        "CONFIGURATION",
+        "INCARNATION",
+    ]);
+    for peer in &report.peers {
+        table.add([
+            peer.host.to_string(),
+            peer.data_centre.to_string(),
+            peer.state.to_string(),
+            peer.config_version.to_string(),
+            peer.incarnation.to_string(),
+        ]);
+    }
+    section(&table, report.peers.len(), "peers")
+}
+
+fn render_targets(report: &StatusReport) -> String {
+    let head = [
+        "TARGET",
+        "STATE",
+        "IN FLIGHT",
+        "LIMIT",
+        "CONNECTIONS",
+        "LATENCY MS",
+    ];
+    let mut table = TextTable::new(head);
+    for target in &report.targets {
+        table.add([
+            target.target.to_string(),
+            target.state.to_string(),
+            target.in_flight.to_string(),
+            target.limit.to_string(),
+            target.connections.to_string(),
+            format!("{:.1}", target.latency_ms),
+        ]);
+    }
+    section(&table, report.targets.len(), "targets")
+}
+
+fn render_quarantines(report: &StatusReport) -> String {
+    let mut table = TextTable::new(["QUARANTINED", "LEFT MS"]);
+    for quarantine in &report.quarantines {
+        table.add([
+            quarantine.fingerprint.to_string(),
+            quarantine.left_ms.to_string(),
+        ]);
+    }
+    section(&table, report.quarantines.len(), "quarantines")
+}
+
+fn section(table: &TextTable, rows: usize, name: &str) -> String {
+    if rows == 0 {
+        return format!("\nno {name}\n");
+    }
+    format!("\n{}", table.render())
+}
