--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,11 +7,16 @@
 use crate::error::CommandError;
 
 mod check;
+mod demo;
 mod drain;
 mod error;
+mod experiment;
 mod explain;
+mod fleet;
 mod input;
 mod operator_client;
+mod processor;
+mod standin;
 mod status;
 mod table;
 
@@ -25,6 +30,9 @@
   explain     show what is in force for an account, and where each value came from
   status      show what a daemon tells of itself
   drain       start the graceful stop of a daemon
+  demo        start stand-ins and three daemons in this process, and answer real queries
+  standin     run one stand-in: platform, leaf or callers
+  experiment  run a case against stand-ins and print what was measured
 
 Options:
   -h, --help     print this text; after a command, that command's
@@ -62,6 +70,9 @@
         "explain" => explain::run(parser),
         "status" => status::run(parser),
         "drain" => drain::run(parser),
+        "demo" => demo::run(parser),
+        "standin" => standin::run(parser),
+        "experiment" => experiment::run(parser),
         other => Err(lexopt::Error::from(format!("no command is named {other:?}")).into()),
     }
 }
