--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -18,8 +18,6 @@
 /// How often readiness is asked.
 const READY_POLL: Duration = Duration::from_millis(10);
 
-const FLEET: &str = r#"{"daemons": 3, "daemons_per_data_centre": 3}"#;
-
 const ACCOUNTS: &str = "
 templates:
   race:
@@ -62,7 +60,6 @@
         platform.put_value("map/tags", &map);
         platform.put_value("accounts", ACCOUNTS);
         platform.put_value("fleet", FLEET);
-        platform.put_value("fleet", FLEET);
         Self { platform, leafs }
     }
 
