Cut links between data centres, and prove configuration and membership over TCP

Fifteen cases with nine control planes in three data centres: spread, outage, stale platform, killed readers, restart of all, pause, replacement, cuts both ways and one way, news; five of the peers' listener.

--- /dev/null
+++ b/daemon/tests/control_fleet.rs
@@ -0,0 +1,229 @@
+//! Nine control planes in three data centres, over TCP: changes, outages, stale values, killed
+//! readers, pauses, cuts and news.
+
+mod control_site;
+
+use std::time::{Duration, Instant};
+
+use control_site::{ControlSite, CutKind, SETTLE_LIMIT, SPREAD_LIMIT, TARGET_LIMIT};
+use yuccalift_core::control::NewsKind;
+use yuccalift_daemon::control::AnnounceNews;
+use yuccalift_standins::PlatformMode;
+use yuccalift_testkit::cases;
+
+const DAEMONS: usize = 9;
+const DATA_CENTRES: usize = 3;
+/// The platform's limit of calls a second, over all daemons.
+const PLATFORM_LIMIT: u32 = 2_000;
+/// How long a state is watched that must not change.
+const WATCH: Duration = Duration::from_secs(2);
+const NEWS_LIFE: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(20);
+
+fn site() -> ControlSite {
+    let site = ControlSite::start(DAEMONS, DATA_CENTRES);
+    site.wait_members();
+    site
+}
+
+#[test]
+fn change_is_in_force_everywhere_in_time() {
+    let site = site();
+    for round in 0..3 {
+        let version = site.publish(&format!("account{round}"));
+        site.assert_spreads(version, SPREAD_LIMIT);
+    }
+    let hashes: Vec<u64> = site.probe.snapshots().iter().map(|one| one.hash).collect();
+    assert!(
+        hashes.windows(2).all(|pair| pair[0] == pair[1]),
+        "all hold the same"
+    );
+}
+
+#[test]
+fn fresh_daemon_learns_from_peers_while_the_platform_is_down() {
+    let mut site = site();
+    let version = site.publish("vets");
+    site.assert_spreads(version, SPREAD_LIMIT);
+    site.platform.set_mode(PlatformMode::Down);
+    site.probe.restart(0);
+    site.assert_spreads(version, SPREAD_LIMIT);
+    site.wait_all("is ready", |site, position| site.probe.is_ready(position));
+}
+
+#[test]
+fn daemon_that_knows_no_configuration_is_not_ready() {
+    let site = ControlSite::start_unready(1, 1);
+    site.platform.set_mode(PlatformMode::Down);
+    std::thread::sleep(WATCH);
+    assert!(!site.probe.is_ready(0), "it knows nothing and says so");
+    site.platform.set_mode(PlatformMode::Normal);
+    site.wait_all("is ready", |site, position| site.probe.is_ready(position));
+}
+
+#[test]
+fn stale_platform_takes_nothing_back() {
+    let mut site = site();
+    let old = site.publish("vets");
+    site.assert_spreads(old, SPREAD_LIMIT);
+    let new = site.publish("farmers");
+    site.assert_spreads(new, SPREAD_LIMIT);
+    site.platform.set_mode(PlatformMode::Stale(old));
+    for position in 0..DATA_CENTRES {
+        site.probe.restart(position);
+    }
+    // A fresh daemon may read the old values first; it must not take requests with them.
+    let end = Instant::now() + SETTLE_LIMIT;
+    while !(0..DAEMONS).all(|position| site.probe.is_ready(position)) {
+        for position in 0..DAEMONS {
+            if site.probe.is_ready(position) {
+                let version = site.snapshot(position).version;
+                assert!(version >= new, "ready with version {version}, not {new}");
+            }
+        }
+        assert!(Instant::now() < end, "the fresh daemons get ready");
+        std::thread::sleep(POLL);
+    }
+    site.platform.set_mode(PlatformMode::Normal);
+    let next = site.publish("dealers");
+    site.assert_spreads(next, SPREAD_LIMIT);
+}
+
+/// All readers of all data centres, or of one, are killed at the moment of a change.
+fn change_outlives_its_readers(daemons: usize, data_centres: usize, limit: Duration) {
+    let site = ControlSite::start(daemons, data_centres);
+    site.wait_members();
+    let readers: Vec<usize> = (0..daemons)
+        .filter(|&position| site.snapshot(position).is_reader)
+        .collect();
+    assert!(!readers.is_empty(), "somebody reads");
+    for &reader in readers.iter().filter(|&&reader| reader % data_centres == 0) {
+        site.probe.kill(reader);
+    }
+    let version = site.publish("vets");
+    site.assert_spreads(version, limit);
+}
+
+#[test]
+fn fleet_that_restarts_at_once_stays_under_the_platform_limit() {
+    let mut site = site();
+    let version = site.publish("vets");
+    site.assert_spreads(version, SPREAD_LIMIT);
+    site.platform.set_mode(PlatformMode::Down);
+    for position in 0..DAEMONS {
+        site.probe.restart(position);
+    }
+    std::thread::sleep(WATCH);
+    assert!(
+        (0..DAEMONS).all(|position| !site.probe.is_ready(position)),
+        "nobody knows it"
+    );
+    site.platform.set_mode(PlatformMode::Normal);
+    site.assert_spreads(version, TARGET_LIMIT);
+    let calls = site.platform.calls();
+    assert!(calls.peak_per_second < PLATFORM_LIMIT / 10, "{calls:?}");
+    assert_eq!(calls.refused, 0, "no call was over the limit");
+}
+
+/// A data centre is cut off while a change is published; after healing, all have one version.
+fn cut_heals_to_one_version(cut: CutKind, spreads_meanwhile: bool) {
+    let site = site();
+    let before = site.publish("vets");
+    site.assert_spreads(before, SPREAD_LIMIT);
+    site.cut_off(0, cut);
+    let during = site.publish("farmers");
+    if spreads_meanwhile {
+        site.assert_spreads(during, TARGET_LIMIT);
+    } else {
+        std::thread::sleep(WATCH);
+        for position in site.positions(0) {
+            let known = site.snapshot(position);
+            assert_eq!(known.version, before, "cut off, it keeps what it has");
+            assert!(known.ready, "and goes on");
+        }
+    }
+    site.heal();
+    site.assert_spreads(during, TARGET_LIMIT);
+    let after = site.publish("dealers");
+    site.assert_spreads(after, TARGET_LIMIT);
+    site.wait_members();
+}
+
+#[test]
+fn paused_daemon_condemns_nobody_and_asks_again() {
+    let site = site();
+    site.probe.pause(0, Duration::from_secs(60));
+    site.wait_all("is ready", |site, position| site.probe.is_ready(position));
+    std::thread::sleep(WATCH);
+    site.wait_members();
+    for position in 1..DAEMONS {
+        let refuted = site.snapshot(position).own.refutation;
+        assert_eq!(refuted, 0, "nobody had to refute anything");
+    }
+}
+
+#[test]
+fn replaced_daemon_is_told_apart_and_leaving_one_is_known() {
+    let mut site = site();
+    site.probe.restart(3);
+    site.wait_members();
+    site.probe.leave(6);
+    site.wait_all("knows who leaves", |site, position| {
+        let known = site.snapshot(position);
+        let leaving = known.peers.iter().chain([&known.own]);
+        let states = leaving.filter(|peer| peer.host.as_ref() == "entry-0006");
+        position % DATA_CENTRES != 0
+            || states
+                .into_iter()
+                .all(|peer| peer.state.name() == "leaving")
+    });
+}
+
+#[test]
+fn bad_value_is_refused_by_name_and_the_last_good_one_stays() {
+    let mut site = site();
+    let good = site.publish("vets");
+    site.assert_spreads(good, SPREAD_LIMIT);
+    let bad = site.platform.put_value("accounts", "accounts: 7");
+    site.wait_all("refuses it", |site, position| {
+        let known = site.snapshot(position);
+        known.version == bad && known.refused.len() == 1
+    });
+    site.probe.restart(0);
+    site.assert_spreads(good, SPREAD_LIMIT);
+    let refused = site.snapshot(1).refused;
+    assert_eq!(refused[0].key.as_ref(), "accounts");
+    let better = site.publish("farmers");
+    site.assert_spreads(better, SPREAD_LIMIT);
+    assert!(site.snapshot(0).refused.is_empty());
+}
+
+#[test]
+fn news_of_a_draining_target_is_everywhere_in_time() {
+    let site = site();
+    let kind = NewsKind::Draining(4);
+    let life = NEWS_LIFE;
+    site.probe.announce(0, AnnounceNews { kind, life });
+    let end = Instant::now() + SPREAD_LIMIT;
+    let knows = |position: usize| {
+        let news = site.snapshot(position).news;
+        news.iter().any(|entry| entry.0 == kind)
+    };
+    while !(0..DAEMONS).all(knows) {
+        assert!(
+            Instant::now() < end,
+            "the news is everywhere in {SPREAD_LIMIT:?}"
+        );
+        std::thread::sleep(POLL);
+    }
+}
+
+cases! {
+    change_while_the_readers_of_a_data_centre_are_killed:
+        change_outlives_its_readers(DAEMONS, DATA_CENTRES, SPREAD_LIMIT);
+    change_while_the_only_readers_are_killed: change_outlives_its_readers(5, 1, TARGET_LIMIT);
+    cut_both_ways_heals: cut_heals_to_one_version(CutKind::Both, false);
+    cut_of_own_calls_heals: cut_heals_to_one_version(CutKind::Outward, true);
+    cut_of_calls_from_others_heals: cut_heals_to_one_version(CutKind::Inward, true);
+    cut_from_the_platform_heals: cut_heals_to_one_version(CutKind::Platform, true);
+}
--- /dev/null
+++ b/daemon/tests/control_site/mod.rs
@@ -0,0 +1,204 @@
+//! A site of control planes in several data centres, whose links to each other and to the
+//! platform can be cut.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use yuccalift_core::ids::ConfigVersion;
+use yuccalift_daemon::control::{ControlSnapshot, FleetProbe, ProbeDaemon};
+use yuccalift_standins::{LinkCut, LinkMesh, LinkZone, PlatformOptions, PlatformStandin};
+
+/// In how long a change is in force everywhere, at the size of today.
+pub const SPREAD_LIMIT: Duration = Duration::from_secs(3);
+/// In how long it is at the size of the target; also how long a takeover may last.
+pub const TARGET_LIMIT: Duration = Duration::from_secs(14);
+/// How long a site may take to start or to agree on its members again.
+pub const SETTLE_LIMIT: Duration = Duration::from_secs(30);
+
+const FIRST_ZONE: LinkZone = 10;
+const PLATFORM_ZONE: LinkZone = 100;
+const POLL: Duration = Duration::from_millis(20);
+
+/// Control planes, a platform and the links between them.
+pub struct ControlSite {
+    /// The control planes; those of data centre `d` stand at `d`, `d + data centres`, and so on.
+    pub probe: FleetProbe,
+    /// The platform.
+    pub platform: PlatformStandin,
+    links: LinkMesh,
+    data_centres: usize,
+}
+
+impl ControlSite {
+    /// Starts a site and waits until each control plane is ready.
+    pub fn start(daemons: usize, data_centres: usize) -> Self {
+        let site = Self::start_unready(daemons, data_centres);
+        site.wait_all("is ready", |site, position| site.probe.is_ready(position));
+        site
+    }
+
+    /// Starts a site without waiting.
+    pub fn start_unready(daemons: usize, data_centres: usize) -> Self {
+        let platform = PlatformStandin::start(PlatformOptions::default()).expect("it starts");
+        let per_data_centre = daemons.div_ceil(data_centres) + 1;
+        let bounds = format!(
+            r#"{{"daemons": {}, "daemons_per_data_centre": {per_data_centre}}}"#,
+            per_data_centre * data_centres
+        );
+        platform.put_value("fleet", &bounds);
+        let links = LinkMesh::start().expect("the links start");
+        let platform_link = links
+            .add(platform.address(), PLATFORM_ZONE)
+            .expect("the platform's link listens");
+        let ips: Vec<IpAddr> = (0..daemons)
+            .map(|position| zone_ip(position % data_centres))
+            .collect();
+        let listeners = FleetProbe::bind(&ips).expect("the listeners are bound");
+        let listens: Vec<SocketAddr> = listeners
+            .iter()
+            .map(|listener| listener.local_addr().expect("it has an address"))
+            .collect();
+        let reached: Vec<SocketAddr> = listens
+            .iter()
+            .enumerate()
+            .map(|(position, &listen)| {
+                let zone = zone(position % data_centres);
+                links.add(listen, zone).expect("a link listens")
+            })
+            .collect();
+        let settings = (0..daemons).map(|position| ProbeDaemon {
+            data_centre: position % data_centres,
+            listen: listens[position],
+            reached_at: Some(reached[position]),
+            platform: platform_link,
+            seeds: reached.iter().copied().take(2 * data_centres).collect(),
+            calls_from: Some(ips[position]),
+        });
+        let probe = FleetProbe::start(settings.collect(), listeners).expect("the probe starts");
+        Self {
+            probe,
+            platform,
+            links,
+            data_centres,
+        }
+    }
+
+    /// The control planes of a data centre.
+    pub fn positions(&self, data_centre: usize) -> Vec<usize> {
+        (0..self.probe.len())
+            .filter(|position| position % self.data_centres == data_centre)
+            .collect()
+    }
+
+    /// Cuts a data centre from the others and from the platform.
+    pub fn cut_off(&self, data_centre: usize, cut: CutKind) {
+        let own = zone(data_centre);
+        let others = (0..self.data_centres).map(zone).chain([PLATFORM_ZONE]);
+        let mut cuts = Vec::new();
+        for other in others.filter(|&other| other != own) {
+            let outward = LinkCut {
+                from: own,
+                to: other,
+            };
+            let inward = LinkCut {
+                from: other,
+                to: own,
+            };
+            match cut {
+                CutKind::Both => cuts.extend([outward, inward]),
+                CutKind::Outward => cuts.push(outward),
+                CutKind::Inward => cuts.push(inward),
+                CutKind::Platform if other == PLATFORM_ZONE => cuts.push(outward),
+                CutKind::Platform => {}
+            }
+        }
+        self.links.cut(cuts);
+    }
+
+    /// Heals every cut.
+    pub fn heal(&self) {
+        self.links.heal();
+    }
+
+    /// Waits until a condition holds of every control plane that has not been ended.
+    pub fn wait_all(&self, what: &str, holds: impl Fn(&Self, usize) -> bool) {
+        let end = Instant::now() + SETTLE_LIMIT;
+        for position in 0..self.probe.len() {
+            while self.probe.snapshot(position).is_some() && !holds(self, position) {
+                assert!(
+                    Instant::now() < end,
+                    "control plane {position} {what} in time"
+                );
+                std::thread::sleep(POLL);
+            }
+        }
+    }
+
+    /// Waits until every control plane knows all members of its data centre as present.
+    pub fn wait_members(&self) {
+        self.wait_all("knows all its members", |site, position| {
+            let expected = site.positions(position % site.data_centres);
+            let alive = expected
+                .iter()
+                .filter(|&&position| site.probe.snapshot(position).is_some());
+            let alive = alive.count();
+            let known = site.snapshot(position);
+            let near = known.peers.iter().filter(|peer| {
+                peer.data_centre == known.own.data_centre && peer.state.name() == "alive"
+            });
+            near.count() + 1 == alive
+        });
+    }
+
+    /// What a control plane knows.
+    pub fn snapshot(&self, position: usize) -> ControlSnapshot {
+        self.probe
+            .snapshot(position)
+            .expect("the control plane has not been ended")
+    }
+
+    /// Publishes accounts that differ by a mark, and returns the version.
+    pub fn publish(&self, mark: &str) -> ConfigVersion {
+        let text = format!(
+            "templates: {{ race: {{ collections: [tags], urgency: urgent, deadline: 2s, \
+             patience: 1s, repeat: hedge }} }}\naccounts: {{ {mark}: {{ template: race }} }}\n"
+        );
+        self.platform.put_value("accounts", &text)
+    }
+
+    /// Asserts that every control plane reaches a version within a time.
+    pub fn assert_spreads(&self, version: ConfigVersion, limit: Duration) {
+        let spread = self.probe.wait_for(version, limit);
+        let versions: Vec<ConfigVersion> = self
+            .probe
+            .snapshots()
+            .iter()
+            .map(|snapshot| snapshot.version)
+            .collect();
+        assert!(
+            spread,
+            "version {version} is everywhere in {limit:?}: {versions:?}"
+        );
+    }
+}
+
+/// What is cut of a data centre.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutKind {
+    /// Everything, both ways.
+    Both,
+    /// Only what it calls.
+    Outward,
+    /// Only calls to it.
+    Inward,
+    /// Only its calls to the platform.
+    Platform,
+}
+
+fn zone(data_centre: usize) -> LinkZone {
+    FIRST_ZONE + data_centre as LinkZone
+}
+
+fn zone_ip(data_centre: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, zone(data_centre), 1))
+}
--- /dev/null
+++ b/daemon/tests/peer_listener.rs
@@ -0,0 +1,57 @@
+//! The peers' listener: who may exchange, and what it does with bad input.
+
+mod support;
+
+use support::{ACCOUNT, COLLECTION, TestSite};
+use yuccalift_testkit::cases;
+use yuccalift_wire::caller::SearchBody;
+use yuccalift_wire::operator::KEY_HEADER;
+
+const KEY: &str = "test-key-test-key";
+/// More than any message may have.
+const TOO_LARGE: usize = 4 * 1024 * 1024;
+
+async fn post(address: std::net::SocketAddr, key: Option<&str>, body: Vec<u8>) -> u16 {
+    let mut request = awc::Client::default().post(format!("http://{address}/peer/v1/exchange"));
+    if let Some(key) = key {
+        request = request.insert_header((KEY_HEADER, key));
+    }
+    let response = request.send_body(body).await;
+    response.expect("the daemon answers").status().as_u16()
+}
+
+async fn search(address: std::net::SocketAddr) -> u16 {
+    let body = SearchBody {
+        request: "request-1".into(),
+        account: ACCOUNT.into(),
+        collection: COLLECTION.into(),
+        text: "ewe 4711".into(),
+        limit: 1,
+        time_left_ms: None,
+    };
+    let request = awc::Client::default().post(format!("http://{address}/v1/search"));
+    let response = request.send_json(&body).await;
+    response.expect("the daemon answers").status().as_u16()
+}
+
+/// The daemon answers a bad call with a status, and serves callers as before.
+fn bad_call_is_refused(key: Option<&str>, length: usize, expected: u16) {
+    let site = TestSite::start(1, 1);
+    let daemon = site.start_daemon("entry-1");
+    let body = vec![0xC1; length];
+    let system = actix_rt::System::new();
+    let status = system.block_on(post(daemon.addresses().peer, key, body));
+    assert_eq!(status, expected, "the call is refused as what it is");
+    let status = system.block_on(search(daemon.addresses().caller));
+    assert_eq!(status, 200, "a search is answered as before");
+    assert_eq!(site.leafs.leafs()[0].runs().len(), 1, "it ran once");
+    daemon.stop();
+}
+
+cases! {
+    a_call_without_a_key_is_refused: bad_call_is_refused(None, 10, 403);
+    a_call_with_another_key_is_refused: bad_call_is_refused(Some("test-key-test-kez"), 10, 403);
+    a_call_with_a_part_of_the_key_is_refused: bad_call_is_refused(Some("test-key"), 10, 403);
+    a_garbled_message_is_refused: bad_call_is_refused(Some(KEY), 10, 400);
+    a_message_that_is_too_large_is_refused: bad_call_is_refused(Some(KEY), TOO_LARGE, 413);
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`callers`]: an open-loop load generator that records what each request got.
 //! - [`check`]: what callers got, held against what targets ran.
 //! - [`platform`]: the platform's configuration service and its list of hosts.
+//! - [`link`]: links between the parts of a site, which can be cut.
 //! - [`gate`], [`server`]: connections that can be counted, cut and silenced, and what serves them.
 
 pub mod callers;
@@ -13,6 +14,7 @@
 pub mod error;
 pub mod gate;
 pub mod leaf;
+pub mod link;
 pub mod platform;
 pub mod server;
 
@@ -23,4 +25,5 @@
 pub use check::{CheckKind, CheckViolation, EpochShards, LeafRecord, RunEvidence};
 pub use error::StandinError;
 pub use leaf::{LeafCommand, LeafFleet, LeafOptions, LeafRun, LeafStandin};
+pub use link::{LinkCut, LinkMesh, LinkZone};
 pub use platform::{PlatformMode, PlatformOptions, PlatformStandin};
