--- a/daemon/src/control/fleet_probe.rs
+++ b/daemon/src/control/fleet_probe.rs
@@ -255,11 +255,14 @@
 impl Drop for FleetProbe {
     fn drop(&mut self) {
         self.stop.cancel();
-        if let Some(thread) = self.thread.take()
-            && thread.join().is_err()
-        {
-            tracing::error!("the probe's thread panicked");
-        }
+        let Some(thread) = self.thread.take() else {
+            return;
+        };
+        let joined = thread.join();
+        assert!(
+            joined.is_ok() || std::thread::panicking(),
+            "the probe's thread ended without a panic"
+        );
     }
 }
 
--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -21,6 +21,7 @@
 use crate::metrics::MetricsClient;
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::StatusBoard;
+use crate::version_probe::probe_versions;
 
 /// How long a target is taken to drain after the platform's list said so last.
 const DRAINING_LIFE: Duration = Duration::from_secs(60);
@@ -123,7 +124,8 @@
                 let map = Arc::new(map);
                 self.maps.push(Arc::clone(&map));
                 self.feed_shares();
-                self.feed(EngineEvent::MapChanged(map));
+                self.feed(EngineEvent::MapChanged(Arc::clone(&map)));
+                actix::spawn(probe_versions(self.lane.clone(), map));
             }
         }
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `listener`, [`rate_limit`]: the key, the limits and the typed errors of all listeners.
 //! - [`control`]: configuration, membership and news.
 //! - `ready_flag`: whether the daemon takes requests.
+//! - `version_probe`: which index versions the targets of a new map hold.
 //! - `leaf_client`: the connections to one target.
 //! - [`events`], [`logging`], `decision_log`: the numbered events of the log.
 //! - [`metrics`]: what is sent as `StatsD`.
@@ -27,6 +28,7 @@
 pub mod rate_limit;
 mod ready_flag;
 pub mod status_board;
+mod version_probe;
 
 pub use daemon::{Daemon, DaemonAddresses};
 pub use error::DaemonError;
