Add the report over several seeds with tables and plots

Change: yuccalift experiment report runs cases over seeds, compares the two policies where a case is a comparison, and writes report.md and SVG plots of latency and of service over time.

--- a/cli/src/experiment.rs
+++ b/cli/src/experiment.rs
@@ -4,6 +4,7 @@
 //! - [`cases`]: the cases, one module each.
 //! - [`runner`]: runs a case.
 //! - [`measure`]: the figures and violations of a run.
+//! - [`report`]: several runs of many cases, as tables and plots.
 
 use std::io::IsTerminal;
 use std::time::Duration;
@@ -19,14 +20,18 @@
 mod case;
 mod cases;
 mod measure;
+mod plot;
+mod report;
 mod runner;
 
 const HELP: &str = "\
 Usage: yuccalift experiment --list
+       yuccalift experiment report --out DIR [--seeds N] [--seconds S] [NAME]...
        yuccalift experiment NAME [--seed N] [--policy full|baseline|both] [--seconds S] [--json]
 
 NAME is a case of the list, or a pair such as crest+straggler: the fleet and the load of the
 first, with the faults of both. With --json each run prints one JSON object on one line.
+The report runs the named cases, or all, with several seeds, and writes report.md and plots.
 Exit status 1 if a run broke a promise.
 ";
 
@@ -34,6 +39,16 @@
 const DEFAULT_SEED: u64 = 1;
 
 /// What the command line asks for.
+enum ExperimentCommand {
+    /// A text, which has been printed.
+    Printed,
+    /// A report; its own arguments are still to be read.
+    Report(lexopt::Parser),
+    /// Runs of one case.
+    Run(ExperimentArgs),
+}
+
+/// The runs of one case that the command line asks for.
 struct ExperimentArgs {
     name: Box<str>,
     seed: u64,
@@ -45,13 +60,13 @@
 /// Runs the subcommand.
 pub fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
     match read_args(parser)? {
-        None => Ok(()),
-        Some(args) => run_experiment(&args),
+        ExperimentCommand::Printed => Ok(()),
+        ExperimentCommand::Report(parser) => report::run(parser),
+        ExperimentCommand::Run(args) => run_experiment(&args),
     }
 }
 
-/// Reads the arguments; none if they only asked for a text, which has been printed.
-fn read_args(mut parser: lexopt::Parser) -> Result<Option<ExperimentArgs>, CommandError> {
+fn read_args(mut parser: lexopt::Parser) -> Result<ExperimentCommand, CommandError> {
     let mut name = None;
     let mut args = ExperimentArgs {
         name: "".into(),
@@ -64,23 +79,29 @@
         match argument {
             Short('h') | Long("help") => {
                 print!("{HELP}");
-                return Ok(None);
+                return Ok(ExperimentCommand::Printed);
             }
             Long("list") => {
                 print_list();
-                return Ok(None);
+                return Ok(ExperimentCommand::Printed);
             }
             Long("seed") => args.seed = parser.value()?.parse()?,
             Long("policy") => args.policies = read_policies(&parser.value()?.string()?)?,
             Long("seconds") => args.duration = Some(Duration::from_secs(parser.value()?.parse()?)),
             Long("json") => args.json = true,
-            Value(value) if name.is_none() => name = Some(value.string()?),
+            Value(value) if name.is_none() => {
+                let value = value.string()?;
+                if value == "report" {
+                    return Ok(ExperimentCommand::Report(parser));
+                }
+                name = Some(value);
+            }
             other => return Err(other.unexpected().into()),
         }
     }
     let name = name.ok_or_else(|| lexopt::Error::from("the experiment's name is missing"))?;
     args.name = name.into();
-    Ok(Some(args))
+    Ok(ExperimentCommand::Run(args))
 }
 
 fn read_policies(text: &str) -> Result<Vec<PolicyKind>, CommandError> {
@@ -129,7 +150,7 @@
         duration: args.duration.unwrap_or(case.duration),
         progress: std::io::stderr().is_terminal(),
     };
-    run_case(case, options)
+    run_case(case, options).map(|outcome| outcome.report)
 }
 
 fn print_report(report: &RunReport, json: bool) -> Result<(), CommandError> {
--- a/cli/src/experiment/case.rs
+++ b/cli/src/experiment/case.rs
@@ -8,8 +8,12 @@
 use crate::error::CommandError;
 use crate::experiment::cases;
 use crate::experiment::measure::{CaseField, CaseView};
+use crate::experiment::plot::PlotLine;
 use crate::fleet::FleetShape;
 
+/// Makes the lines of a plot for a policy's name and its runs.
+pub type DrawLines = fn(&str, &[&CaseView]) -> Vec<PlotLine>;
+
 /// A case as its module describes it.
 #[derive(Clone, Copy, Debug)]
 pub struct CaseSpec {
@@ -17,6 +21,8 @@
     pub name: &'static str,
     /// What it shows, in one line.
     pub about: &'static str,
+    /// Whether a report compares it with the baseline policy.
+    pub compared: bool,
     /// For how long requests are due, where the command line does not say.
     pub seconds: u64,
     /// The fleet.
@@ -29,6 +35,8 @@
     pub faults: fn(&FleetShape, Duration) -> Vec<FaultStep>,
     /// What it prints beside the fields of all cases.
     pub fields: fn(&CaseView) -> Vec<CaseField>,
+    /// The lines of its plot over time, if it has one.
+    pub plot: Option<DrawLines>,
 }
 
 /// A case or a pair of cases, ready to be run.
--- a/cli/src/experiment/cases/at_most_once.rs
+++ b/cli/src/experiment/cases/at_most_once.rs
@@ -29,12 +29,14 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "at-most-once",
     about: "orders are sent twice and again, while targets, connections and daemons fail",
+    compared: false,
     seconds: 12,
     shape: usual_shape,
     load: usual_load,
     side_load,
     faults,
     fields,
+    plot: None,
 };
 
 fn side_load(shape: &FleetShape, _duration: Duration) -> Vec<LoadStream> {
--- a/cli/src/experiment/cases/crest.rs
+++ b/cli/src/experiment/cases/crest.rs
@@ -7,6 +7,7 @@
 use super::{PATIENT, URGENT, no_faults, no_load, rate_from, searches, usual_shape};
 use crate::experiment::case::CaseSpec;
 use crate::experiment::measure::{CaseField, CaseView};
+use crate::experiment::plot::PlotLine;
 use crate::fleet::FleetShape;
 
 /// Demand at the crest, in capacities.
@@ -25,16 +26,20 @@
 const URGENT_WAIT: Duration = Duration::from_millis(500);
 /// How long a patient caller waits.
 const PATIENT_WAIT: Duration = Duration::from_secs(20);
+/// The time from one point of the plot to the next.
+const PLOT_STEP: Duration = Duration::from_millis(500);
 
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "crest",
     about: "demand swings to four times the capacity; its urgent part alone would fit",
+    compared: true,
     seconds: 15,
     shape,
     load,
     side_load: no_load,
     faults: no_faults,
     fields,
+    plot: Some(plot),
 };
 
 /// Fewer and slower leafs than usual, so that four times their capacity is no load for the
@@ -77,3 +82,10 @@
         CaseField::new("patient_share", at_crest(PATIENT)),
     ]
 }
+
+fn plot(policy: &str, views: &[&CaseView]) -> Vec<PlotLine> {
+    let line = |account: &str| {
+        PlotLine::of_service(format!("{account}, {policy}"), views, account, PLOT_STEP)
+    };
+    vec![line(URGENT), line(PATIENT)]
+}
--- a/cli/src/experiment/cases/drain.rs
+++ b/cli/src/experiment/cases/drain.rs
@@ -16,12 +16,14 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "drain",
     about: "three targets leave: one says so, one refuses, one is only in the host list",
+    compared: false,
     seconds: 10,
     shape: usual_shape,
     load: usual_load,
     side_load: no_load,
     faults,
     fields,
+    plot: None,
 };
 
 fn faults(shape: &FleetShape, _duration: Duration) -> Vec<FaultStep> {
--- a/cli/src/experiment/cases/platform_outage.rs
+++ b/cli/src/experiment/cases/platform_outage.rs
@@ -23,12 +23,14 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "platform-outage",
     about: "the platform is down, then stale; meanwhile a daemon is replaced",
+    compared: false,
     seconds: 13,
     shape: usual_shape,
     load: usual_load,
     side_load: no_load,
     faults,
     fields,
+    plot: None,
 };
 
 fn faults(shape: &FleetShape, _duration: Duration) -> Vec<FaultStep> {
--- a/cli/src/experiment/cases/poison.rs
+++ b/cli/src/experiment/cases/poison.rs
@@ -18,12 +18,14 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "poison",
     about: "one request crashes each target that runs it, and is sent again and again",
+    compared: false,
     seconds: 10,
     shape: usual_shape,
     load: usual_load,
     side_load,
     faults: no_faults,
     fields,
+    plot: None,
 };
 
 fn side_load(_shape: &FleetShape, _duration: Duration) -> Vec<LoadStream> {
--- a/cli/src/experiment/cases/replica_loss.rs
+++ b/cli/src/experiment/cases/replica_loss.rs
@@ -17,12 +17,14 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "replica-loss",
     about: "two replicas are killed and a target's connections go silent",
+    compared: true,
     seconds: 12,
     shape: usual_shape,
     load: usual_load,
     side_load: no_load,
     faults,
     fields,
+    plot: None,
 };
 
 /// Kills a replica of each of the first two shards, and silences one of the third.
--- a/cli/src/experiment/cases/rolling_restart.rs
+++ b/cli/src/experiment/cases/rolling_restart.rs
@@ -15,12 +15,14 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "rolling-restart",
     about: "every daemon is stopped gracefully and replaced, one after the other",
+    compared: false,
     seconds: 13,
     shape: usual_shape,
     load: usual_load,
     side_load: no_load,
     faults,
     fields,
+    plot: None,
 };
 
 fn faults(shape: &FleetShape, _duration: Duration) -> Vec<FaultStep> {
--- a/cli/src/experiment/cases/silent_connection.rs
+++ b/cli/src/experiment/cases/silent_connection.rs
@@ -17,12 +17,14 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "silent-connection",
     about: "the open connections of one target in ten go silent; new ones work",
+    compared: false,
     seconds: 10,
     shape: usual_shape,
     load: usual_load,
     side_load: no_load,
     faults,
     fields,
+    plot: None,
 };
 
 fn faults(shape: &FleetShape, _duration: Duration) -> Vec<FaultStep> {
--- a/cli/src/experiment/cases/snapshot_change.rs
+++ b/cli/src/experiment/cases/snapshot_change.rs
@@ -25,12 +25,14 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "snapshot-change",
     about: "targets change index versions one by one; then a shard splits and one moves",
+    compared: false,
     seconds: 13,
     shape: usual_shape,
     load: usual_load,
     side_load: no_load,
     faults,
     fields: no_fields,
+    plot: None,
 };
 
 /// Shard 0 moves to the targets of shard 1, and a new shard comes on the targets of shard 2.
--- a/cli/src/experiment/cases/steady.rs
+++ b/cli/src/experiment/cases/steady.rs
@@ -6,10 +6,12 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "steady",
     about: "half load and nothing wrong",
+    compared: true,
     seconds: 12,
     shape: usual_shape,
     load: usual_load,
     side_load: no_load,
     faults: no_faults,
     fields: no_fields,
+    plot: None,
 };
--- a/cli/src/experiment/cases/straggler.rs
+++ b/cli/src/experiment/cases/straggler.rs
@@ -23,12 +23,14 @@
 pub(super) const CASE: CaseSpec = CaseSpec {
     name: "straggler",
     about: "one target in twenty is slowed tenfold by spells that no report shows",
+    compared: true,
     seconds: 15,
     shape: usual_shape,
     load: usual_load,
     side_load: no_load,
     faults,
     fields: no_fields,
+    plot: None,
 };
 
 fn faults(shape: &FleetShape, _duration: Duration) -> Vec<FaultStep> {
--- a/cli/src/experiment/measure.rs
+++ b/cli/src/experiment/measure.rs
@@ -236,6 +236,30 @@
     serializer.collect_map(fields.iter().map(|field| (field.name, field.value)))
 }
 
+impl RunReport {
+    /// Every figure by its name, those of the case last.
+    pub fn figures(&self) -> Vec<CaseField> {
+        let mut figures = vec![
+            CaseField::new("queries", self.queries as f64),
+            CaseField::new("p50_ms", self.p50_ms),
+            CaseField::new("p99_ms", self.p99_ms),
+            CaseField::new("p999_ms", self.p999_ms),
+            CaseField::new("coverage_mean", self.coverage_mean),
+            CaseField::new("whole_share", self.whole_share),
+            CaseField::new("extra_load", self.extra_load),
+            CaseField::new(
+                "daemon_us_per_shard_request",
+                self.daemon_us_per_shard_request,
+            ),
+            CaseField::new("connections_peak", f64::from(self.connections_peak)),
+            CaseField::new("connections_limit", f64::from(self.connections_limit)),
+            CaseField::new("violations_total", self.violations_total as f64),
+        ];
+        figures.extend(self.fields.iter().cloned());
+        figures
+    }
+}
+
 impl fmt::Display for RunReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
@@ -243,24 +267,9 @@
             "{}, seed {}, policy {}",
             self.experiment, self.seed, self.policy
         )?;
-        let mut line = |name: &str, value: f64| writeln!(f, "  {name:28} {value:12.3}");
-        line("queries", self.queries as f64)?;
-        line("p50_ms", self.p50_ms)?;
-        line("p99_ms", self.p99_ms)?;
-        line("p999_ms", self.p999_ms)?;
-        line("coverage_mean", self.coverage_mean)?;
-        line("whole_share", self.whole_share)?;
-        line("extra_load", self.extra_load)?;
-        line(
-            "daemon_us_per_shard_request",
-            self.daemon_us_per_shard_request,
-        )?;
-        line("connections_peak", f64::from(self.connections_peak))?;
-        line("connections_limit", f64::from(self.connections_limit))?;
-        for field in &self.fields {
-            line(field.name, field.value)?;
+        for CaseField { name, value } in self.figures() {
+            writeln!(f, "  {name:28} {value:12.3}")?;
         }
-        line("violations_total", self.violations_total as f64)?;
         for violation in &self.violations {
             writeln!(f, "  {violation}")?;
         }
--- /dev/null
+++ b/cli/src/experiment/plot.rs
@@ -0,0 +1,153 @@
+//! Plots of runs, as SVG.
+
+use std::path::Path;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use plotters::prelude::{
+    BLUE, ChartBuilder, IntoDrawingArea, IntoFont, LineSeries, PathElement, RED, RGBColor,
+    SVGBackend, WHITE,
+};
+
+use crate::error::CommandError;
+use crate::experiment::measure::{CaseView, latencies};
+
+/// The size of a plot, in pixels.
+const SIZE: (u32, u32) = (800, 480);
+/// The colours of lines, in their order.
+const COLOURS: [RGBColor; 4] = [BLUE, RED, RGBColor(0, 140, 70), RGBColor(200, 120, 0)];
+/// The most nines on the scale of latencies.
+const MOST_NINES: f64 = 3.0;
+/// How many points a line of latencies has for each nine.
+const POINTS_PER_NINE: u32 = 20;
+
+/// One plot.
+#[derive(Clone, Debug)]
+pub struct PlotSpec {
+    /// The file's name without its ending.
+    pub name: Box<str>,
+    /// What stands above it.
+    pub title: Box<str>,
+    /// What the horizontal axis shows.
+    pub x_label: &'static str,
+    /// What the vertical axis shows.
+    pub y_label: &'static str,
+    /// The lines.
+    pub lines: Vec<PlotLine>,
+}
+
+/// One line of a plot.
+#[derive(Clone, Debug)]
+pub struct PlotLine {
+    /// What it shows.
+    pub label: Box<str>,
+    /// Its points, from left to right.
+    pub points: Vec<PlotPoint>,
+}
+
+/// One point.
+#[derive(Clone, Copy, Debug)]
+pub struct PlotPoint {
+    /// Its place on the horizontal axis.
+    pub x: f64,
+    /// Its place on the vertical axis.
+    pub y: f64,
+}
+
+impl PlotLine {
+    /// The latency of all searches of some runs, on the scale of nines.
+    pub fn of_latencies(label: &str, views: &[&CaseView]) -> Self {
+        let mut all: Option<Histogram<u64>> = None;
+        for view in views {
+            let histogram = latencies(view, view.searches());
+            match &mut all {
+                Some(all) => all.add(&histogram).expect("histograms have equal bounds"),
+                None => all = Some(histogram),
+            }
+        }
+        let steps = MOST_NINES as u32 * POINTS_PER_NINE;
+        let points = all.iter().flat_map(|histogram| {
+            (0..=steps).map(|step| {
+                let nines = f64::from(step) / f64::from(POINTS_PER_NINE);
+                let quantile = 1.0 - 10_f64.powf(-nines);
+                PlotPoint {
+                    x: nines,
+                    y: histogram.value_at_quantile(quantile) as f64 / 1_000.0,
+                }
+            })
+        });
+        Self {
+            label: label.into(),
+            points: points.collect(),
+        }
+    }
+
+    /// The served share of an account's requests over the time at which they were due.
+    pub fn of_service(label: String, views: &[&CaseView], account: &str, step: Duration) -> Self {
+        let of_account = |view: &CaseView| {
+            let calls = view.calls_of(|stream| stream.account.as_ref() == account);
+            calls.cloned().collect::<Vec<_>>()
+        };
+        let calls = views.iter().map(|view| of_account(view));
+        let calls: Vec<Vec<_>> = calls.collect();
+        let last = calls.iter().flatten().map(|call| call.due).max();
+        let mut points = Vec::new();
+        let mut from = Duration::ZERO;
+        while from < last.unwrap_or_default() {
+            let within = from..from + step;
+            let shares = views.iter().zip(&calls).map(|(view, calls)| {
+                view.served_share(calls.iter().filter(|call| within.contains(&call.due)))
+            });
+            points.push(PlotPoint {
+                x: from.as_secs_f64(),
+                y: shares.sum::<f64>() / views.len() as f64,
+            });
+            from += step;
+        }
+        Self {
+            label: label.into(),
+            points,
+        }
+    }
+}
+
+/// Draws a plot into a file.
+pub fn draw_plot(path: &Path, plot: &PlotSpec) -> Result<(), CommandError> {
+    let drawn = draw(path, plot);
+    drawn.map_err(|error| CommandError::failed(format!("draw {}", path.display()), &error))
+}
+
+fn draw(path: &Path, plot: &PlotSpec) -> Result<(), Box<dyn std::error::Error>> {
+    let points = plot.lines.iter().flat_map(|line| &line.points);
+    let most =
+        |value: fn(&PlotPoint) -> f64| points.clone().map(value).fold(f64::MIN_POSITIVE, f64::max);
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(plot.title.as_ref(), ("sans-serif", 20).into_font())
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(
+            0.0..most(|point| point.x),
+            0.0..most(|point| point.y) * 1.05,
+        )?;
+    chart
+        .configure_mesh()
+        .x_desc(plot.x_label)
+        .y_desc(plot.y_label)
+        .draw()?;
+    for (line, colour) in plot.lines.iter().zip(COLOURS.iter().cycle()) {
+        let points = line.points.iter().map(|point| (point.x, point.y));
+        chart
+            .draw_series(LineSeries::new(points, colour))?
+            .label(line.label.as_ref())
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 20, y)], colour));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/experiment/report.rs
@@ -0,0 +1,250 @@
+//! `yuccalift experiment report`: several runs of many cases, as tables and plots.
+
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use lexopt::prelude::{Long, Value, ValueExt};
+use yuccalift_core::PolicyKind;
+
+use crate::error::CommandError;
+use crate::experiment::case::{ExperimentCase, find_case};
+use crate::experiment::cases;
+use crate::experiment::measure::{CaseField, RunReport, policy_name};
+use crate::experiment::plot::{PlotLine, PlotSpec, draw_plot};
+use crate::experiment::runner::{RunOptions, RunOutcome, run_case};
+
+/// How many seeds a report runs where the command line does not say.
+const DEFAULT_SEEDS: u64 = 5;
+
+/// What the command line asks for.
+struct ReportArgs {
+    out: PathBuf,
+    seeds: u64,
+    duration: Option<Duration>,
+    cases: Vec<ExperimentCase>,
+}
+
+/// All runs of one case with one policy.
+struct CaseRuns {
+    policy: PolicyKind,
+    outcomes: Vec<RunOutcome>,
+}
+
+/// Runs the subcommand.
+pub fn run(parser: lexopt::Parser) -> Result<(), CommandError> {
+    let args = read_args(parser)?;
+    std::fs::create_dir_all(&args.out)
+        .map_err(|error| CommandError::failed(format!("make {}", args.out.display()), &error))?;
+    let mut text = String::from("# Experiments\n");
+    let mut broken = 0;
+    for case in &args.cases {
+        let mut all_runs = Vec::new();
+        for policy in policies(case) {
+            all_runs.push(run_seeds(&args, case, policy)?);
+        }
+        broken += count_violations(&all_runs);
+        write_case(&mut text, case, &all_runs);
+        draw_case(&args.out, &mut text, case, &all_runs)?;
+        write_file(&args.out.join("report.md"), &text)?;
+    }
+    println!("{}", args.out.join("report.md").display());
+    if broken > 0 {
+        return Err(CommandError::failed(
+            "report",
+            &format!("{broken} violations"),
+        ));
+    }
+    Ok(())
+}
+
+fn read_args(mut parser: lexopt::Parser) -> Result<ReportArgs, CommandError> {
+    let mut out = None;
+    let mut seeds = DEFAULT_SEEDS;
+    let mut duration = None;
+    let mut names: Vec<String> = Vec::new();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("out") => out = Some(PathBuf::from(parser.value()?)),
+            Long("seeds") => seeds = parser.value()?.parse()?,
+            Long("seconds") => duration = Some(Duration::from_secs(parser.value()?.parse()?)),
+            Value(value) => names.push(value.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if names.is_empty() {
+        names = cases::ALL.iter().map(|spec| spec.name.to_owned()).collect();
+    }
+    let cases = names.iter().map(|name| find_case(name));
+    Ok(ReportArgs {
+        out: out.ok_or_else(|| lexopt::Error::from("--out is missing"))?,
+        seeds,
+        duration,
+        cases: cases.collect::<Result<_, _>>()?,
+    })
+}
+
+fn policies(case: &ExperimentCase) -> Vec<PolicyKind> {
+    if case.specs.iter().all(|spec| spec.compared) {
+        vec![PolicyKind::Full, PolicyKind::Baseline]
+    } else {
+        vec![PolicyKind::Full]
+    }
+}
+
+fn run_seeds(
+    args: &ReportArgs,
+    case: &ExperimentCase,
+    policy: PolicyKind,
+) -> Result<CaseRuns, CommandError> {
+    let mut outcomes = Vec::new();
+    for seed in 1..=args.seeds {
+        eprintln!("{} {} seed {seed}", case.name, policy_name(policy));
+        let options = RunOptions {
+            seed,
+            policy,
+            duration: args.duration.unwrap_or(case.duration),
+            progress: false,
+        };
+        outcomes.push(run_case(case, options)?);
+    }
+    Ok(CaseRuns { policy, outcomes })
+}
+
+fn count_violations(all_runs: &[CaseRuns]) -> usize {
+    let outcomes = all_runs.iter().flat_map(|runs| &runs.outcomes);
+    outcomes
+        .map(|outcome| outcome.report.violations_total)
+        .sum()
+}
+
+/// Writes one case: a row for each figure, with the median and the spread over the seeds.
+fn write_case(text: &mut String, case: &ExperimentCase, all_runs: &[CaseRuns]) {
+    let seeds = all_runs.first().map_or(0, |runs| runs.outcomes.len());
+    let about = case.specs.iter().map(|spec| spec.about);
+    let about = about.collect::<Vec<_>>().join("; and ");
+    let _strings_take_all = write!(
+        text,
+        "\n## {}\n\n{about}. Seeds 1 to {seeds}.\n\n",
+        case.name
+    );
+    text.push_str("| figure |");
+    for runs in all_runs {
+        let name = policy_name(runs.policy);
+        let _strings_take_all = write!(text, " {name}, median | {name}, least to most |");
+    }
+    text.push_str("\n|---|");
+    text.push_str(&"---:|---:|".repeat(all_runs.len()));
+    text.push('\n');
+    for name in figure_names(all_runs) {
+        let _strings_take_all = write!(text, "| {name} |");
+        for runs in all_runs {
+            let figure = Spread::new(figures_named(runs, name));
+            let _strings_take_all = write!(
+                text,
+                " {:.3} | {:.3} to {:.3} |",
+                figure.median, figure.least, figure.most
+            );
+        }
+        text.push('\n');
+    }
+    write_violations(text, all_runs);
+}
+
+fn write_violations(text: &mut String, all_runs: &[CaseRuns]) {
+    for runs in all_runs {
+        for RunOutcome { report, .. } in &runs.outcomes {
+            let RunReport { seed, policy, .. } = report;
+            for violation in &report.violations {
+                let _strings_take_all =
+                    write!(text, "\nViolation, {policy}, seed {seed}: {violation}\n");
+            }
+        }
+    }
+}
+
+fn figure_names(all_runs: &[CaseRuns]) -> Vec<&'static str> {
+    let first = all_runs.first().and_then(|runs| runs.outcomes.first());
+    let figures = first.map(|outcome| outcome.report.figures());
+    let names = figures.unwrap_or_default().into_iter();
+    names.map(|figure: CaseField| figure.name).collect()
+}
+
+fn figures_named(runs: &CaseRuns, name: &str) -> Vec<f64> {
+    let figures = runs
+        .outcomes
+        .iter()
+        .flat_map(|outcome| outcome.report.figures());
+    let named = figures.filter(|figure| figure.name == name);
+    named.map(|figure| figure.value).collect()
+}
+
+/// The spread of one figure over the seeds.
+struct Spread {
+    least: f64,
+    median: f64,
+    most: f64,
+}
+
+impl Spread {
+    fn new(mut values: Vec<f64>) -> Self {
+        values.sort_by(f64::total_cmp);
+        let at = |position: usize| values.get(position).copied().unwrap_or(f64::NAN);
+        let last = values.len().saturating_sub(1);
+        Self {
+            least: at(0),
+            median: f64::midpoint(at(last / 2), at(last.div_ceil(2))),
+            most: at(last),
+        }
+    }
+}
+
+fn draw_case(
+    out: &Path,
+    text: &mut String,
+    case: &ExperimentCase,
+    all_runs: &[CaseRuns],
+) -> Result<(), CommandError> {
+    let mut plots = vec![latency_plot(case, all_runs)];
+    plots.extend(case.specs.iter().filter_map(|spec| {
+        let draw = spec.plot?;
+        let lines = all_runs.iter().flat_map(|runs| {
+            let views: Vec<_> = runs.outcomes.iter().map(|outcome| &outcome.view).collect();
+            draw(policy_name(runs.policy), &views)
+        });
+        let lines: Vec<PlotLine> = lines.collect();
+        Some(PlotSpec {
+            name: format!("{}-time", case.name).into(),
+            title: format!("{}: service over time", case.name).into(),
+            x_label: "time since the start of the load, s",
+            y_label: "share answered whole in its patience",
+            lines,
+        })
+    }));
+    for plot in plots {
+        let file = format!("{}.svg", plot.name);
+        draw_plot(&out.join(&file), &plot)?;
+        let _strings_take_all = write!(text, "\n![{}]({file})\n", plot.title);
+    }
+    Ok(())
+}
+
+/// Latency against the share of searches that took longer, on the scale of nines.
+fn latency_plot(case: &ExperimentCase, all_runs: &[CaseRuns]) -> PlotSpec {
+    let lines = all_runs.iter().map(|runs| {
+        let views: Vec<_> = runs.outcomes.iter().map(|outcome| &outcome.view).collect();
+        PlotLine::of_latencies(policy_name(runs.policy), &views)
+    });
+    PlotSpec {
+        name: format!("{}-latency", case.name).into(),
+        title: format!("{}: latency of searches", case.name).into(),
+        x_label: "nines: 1 is p90, 2 is p99, 3 is p99.9",
+        y_label: "latency, ms",
+        lines: lines.collect(),
+    }
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), CommandError> {
+    std::fs::write(path, text)
+        .map_err(|error| CommandError::failed(format!("write {}", path.display()), &error))
+}
--- a/cli/src/experiment/runner.rs
+++ b/cli/src/experiment/runner.rs
@@ -29,8 +29,17 @@
     pub progress: bool,
 }
 
+/// What a run leaves.
+#[derive(Debug)]
+pub struct RunOutcome {
+    /// The figures.
+    pub report: RunReport,
+    /// What they were made from.
+    pub view: CaseView,
+}
+
 /// Runs a case once.
-pub fn run_case(case: &ExperimentCase, options: RunOptions) -> Result<RunReport, CommandError> {
+pub fn run_case(case: &ExperimentCase, options: RunOptions) -> Result<RunOutcome, CommandError> {
     let shape = FleetShape {
         policy: options.policy,
         seed: options.seed,
@@ -71,7 +80,10 @@
         daemon_time,
     };
     fleet.stop();
-    Ok(make_report(case, options, &view))
+    Ok(RunOutcome {
+        report: make_report(case, options, &view),
+        view,
+    })
 }
 
 fn act_faults(
