--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -2,7 +2,6 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -16,13 +15,14 @@
 use yuccalift_settings::DaemonSettings;
 
 use crate::caller::{self, CallerState};
-use crate::config_service::ConfigService;
+use crate::control::start::{ControlParts, start_control, start_farewell, start_peer_listener};
 use crate::error::{BindSnafu, DaemonError, EndedSnafu, MetricsSnafu, ThreadSnafu};
 use crate::events::LogEvent;
 use crate::lane::{EngineLane, LANE_SERVICE};
 use crate::listener::{ListenerSpec, serve};
 use crate::metrics::{METRICS_SERVICE, MetricsClient};
 use crate::operator::{self, OperatorState};
+use crate::ready_flag::ReadyFlag;
 use crate::status_board::{STATUS_SERVICE, StatusBoard};
 
 /// How many threads serve callers.
@@ -151,6 +151,8 @@
     report
 }
 
+/// Starts the services; the last started stops first, so the farewell stands last, and callers
+/// are served until what they need has nothing more to do.
 fn start_services(
     kernel: &mut Kernel,
     settings: &DaemonSettings,
@@ -159,19 +161,22 @@
 ) -> Result<(), DaemonError> {
     let addresses = listeners.addresses(settings)?;
     let incarnation = new_incarnation();
-    let ready = Arc::new(AtomicBool::new(false));
+    let ready = Arc::new(ReadyFlag::default());
     let board = StatusBoard::default();
     kernel.registry().publish(STATUS_SERVICE, board.clone())?;
     let metrics = start_metrics(kernel, settings)?;
     let lane = start_lane(kernel, settings, incarnation)?;
-    let guard = kernel.start("config");
-    let config = ConfigService::new(
-        lane.clone(),
-        Arc::clone(&ready),
-        board.clone(),
-        metrics.clone(),
-    );
-    actix::spawn(config.run(settings.clone(), guard));
+    let parts = ControlParts {
+        lane: lane.clone(),
+        ready: Arc::clone(&ready),
+        incarnation,
+        peer_address: addresses.peer,
+        stop: stop.clone(),
+        board: board.clone(),
+        metrics: metrics.clone(),
+    };
+    let control = start_control(kernel, settings, parts)?;
+    start_peer_listener(kernel, settings, control.clone(), listeners.peer)?;
     let state = OperatorState {
         host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
@@ -182,9 +187,12 @@
         board,
     };
     start_operator(kernel, state, settings, listeners.operator, metrics.clone())?;
-    let state = CallerState { lane, ready };
+    let state = CallerState {
+        lane,
+        ready: Arc::clone(&ready),
+    };
     start_caller(kernel, state, settings, listeners.caller, metrics)?;
-    drop(listeners.peer);
+    start_farewell(kernel, settings, control, ready);
     log_start(settings, addresses, incarnation);
     Ok(())
 }
@@ -242,7 +250,6 @@
         key: None,
         stop_timeout: settings.stop_timeout,
     };
-    let ready = Arc::clone(&state.ready);
     let data = web::Data::new(state);
     let handle = serve(listener, &spec, metrics, move |config| {
         config.app_data(data.clone());
@@ -251,7 +258,6 @@
     let guard = kernel.start("caller");
     actix::spawn(async move {
         guard.token.cancelled().await;
-        ready.store(false, Ordering::Release);
         handle.stop(true).await;
     });
     Ok(())
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,14 +5,15 @@
 //! - `caller`: the callers' listener.
 //! - `operator`, [`status_board`]: the operators' listener and what it tells.
 //! - `listener`, [`rate_limit`]: the key, the limits and the typed errors of all listeners.
-//! - `config_service`, `platform_reader`: what the platform publishes.
+//! - [`control`]: configuration, membership and news.
+//! - `ready_flag`: whether the daemon takes requests.
 //! - `leaf_client`: the connections to one target.
 //! - [`events`], [`logging`], `decision_log`: the numbered events of the log.
 //! - [`metrics`]: what is sent as `StatsD`.
 //! - [`error`]: what can go wrong at the start.
 
 mod caller;
-mod config_service;
+pub mod control;
 pub mod daemon;
 mod decision_log;
 pub mod error;
@@ -23,8 +24,8 @@
 pub mod logging;
 pub mod metrics;
 mod operator;
-mod platform_reader;
 pub mod rate_limit;
+mod ready_flag;
 pub mod status_board;
 
 pub use daemon::{Daemon, DaemonAddresses};
