Hold back requests that crash their targets

Cause: a request that crashes each target that runs it is sent again by its caller and by retries; targets are also lost for other reasons, and every request in flight there would look guilty. Weighed: counting losses alone condemns the requests beside the guilty one; sharing the blame alone lets a request that always runs beside two others cost six targets. So the blame is shared, a reply from a shard at which a target was lost clears a request, and a suspect is tried by one attempt at a time, never beside another suspect; then the later losses carry their whole blame. Bound: the attempts in flight when the first loss is known (one a shard and its hedges), and two targets more; one more after each holding back.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`search`], [`coverage`], [`outcome`]: a request, its answer, and the truth about both.
 //! - [`event`], [`action`]: what the engine is told, and what it decides.
 //! - [`engine`]: the data path of one daemon.
+//! - [`quarantine`]: holding back a request that crashes its targets.
 //! - [`control`]: the control plane of one daemon.
 
 pub mod account;
@@ -20,6 +21,7 @@
 pub mod event;
 pub mod ids;
 pub mod outcome;
+pub mod quarantine;
 pub mod search;
 pub mod shard_map;
 
--- /dev/null
+++ b/core/tests/quarantine.rs
@@ -0,0 +1,369 @@
+//! A request that crashes its targets is held back soon, and no innocent one beside it.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use yuccalift_core::ids::{Fingerprint, ShardId, TargetId};
+use yuccalift_core::quarantine::table::{MAX_SUSPECTS, TRIAL_WAIT};
+use yuccalift_core::quarantine::{
+    NoticeKind, QuarantineNotice, QuarantineTable, RunningRequest, TrialRequest, TrialVerdict,
+};
+use yuccalift_testkit::cases;
+
+const POISON: Fingerprint = 13;
+/// Beyond the targets that ran it before the first loss was known, a request costs two.
+const LOSSES_IN_TRIALS: u32 = 2;
+
+fn run(fingerprint: Fingerprint, shard: ShardId) -> RunningRequest {
+    RunningRequest { fingerprint, shard }
+}
+
+/// Asks whether an attempt may be sent at once to a target that runs nothing.
+fn admit(
+    table: &mut QuarantineTable,
+    now: Instant,
+    fingerprint: Fingerprint,
+    at: (ShardId, TargetId),
+) -> TrialVerdict {
+    admit_beside(table, now, fingerprint, at, &[])
+}
+
+fn admit_beside(
+    table: &mut QuarantineTable,
+    now: Instant,
+    fingerprint: Fingerprint,
+    (shard, target): (ShardId, TargetId),
+    beside: &[Fingerprint],
+) -> TrialVerdict {
+    let attempt = TrialRequest {
+        fingerprint,
+        shard,
+        target,
+        asked: now,
+        beside,
+    };
+    table.admit(now, &attempt)
+}
+
+fn is_held(notices: &[QuarantineNotice], fingerprint: Fingerprint) -> bool {
+    notices.iter().any(|notice| {
+        notice.fingerprint == fingerprint && matches!(notice.kind, NoticeKind::Held { .. })
+    })
+}
+
+/// Asks to send the poison, and loses its target if it is sent; whether it was.
+fn crash_one(table: &mut QuarantineTable, now: Instant, beside: &[RunningRequest]) -> bool {
+    let target = 77;
+    if admit(table, now, POISON, (0, target)) != TrialVerdict::Send {
+        return false;
+    }
+    let mut in_flight = beside.to_vec();
+    in_flight.push(run(POISON, 0));
+    table.target_lost(now, target, &in_flight);
+    table.ended(POISON, 0, target);
+    true
+}
+
+/// The poison runs beside others on each target, until it is held back.
+fn poison_costs(neighbours: u64, expected: u32) {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    let beside: Vec<RunningRequest> = (0..neighbours).map(|id| run(100 + id, 0)).collect();
+    let mut lost = 0;
+    while crash_one(&mut table, now, &beside) {
+        lost += 1;
+        assert!(lost <= 1 + LOSSES_IN_TRIALS, "the bound is kept");
+    }
+    assert_eq!(
+        lost, expected,
+        "targets lost until the request is held back"
+    );
+    assert!(table.held(now, POISON), "the request is held back");
+    for request in &beside {
+        assert!(
+            !table.held(now, request.fingerprint),
+            "the neighbours are not"
+        );
+    }
+}
+
+cases! {
+    alone_it_costs_two_targets: poison_costs(0, 2);
+    beside_one_it_costs_three: poison_costs(1, 3);
+    beside_two_it_costs_three: poison_costs(2, 3);
+    beside_many_it_costs_three: poison_costs(40, 3);
+}
+
+#[test]
+fn a_lost_rack_condemns_nobody() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    for target in 0..30 {
+        let notices = table.target_lost(now, target, &[run(POISON, target)]);
+        assert!(
+            !is_held(&notices, POISON),
+            "losses outside of trials count together"
+        );
+    }
+    assert!(!table.held(now, POISON), "the request was only there");
+}
+
+#[test]
+fn a_whole_fan_out_is_followed_by_two_losses_at_most() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    for target in 0..30 {
+        table.target_lost(now, target, &[run(POISON, target), run(5, target)]);
+    }
+    let mut tried = 0;
+    for shard in 0..30 {
+        let target = 100 + shard;
+        if admit(&mut table, now, POISON, (shard, target)) == TrialVerdict::Send {
+            tried += 1;
+            table.target_lost(now, target, &[run(POISON, shard)]);
+            table.ended(POISON, shard, target);
+        }
+    }
+    assert!(tried <= LOSSES_IN_TRIALS, "{tried} more targets were lost");
+    assert!(table.held(now, POISON), "the request is held back");
+    assert!(!table.held(now, 5), "the search beside it is not");
+}
+
+#[test]
+fn only_one_trial_runs_at_a_time() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    table.target_lost(now, 1, &[run(POISON, 0), run(5, 0)]);
+    assert_eq!(admit(&mut table, now, POISON, (0, 2)), TrialVerdict::Send);
+    assert_eq!(
+        admit(&mut table, now, POISON, (0, 3)),
+        TrialVerdict::Wait,
+        "one attempt"
+    );
+    assert_eq!(
+        admit_beside(&mut table, now, 5, (0, 2), &[POISON]),
+        TrialVerdict::Wait,
+        "one suspect a target"
+    );
+    assert_eq!(
+        admit(&mut table, now, 5, (0, 3)),
+        TrialVerdict::Send,
+        "another target"
+    );
+    assert_eq!(
+        admit(&mut table, now, 9, (0, 2)),
+        TrialVerdict::Send,
+        "no suspect"
+    );
+    table.succeeded(5, 0);
+    table.ended(5, 0, 3);
+    assert_eq!(
+        admit(&mut table, now, 5, (0, 2)),
+        TrialVerdict::Send,
+        "it is cleared"
+    );
+}
+
+#[test]
+fn success_at_another_shard_clears_nothing() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    table.target_lost(now, 1, &[run(POISON, 7)]);
+    table.succeeded(POISON, 3);
+    assert_eq!(admit(&mut table, now, POISON, (7, 2)), TrialVerdict::Send);
+    let notices = table.target_lost(now, 2, &[run(POISON, 7)]);
+    assert!(is_held(&notices, POISON), "its blame stood");
+}
+
+#[test]
+fn shards_without_losses_wait_only_a_moment() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    table.target_lost(now, 1, &[run(POISON, 1)]);
+    table.target_lost(now, 2, &[run(POISON, 2)]);
+    assert_eq!(admit(&mut table, now, POISON, (3, 9)), TrialVerdict::Wait);
+    let waited = TrialRequest {
+        fingerprint: POISON,
+        shard: 3,
+        target: 9,
+        asked: now,
+        beside: &[],
+    };
+    assert_eq!(table.admit(now + TRIAL_WAIT, &waited), TrialVerdict::Send);
+}
+
+#[test]
+fn the_next_loss_holds_back_for_longer() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    while crash_one(&mut table, now, &[]) {}
+    let first = table.list(now)[0].left;
+    let later = now + first;
+    assert_eq!(table.expire(later), [POISON], "it is released once");
+    assert!(table.expire(later).is_empty(), "and only once");
+    assert!(crash_one(&mut table, later, &[]), "it is tried again");
+    assert!(table.held(later, POISON), "one loss is enough now");
+    assert!(
+        table.list(later)[0].left > first,
+        "and it is held for longer"
+    );
+}
+
+#[test]
+fn peers_add_up_what_they_tell() {
+    let now = Instant::now();
+    let (mut here, mut there) = (QuarantineTable::new(), QuarantineTable::new());
+    for notice in here.target_lost(now, 1, &[run(POISON, 0)]) {
+        there.learn(now, &notice);
+        there.learn(now, &notice);
+    }
+    assert!(!there.held(now, POISON), "heard twice is told once");
+    assert_eq!(admit(&mut there, now, POISON, (0, 2)), TrialVerdict::Send);
+    let notices = there.target_lost(now, 2, &[run(POISON, 0)]);
+    assert!(is_held(&notices, POISON), "one loss at each of two daemons");
+    assert!(
+        here.learn(now, &notices[0]),
+        "the first learns that it is held back"
+    );
+    assert!(!here.learn(now, &notices[0]), "which is news once");
+    assert_eq!(admit(&mut here, now, POISON, (0, 3)), TrialVerdict::Refuse);
+}
+
+#[test]
+fn a_notice_cannot_hold_for_ever() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    let left = Duration::from_secs(1_000_000);
+    let kind = NoticeKind::Held { left };
+    table.learn(
+        now,
+        &QuarantineNotice {
+            fingerprint: 4,
+            kind,
+        },
+    );
+    assert!(
+        table.list(now)[0].left <= Duration::from_secs(600),
+        "a hold has a bound"
+    );
+}
+
+#[test]
+fn the_table_is_bounded() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    while crash_one(&mut table, now, &[]) {}
+    for fingerprint in 0..5_000 {
+        table.target_lost(now, 1, &[run(1_000 + fingerprint, 0)]);
+    }
+    assert_eq!(table.len(), MAX_SUSPECTS, "the table has a bound");
+    assert!(
+        table.held(now, POISON),
+        "those held back are kept before the suspects"
+    );
+}
+
+/// One step of a random history over a few targets that come back after each loss.
+#[derive(Clone, Copy, Debug)]
+enum HistoryStep {
+    /// A request is sent to a target, if it may be.
+    Send(Fingerprint, TargetId),
+    /// A target that does not run the poison answers all that it has.
+    Answer(TargetId),
+    /// A target that runs the poison crashes.
+    Crash(TargetId),
+}
+
+fn history() -> impl Strategy<Value = Vec<HistoryStep>> {
+    let target = 0_u32..4;
+    let step = prop_oneof![
+        4 => (10_u64..18, target.clone()).prop_map(|(request, target)| HistoryStep::Send(request, target)),
+        2 => target.clone().prop_map(HistoryStep::Answer),
+        2 => target.prop_map(HistoryStep::Crash),
+    ];
+    prop::collection::vec(step, 0..400)
+}
+
+/// What a history has come to.
+#[derive(Default)]
+struct HistoryState {
+    table: QuarantineTable,
+    running: Vec<(TargetId, Fingerprint)>,
+    poisoned_at_first_loss: Option<u32>,
+    lost: u32,
+}
+
+impl HistoryState {
+    fn take(&mut self, now: Instant, step: HistoryStep) {
+        match step {
+            HistoryStep::Send(request, target) => self.send(now, request, target),
+            HistoryStep::Answer(target) if !self.is_poisoned(target) => self.answer(target),
+            HistoryStep::Crash(target) if self.is_poisoned(target) => self.crash(now, target),
+            HistoryStep::Answer(_) | HistoryStep::Crash(_) => {}
+        }
+    }
+
+    fn is_poisoned(&self, target: TargetId) -> bool {
+        self.running.contains(&(target, POISON))
+    }
+
+    fn send(&mut self, now: Instant, request: Fingerprint, target: TargetId) {
+        if self.running.contains(&(target, request)) {
+            return;
+        }
+        let at = self.running.iter().filter(|entry| entry.0 == target);
+        let beside: Vec<Fingerprint> = at.map(|entry| entry.1).collect();
+        let verdict = admit_beside(&mut self.table, now, request, (0, target), &beside);
+        if verdict == TrialVerdict::Send {
+            self.running.push((target, request));
+        }
+    }
+
+    fn answer(&mut self, target: TargetId) {
+        for request in self.take_running(target) {
+            self.table.succeeded(request, 0);
+            self.table.ended(request, 0, target);
+        }
+    }
+
+    fn crash(&mut self, now: Instant, target: TargetId) {
+        let poisoned = self
+            .running
+            .iter()
+            .filter(|entry| entry.1 == POISON)
+            .count();
+        self.poisoned_at_first_loss.get_or_insert(poisoned as u32);
+        self.lost += 1;
+        let gone = self.take_running(target);
+        let runs: Vec<RunningRequest> = gone.iter().map(|&request| run(request, 0)).collect();
+        self.table.target_lost(now, target, &runs);
+        for request in gone {
+            self.table.ended(request, 0, target);
+        }
+    }
+
+    fn take_running(&mut self, target: TargetId) -> Vec<Fingerprint> {
+        let at = self.running.iter().filter(|entry| entry.0 == target);
+        let requests = at.map(|entry| entry.1).collect();
+        self.running.retain(|entry| entry.0 != target);
+        requests
+    }
+}
+
+proptest! {
+    /// The poison is sent again and again beside innocent requests, over one shard's targets.
+    #[test]
+    fn the_innocent_go_free_and_the_guilty_is_bounded(steps in history()) {
+        let start = Instant::now();
+        let mut state = HistoryState::default();
+        for (millis, step) in (0_u64..).zip(steps) {
+            let now = start + Duration::from_millis(millis);
+            state.take(now, step);
+            for entry in state.table.list(now) {
+                prop_assert_eq!(entry.fingerprint, POISON, "no innocent request is held back");
+            }
+        }
+        let bound = state.poisoned_at_first_loss.unwrap_or(0) + LOSSES_IN_TRIALS;
+        prop_assert!(state.lost <= bound, "{} targets lost, {bound} allowed", state.lost);
+    }
+}
