--- /dev/null
+++ b/daemon/src/control/notice_log.rs
@@ -0,0 +1,58 @@
+//! What the control plane noticed, as numbered events and on the status board.
+
+use yuccalift_core::control::ControlNotice;
+
+use crate::events::LogEvent;
+use crate::metrics::{DaemonMetric, MetricsClient};
+use crate::status_board::StatusBoard;
+
+/// The source of a configuration version that came from the platform itself.
+const PLATFORM_SOURCE: &str = "platform";
+
+/// Writes a notice to the log, and what operators ask for to the board.
+pub(super) fn report_notice(
+    host: &str,
+    notice: &ControlNotice,
+    board: &StatusBoard,
+    metrics: &MetricsClient,
+) {
+    match notice {
+        ControlNotice::ConfigAdvanced { version, peer } => {
+            let source = peer.as_deref().unwrap_or(PLATFORM_SOURCE);
+            board.set_config_version(*version);
+            metrics.gauge(DaemonMetric::ConfigVersion, *version);
+            LogEvent::ConfigurationInForce {
+                version: *version,
+                source,
+            }
+            .emit();
+        }
+        ControlNotice::ValueRefused(refused) => {
+            board.note_refused(&refused.key, &refused.reason);
+            LogEvent::ValueRefused {
+                key: &refused.key,
+                version: refused.version,
+                fault: &refused.reason,
+            }
+            .emit();
+        }
+        ControlNotice::PlatformStale { offered, known } => {
+            LogEvent::PlatformStale {
+                offered: *offered,
+                known: *known,
+            }
+            .emit();
+        }
+        ControlNotice::ConfigDiverged { peer, version } => {
+            LogEvent::ConfigurationDiverged {
+                peer,
+                version: *version,
+            }
+            .emit();
+        }
+        ControlNotice::PeerSuspected(peer) => LogEvent::PeerSuspected { peer }.emit(),
+        ControlNotice::PeerGone(peer) => LogEvent::PeerGone { peer }.emit(),
+        ControlNotice::Refuted => LogEvent::SuspicionRefuted { host }.emit(),
+        ControlNotice::ReaderChanged(reads) => LogEvent::ReaderChanged { reads: *reads }.emit(),
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,14 +5,16 @@
 //! - `caller`: the callers' listener.
 //! - `operator`, [`status_board`]: the operators' listener and what it tells.
 //! - `listener`, [`rate_limit`]: the key, the limits and the typed errors of all listeners.
-//! - `config_service`, `platform_reader`: what the platform publishes.
+//! - [`control`]: configuration, membership and news.
+//! - `ready_flag`: whether the daemon takes requests.
+//! - `version_probe`: which index versions the targets of a new map hold.
 //! - `leaf_client`: the connections to one target.
 //! - [`events`], [`logging`], `decision_log`: the numbered events of the log.
 //! - [`metrics`]: what is sent as `StatsD`.
 //! - [`error`]: what can go wrong at the start.
 
 mod caller;
-mod config_service;
+pub mod control;
 pub mod daemon;
 mod decision_log;
 pub mod error;
@@ -23,9 +25,10 @@
 pub mod logging;
 pub mod metrics;
 mod operator;
-mod platform_reader;
 pub mod rate_limit;
+mod ready_flag;
 pub mod status_board;
+mod version_probe;
 
 pub use daemon::{Daemon, DaemonAddresses};
 pub use error::DaemonError;
