Prove the thin whole path in one test

Cause: the path had its two ends, but no run through both. Ruled out: an HTTP mock of a leaf, since the stand-in speaks the real messages.

--- /dev/null
+++ b/daemon/tests/support/mod.rs
@@ -0,0 +1,146 @@
+//! A small site of stand-ins and daemons for the tests of the daemon.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use yuccalift_core::ids::{ShardId, TargetId};
+use yuccalift_core::{PolicyKind, ShardEntry, ShardMap, TargetEntry};
+use yuccalift_daemon::Daemon;
+use yuccalift_settings::{DaemonSettings, ListenerLimits, LogFormat, LogSettings};
+use yuccalift_standins::{LeafFleet, LeafOptions, PlatformOptions, PlatformStandin};
+
+/// The client account that the site publishes for searches.
+pub const ACCOUNT: &str = "vets";
+/// The collection that the site publishes.
+pub const COLLECTION: &str = "tags";
+/// How long a daemon may take until it is ready.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+/// How often readiness is asked.
+const READY_POLL: Duration = Duration::from_millis(10);
+
+const ACCOUNTS: &str = "
+templates:
+  race:
+    collections: [tags]
+    urgency: urgent
+    deadline: 2s
+    patience: 1s
+    repeat: hedge
+accounts:
+  vets:
+    template: race
+";
+
+/// Leafs and a platform that publishes them.
+pub struct TestSite {
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// The leafs.
+    pub leafs: LeafFleet,
+}
+
+impl TestSite {
+    /// Starts `shards` shards with `replicas` leafs each, and publishes them.
+    pub fn start(shards: u32, replicas: u32) -> Self {
+        let mut options = Vec::new();
+        for shard in 0..shards {
+            for _replica in 0..replicas {
+                options.push(LeafOptions {
+                    shards: vec![shard],
+                    ..LeafOptions::default()
+                });
+            }
+        }
+        let leafs = LeafFleet::start(options, 2).expect("the leafs start");
+        let platform = PlatformStandin::start(PlatformOptions::default()).expect("it starts");
+        let map = shard_map(&leafs, shards, replicas);
+        let map = serde_json::to_string(&map).expect("a map has a JSON form");
+        platform.put_value("map/tags", &map);
+        platform.put_value("accounts", ACCOUNTS);
+        Self { platform, leafs }
+    }
+
+    /// Starts a daemon of the site and waits until it is ready.
+    pub fn start_daemon(&self, host: &str) -> Daemon {
+        let daemon = Daemon::start(self.settings(host)).expect("the daemon starts");
+        wait_ready(daemon.addresses().caller);
+        daemon
+    }
+
+    /// The settings of a daemon of the site.
+    pub fn settings(&self, host: &str) -> DaemonSettings {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        DaemonSettings {
+            host: host.into(),
+            data_centre: "dc-1".into(),
+            caller_listen: any,
+            peer_listen: any,
+            operator_listen: any,
+            platform: vec![self.platform.address()],
+            seed_peers: Vec::new(),
+            shared_key: "test-key-test-key".into(),
+            limits: ListenerLimits::default(),
+            log: LogSettings {
+                format: LogFormat::Text,
+                level: "warn".into(),
+            },
+            statsd: None,
+            policy: PolicyKind::Full,
+            stop_timeout: Duration::from_secs(5),
+        }
+    }
+}
+
+fn shard_map(leafs: &LeafFleet, shards: u32, replicas: u32) -> ShardMap {
+    let targets = leafs
+        .leafs()
+        .iter()
+        .zip(0..)
+        .map(|(leaf, target)| TargetEntry {
+            target,
+            address: leaf.address(),
+            data_centre: "dc-1".into(),
+            host: format!("leaf-{target}").into(),
+            slots: 3,
+            connections: 30,
+            connect_ms: 6,
+        });
+    ShardMap {
+        collection: COLLECTION.into(),
+        epoch: 1,
+        shards: (0..shards)
+            .map(|shard| shard_entry(shard, replicas))
+            .collect(),
+        targets: targets.collect(),
+    }
+}
+
+fn shard_entry(shard: ShardId, replicas: u32) -> ShardEntry {
+    let first: TargetId = shard * replicas;
+    ShardEntry {
+        shard,
+        replicas: (first..first + replicas).collect(),
+    }
+}
+
+/// Waits until the daemon at this address takes requests.
+pub fn wait_ready(address: SocketAddr) {
+    let end = Instant::now() + READY_LIMIT;
+    while !is_ready(address) {
+        assert!(
+            Instant::now() < end,
+            "the daemon at {address} gets ready in time"
+        );
+        std::thread::sleep(READY_POLL);
+    }
+}
+
+fn is_ready(address: SocketAddr) -> bool {
+    actix_rt::System::new().block_on(async move {
+        let response = awc::Client::default()
+            .get(format!("http://{address}/ready"))
+            .send()
+            .await;
+        response.is_ok_and(|response| response.status().is_success())
+    })
+}
--- a/settings/src/accounts/origin.rs
+++ b/settings/src/accounts/origin.rs
@@ -50,7 +50,7 @@
     pub origin: FieldOrigin,
 }
 
-/// What is in force for one account, field by field in the order of [`POLICY_FIELDS`].
+/// What is in force for one account, field by field in the order of [`POLICY_FIELDS`](crate::POLICY_FIELDS).
 #[derive(Clone, Debug, PartialEq)]
 pub struct AccountExplanation {
     /// The account.
