Hold connections as state, find silent ones, count bytes at the stream

Cause: awc reports a connection that the target closed after the whole request as SendRequestError::Connect(Disconnected) (its h1proto maps the end of the stream so), and a body cut at its content length ends as if it were whole. The client mapped every Connect error to NotSent, so a request that had run could be refused as not run. Ruled out: telling the kinds of ConnectError apart, since Connect(Io) comes from both sides of the write as well.

Change: each connection records at its own stream whether a byte was written and when one was last read; the deadline is checked there, directly before the first byte. A connection opens one stream only. Dead connections are found by a question on a fresh one (connection_watch). Late and cancelled attempts hold their connection until the reply. The ticket ledger is there, not yet wired.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,9 +10,12 @@
 //! - [`search`], [`coverage`], [`outcome`]: a request, its answer, and the truth about both.
 //! - [`event`], [`action`]: what the engine is told, and what it decides.
 //! - [`engine`]: the data path of one daemon.
+//! - [`connection_watch`], [`stall_clock`]: dead connections and pauses, found out.
+//! - [`ticket_ledger`]: what a daemon remembers of non-idempotent requests.
 
 pub mod account;
 pub mod action;
+pub mod connection_watch;
 pub mod coverage;
 pub mod engine;
 pub mod event;
@@ -20,6 +23,8 @@
 pub mod outcome;
 pub mod search;
 pub mod shard_map;
+pub mod stall_clock;
+pub mod ticket_ledger;
 
 pub use account::{AccountPolicy, AccountTable, RepeatPolicy, Urgency};
 pub use action::{EngineAction, EngineDecision};
--- /dev/null
+++ b/daemon/src/leaf/client.rs
@@ -0,0 +1,563 @@
+//! The calls to one target: attempts, cancellations, and what keeps its connections honest.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use awc::http::StatusCode;
+use tokio::sync::oneshot;
+use yuccalift_core::action::AttemptPlan;
+use yuccalift_core::connection_watch::{ASK_TIMEOUT, ConnectionId};
+use yuccalift_core::event::{AttemptFailure, AttemptReply, EngineEvent, TargetNewsKind};
+use yuccalift_core::ids::AttemptId;
+use yuccalift_core::search::RequestKind;
+use yuccalift_wire::codec::to_json;
+use yuccalift_wire::leaf::{LeafCancel, LeafRequest};
+
+use super::connection::{LeafAnswer, LeafCall};
+use super::pool::{CheckedOut, ConnectionPool};
+use super::reply::{read_answer, read_status};
+use super::stream::StreamRecord;
+
+/// How long a connection has to prove itself alive.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a status report may take.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an idle connection is left without a probe.
+const KEEP_ALIVE_PERIOD: Duration = Duration::from_secs(5);
+/// How long after a target was lost it is tried again for the first time.
+const FIRST_RECONNECT: Duration = Duration::from_millis(50);
+/// The longest time between two tries.
+const LONGEST_RECONNECT: Duration = Duration::from_secs(2);
+
+/// Why a call ends before its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StopCause {
+    /// Its reply is no longer wanted, and there was no connection to say so on.
+    Cancelled,
+    /// Its connection is dead.
+    Silent,
+}
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallFailure {
+    /// The connection had been closed since its last use; no byte was written.
+    Stale,
+    /// No connection could be made.
+    NotConnected,
+    /// Its time had passed before the first byte was written.
+    TooLate,
+    /// The connection was lost after the first byte was written.
+    Lost,
+    /// It was stopped from here.
+    Stopped(StopCause),
+}
+
+impl CallFailure {
+    fn attempt_failure(self, record: &StreamRecord) -> AttemptFailure {
+        match self {
+            Self::Stale | Self::NotConnected => AttemptFailure::NotSent,
+            Self::TooLate => AttemptFailure::Expired,
+            Self::Lost => AttemptFailure::Lost,
+            Self::Stopped(_) if !record.wrote() => AttemptFailure::NotSent,
+            Self::Stopped(StopCause::Cancelled) => AttemptFailure::Cancelled,
+            Self::Stopped(StopCause::Silent) => AttemptFailure::Silent,
+        }
+    }
+}
+
+/// A call whose answer is awaited.
+struct OpenCall {
+    connection: ConnectionId,
+    attempt: Option<AttemptId>,
+    kind: LeafCall,
+    record: Rc<StreamRecord>,
+    stop: Option<oneshot::Sender<StopCause>>,
+}
+
+/// When a lost target is tried again.
+#[derive(Clone, Copy, Debug)]
+struct ReconnectPlan {
+    due: Instant,
+    pause: Duration,
+}
+
+/// Something a client wants done beside its calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeafChore {
+    /// Ask the target on a fresh connection, since others are silent.
+    Ask,
+    /// Probe an idle connection.
+    KeepAlive(ConnectionId),
+    /// Try whether a lost target can be connected to again.
+    Reconnect,
+}
+
+/// The connections of this daemon to one target, and the calls over them.
+pub struct LeafClient {
+    sender: Box<str>,
+    pool: ConnectionPool,
+    calls: RefCell<Vec<OpenCall>>,
+    waiting: RefCell<Vec<AttemptId>>,
+    lost: Cell<Option<ReconnectPlan>>,
+}
+
+impl std::fmt::Debug for LeafClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("LeafClient")
+            .field("host", &self.pool.host())
+            .field("open", &self.pool.open())
+            .finish_non_exhaustive()
+    }
+}
+
+impl LeafClient {
+    /// Makes a client that holds no connection yet and may hold `limit` of them.
+    pub fn new(address: SocketAddr, sender: &str, limit: u32) -> Rc<Self> {
+        Rc::new(Self {
+            sender: sender.into(),
+            pool: ConnectionPool::new(address, limit),
+            calls: RefCell::default(),
+            waiting: RefCell::default(),
+            lost: Cell::new(None),
+        })
+    }
+
+    /// Changes how many connections may be held.
+    pub fn set_limit(&self, limit: u32) {
+        self.pool.set_limit(limit);
+    }
+
+    /// How many connections are held, those that are being opened or closed included.
+    pub fn open(&self) -> u32 {
+        self.pool.open()
+    }
+
+    /// Doubts every connection until it proves itself alive, since the process was paused.
+    pub fn suspect_all(&self) {
+        self.pool.watch.borrow_mut().suspect_all();
+    }
+
+    /// Sends an attempt and waits for what becomes of it.
+    ///
+    /// It does not end at the attempt's deadline: a cancelled or late attempt still holds its
+    /// connection until its reply frees it, which costs the target less than a new connection.
+    pub async fn call(&self, plan: AttemptPlan) -> EngineEvent {
+        let attempt = plan.attempt;
+        self.waiting.borrow_mut().push(attempt);
+        let result = self.try_call(&plan).await;
+        self.stop_waiting(attempt);
+        match result {
+            Ok(reply) => EngineEvent::Reply(reply),
+            Err(failure) => EngineEvent::Failed { attempt, failure },
+        }
+    }
+
+    /// Gives up an attempt: the target is asked to cancel it on an idle connection, so that its
+    /// own stays usable; if none is idle, its connection is closed.
+    pub async fn cancel(&self, attempt: AttemptId) {
+        if self.stop_waiting(attempt) {
+            return;
+        }
+        let Some(wrote) = self.cancellable(attempt) else {
+            return;
+        };
+        let Some(out) = wrote.then(|| self.pool.take_idle()).flatten() else {
+            self.stop_attempt(attempt, StopCause::Cancelled);
+            return;
+        };
+        let message = LeafCancel {
+            sender: self.sender.clone(),
+            attempt,
+        };
+        let body = to_json("write cancel", "leaf", &message).unwrap_or_default();
+        let sent = self.run(&out, LeafCall::Cancel, None, body, None, PROOF_TIMEOUT);
+        if sent.await.is_ok() {
+            out.put_back();
+        }
+    }
+
+    /// What the client wants done now; to be asked every check period.
+    pub fn chores(&self, now: Instant) -> Vec<LeafChore> {
+        let mut chores = Vec::new();
+        if let Some(plan) = self.lost.get()
+            && plan.due <= now
+        {
+            self.plan_reconnect(now, plan.pause);
+            chores.push(LeafChore::Reconnect);
+        }
+        if self.pool.open() == 0 {
+            return chores;
+        }
+        self.hear_calls();
+        let mut watch = self.pool.watch.borrow_mut();
+        if !watch.overdue(now).is_empty() {
+            watch.ask(now);
+            chores.push(LeafChore::Ask);
+        }
+        if self.pool.idle_count() > 0 {
+            let quiet = watch.quiet_idle(now, KEEP_ALIVE_PERIOD);
+            chores.extend(quiet.into_iter().map(LeafChore::KeepAlive));
+        }
+        chores
+    }
+
+    /// Does a chore, and tells what was learnt.
+    pub async fn run_chore(&self, chore: LeafChore) -> Option<TargetNewsKind> {
+        match chore {
+            LeafChore::Ask => self.ask().await,
+            LeafChore::KeepAlive(id) => {
+                let out = self.pool.take_idle_id(id)?;
+                self.prove(out, PROOF_TIMEOUT).await?.put_back();
+            }
+            LeafChore::Reconnect => {
+                let until = Instant::now() + PROOF_TIMEOUT;
+                let out = self.pool.check_out(until).await?;
+                let out = self.prove(out, PROOF_TIMEOUT).await?;
+                out.put_back();
+                return Some(TargetNewsKind::Reachable);
+            }
+        }
+        None
+    }
+
+    /// Asks the target for its status; none if it could not be had.
+    pub async fn status(&self) -> Option<Vec<TargetNewsKind>> {
+        let until = Instant::now() + STATUS_TIMEOUT;
+        let out = self.pool.check_out(until).await?;
+        let call = self.run(
+            &out,
+            LeafCall::Status,
+            None,
+            Vec::new(),
+            None,
+            STATUS_TIMEOUT,
+        );
+        let answer = call.await.ok()?;
+        let news = read_status(self.pool.host(), &answer);
+        out.put_back();
+        news
+    }
+
+    async fn try_call(&self, plan: &AttemptPlan) -> Result<AttemptReply, AttemptFailure> {
+        let mut doubted = false;
+        loop {
+            let out = self.find_connection(plan.deadline, doubted).await?;
+            let Some(out) = self.prove_if_needed(out, plan).await? else {
+                doubted = true;
+                continue;
+            };
+            if !self.stop_waiting(plan.attempt) {
+                out.put_back();
+                return Err(AttemptFailure::NotSent);
+            }
+            match self.send_attempt(&out, plan).await {
+                Ok(answer) => {
+                    let result = read_answer(plan, self.pool.host(), &answer);
+                    if !matches!(result, Err(AttemptFailure::Garbled)) {
+                        out.put_back();
+                    }
+                    return result;
+                }
+                Err(CallFailure::Stale) => self.waiting.borrow_mut().push(plan.attempt),
+                Err(failure) => return Err(failure.attempt_failure(&out.connection().record)),
+            }
+        }
+    }
+
+    /// A connection to send on; a fresh one once an idle one has failed its proof, since its
+    /// siblings are likely dead as well and each would cost a proof.
+    async fn find_connection(
+        &self,
+        until: Instant,
+        doubted: bool,
+    ) -> Result<CheckedOut<'_>, AttemptFailure> {
+        let found = if doubted {
+            let fresh = self.pool.check_out_fresh(|| ());
+            tokio::time::timeout_at(until.into(), fresh)
+                .await
+                .ok()
+                .flatten()
+        } else {
+            self.pool.check_out(until).await
+        };
+        found.ok_or(AttemptFailure::NotSent)
+    }
+
+    async fn send_attempt(
+        &self,
+        out: &CheckedOut<'_>,
+        plan: &AttemptPlan,
+    ) -> Result<LeafAnswer, CallFailure> {
+        let now = Instant::now();
+        let left = plan.deadline.saturating_duration_since(now);
+        if left.is_zero() {
+            return Err(CallFailure::TooLate);
+        }
+        let usual = self.pool.watch.borrow().expectation();
+        let (call, expectation) = match plan.kind {
+            RequestKind::Search => (LeafCall::Search, usual),
+            RequestKind::Execute { .. } => (LeafCall::Execute, left + usual),
+        };
+        let body = to_json("write leaf request", "leaf", &self.request(plan, left));
+        let body = body.map_err(|_unwritable| CallFailure::TooLate)?;
+        self.run(
+            out,
+            call,
+            Some(plan.attempt),
+            body,
+            Some(plan.deadline),
+            expectation,
+        )
+        .await
+    }
+
+    /// A non-idempotent request goes only over a connection that has just proven itself alive, and
+    /// so does any request after a pause. None if this connection did not; the next is tried.
+    async fn prove_if_needed<'client>(
+        &'client self,
+        out: CheckedOut<'client>,
+        plan: &AttemptPlan,
+    ) -> Result<Option<CheckedOut<'client>>, AttemptFailure> {
+        let id = out.connection().id;
+        let needed = matches!(plan.kind, RequestKind::Execute { .. })
+            || self.pool.watch.borrow().is_suspect(id);
+        if !needed {
+            return Ok(Some(out));
+        }
+        let fresh = !out.connection().record.was_connected();
+        let proven = self.prove(out, PROOF_TIMEOUT).await;
+        if proven.is_none() && fresh {
+            return Err(AttemptFailure::NotSent);
+        }
+        Ok(proven)
+    }
+
+    /// Has a connection prove itself alive; none if it did not, and it is then closed.
+    async fn prove<'client>(
+        &'client self,
+        out: CheckedOut<'client>,
+        limit: Duration,
+    ) -> Option<CheckedOut<'client>> {
+        let ping = self.run(&out, LeafCall::Ping, None, Vec::new(), None, limit);
+        let answer = ping.await.ok()?;
+        (answer.status == StatusCode::NO_CONTENT).then_some(out)
+    }
+
+    /// One exchange over a connection, until it ends or is stopped. Probes, whose answer takes no
+    /// work, end by themselves when their expectation has passed.
+    async fn run(
+        &self,
+        out: &CheckedOut<'_>,
+        call: LeafCall,
+        attempt: Option<AttemptId>,
+        body: Vec<u8>,
+        write_by: Option<Instant>,
+        expectation: Duration,
+    ) -> Result<LeafAnswer, CallFailure> {
+        let connection = out.connection();
+        let reused = connection.record.was_connected();
+        let sent_at = Instant::now();
+        let (open, stopped) = self.open_call(out, call, attempt);
+        let id = connection.id;
+        let watched = attempt.is_some();
+        let timeout = if watched { Duration::MAX } else { expectation };
+        self.pool.watch.borrow_mut().sent(sent_at, id, expectation);
+        let exchange = connection.exchange(call, body, write_by);
+        let result = tokio::select! {
+            biased;
+            cause = stopped => Err(CallFailure::Stopped(cause.unwrap_or(StopCause::Cancelled))),
+            result = exchange => result.map_err(|_beneath| failure(&connection.record, reused)),
+            () = wait(timeout) => Err(CallFailure::Stopped(StopCause::Silent)),
+        };
+        drop(open);
+        self.note_end(&result, &connection.record, id, watched.then_some(sent_at));
+        result
+    }
+
+    fn note_end(
+        &self,
+        result: &Result<LeafAnswer, CallFailure>,
+        record: &StreamRecord,
+        id: ConnectionId,
+        sent_at: Option<Instant>,
+    ) {
+        let mut watch = self.pool.watch.borrow_mut();
+        watch.heard(record.last_read(), id);
+        match result {
+            Ok(answer) => {
+                let worked = answer.status == StatusCode::OK;
+                let latency = sent_at.filter(|_| worked).map(|sent_at| sent_at.elapsed());
+                watch.answered(id, latency);
+                self.lost.set(None);
+            }
+            Err(CallFailure::NotConnected | CallFailure::Lost) => {
+                if self.lost.get().is_none() {
+                    self.plan_reconnect(Instant::now(), FIRST_RECONNECT);
+                }
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn plan_reconnect(&self, now: Instant, pause: Duration) {
+        let jittered = pause.mul_f64(rand::random_range(0.75..1.25));
+        self.lost.set(Some(ReconnectPlan {
+            due: now + jittered,
+            pause: (pause * 2).min(LONGEST_RECONNECT),
+        }));
+    }
+
+    async fn ask(&self) {
+        let question = async {
+            let make_room = || self.stop_one_overdue();
+            let out = self.pool.check_out_fresh(make_room).await?;
+            self.prove(out, ASK_TIMEOUT).await
+        };
+        let asked = tokio::time::timeout(ASK_TIMEOUT, question).await;
+        let proven = asked.ok().flatten();
+        self.hear_calls();
+        let retired = self.pool.watch.borrow_mut().verdict(proven.is_some());
+        for &id in &retired {
+            self.retire(id);
+        }
+        if let Some(out) = proven {
+            out.put_back();
+        }
+    }
+
+    /// Where the share is used up by connections that all carry a call, the one that is silent
+    /// longest is given up for the question.
+    fn stop_one_overdue(&self) {
+        let calls = self.calls.borrow();
+        let oldest = calls.iter().map(|call| call.connection).min();
+        drop(calls);
+        let overdue = self.pool.watch.borrow().longest_quiet();
+        if let Some(id) = overdue.or(oldest) {
+            self.retire(id);
+        }
+    }
+
+    fn retire(&self, id: ConnectionId) {
+        let stop = self
+            .calls
+            .borrow_mut()
+            .iter_mut()
+            .find(|call| call.connection == id)
+            .and_then(|call| call.stop.take());
+        match stop {
+            Some(stop) => {
+                let _call_may_have_ended = stop.send(StopCause::Silent);
+            }
+            None => drop(self.pool.take_idle_id(id)),
+        }
+    }
+
+    /// Tells the watch when each connection in use was last heard.
+    fn hear_calls(&self) {
+        let mut watch = self.pool.watch.borrow_mut();
+        for call in self.calls.borrow().iter() {
+            watch.heard(call.record.last_read(), call.connection);
+        }
+    }
+
+    fn open_call(
+        &self,
+        out: &CheckedOut<'_>,
+        kind: LeafCall,
+        attempt: Option<AttemptId>,
+    ) -> (CallGuard<'_>, oneshot::Receiver<StopCause>) {
+        let (stop, stopped) = oneshot::channel();
+        let connection = out.connection().id;
+        self.calls.borrow_mut().push(OpenCall {
+            connection,
+            attempt,
+            kind,
+            record: Rc::clone(&out.connection().record),
+            stop: Some(stop),
+        });
+        let guard = CallGuard {
+            client: self,
+            connection,
+        };
+        (guard, stopped)
+    }
+
+    /// Whether an attempt's request was written, if it can be cancelled; one that must run at most
+    /// once is left to run, so that its result may still come.
+    fn cancellable(&self, attempt: AttemptId) -> Option<bool> {
+        let calls = self.calls.borrow();
+        let call = calls.iter().find(|call| call.attempt == Some(attempt))?;
+        (call.kind == LeafCall::Search).then(|| call.record.wrote())
+    }
+
+    fn stop_attempt(&self, attempt: AttemptId, cause: StopCause) {
+        let mut calls = self.calls.borrow_mut();
+        let call = calls.iter_mut().find(|call| call.attempt == Some(attempt));
+        if let Some(stop) = call.and_then(|call| call.stop.take()) {
+            let _call_may_have_ended = stop.send(cause);
+        }
+    }
+
+    /// Takes an attempt from those that wait for a connection; whether it was among them.
+    fn stop_waiting(&self, attempt: AttemptId) -> bool {
+        let mut waiting = self.waiting.borrow_mut();
+        let found = waiting.iter().position(|&known| known == attempt);
+        if let Some(position) = found {
+            waiting.swap_remove(position);
+        }
+        found.is_some()
+    }
+
+    fn request(&self, plan: &AttemptPlan, left: Duration) -> LeafRequest {
+        LeafRequest {
+            request: plan.request.clone(),
+            query: plan.query,
+            attempt: plan.attempt,
+            sender: self.sender.clone(),
+            shard: plan.shard,
+            epoch: plan.snapshot.epoch,
+            version: plan.snapshot.version,
+            text: plan.text.as_ref().into(),
+            limit: plan.limit,
+            time_left_ms: left.as_millis() as u64,
+        }
+    }
+}
+
+/// What a failed exchange means, from what the stream has recorded.
+fn failure(record: &StreamRecord, reused: bool) -> CallFailure {
+    if record.wrote() {
+        CallFailure::Lost
+    } else if record.was_too_late() {
+        CallFailure::TooLate
+    } else if reused {
+        CallFailure::Stale
+    } else {
+        CallFailure::NotConnected
+    }
+}
+
+/// Takes an open call from the list when it ends, also when it is dropped.
+struct CallGuard<'client> {
+    client: &'client LeafClient,
+    connection: ConnectionId,
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        let mut calls = self.client.calls.borrow_mut();
+        calls.retain(|call| call.connection != self.connection);
+    }
+}
+
+/// Waits, or for ever where there is no limit, without a timer then.
+async fn wait(limit: Duration) {
+    if limit == Duration::MAX {
+        std::future::pending::<()>().await;
+    } else {
+        tokio::time::sleep(limit).await;
+    }
+}
--- /dev/null
+++ b/daemon/src/leaf/pool.rs
@@ -0,0 +1,205 @@
+//! The connections of this daemon to one target: how many there are, which are idle.
+//!
+//! The count goes up before a connection is made and down once its stream is gone, so that it
+//! never passes the daemon's share of the target's connections.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+use yuccalift_core::connection_watch::{ConnectionId, ConnectionWatch};
+
+use super::connection::{LeafConnection, LeafPaths};
+use super::stream::ConnectionPlace;
+
+/// How long a call waits for a connection before it fails as not sent. The engine keeps its
+/// attempts within the share, so only a probe or a closing stream can be in the way.
+const PLACE_WAIT: Duration = Duration::from_millis(100);
+
+/// The connections to one target.
+pub(super) struct ConnectionPool {
+    paths: LeafPaths,
+    limit: Cell<u32>,
+    open: Rc<Cell<u32>>,
+    freed: Rc<Notify>,
+    next_id: Cell<ConnectionId>,
+    idle: RefCell<Vec<LeafConnection>>,
+    /// Whether the next place is kept for the question to the target.
+    reserved: Cell<bool>,
+    pub(super) watch: RefCell<ConnectionWatch>,
+}
+
+/// A connection in use. It is closed when this is dropped, unless it is put back.
+pub(super) struct CheckedOut<'pool> {
+    pool: &'pool ConnectionPool,
+    connection: Option<LeafConnection>,
+}
+
+impl ConnectionPool {
+    pub(super) fn new(address: SocketAddr, limit: u32) -> Self {
+        Self {
+            paths: LeafPaths::new(address),
+            limit: Cell::new(limit),
+            open: Rc::default(),
+            freed: Rc::default(),
+            next_id: Cell::new(1),
+            idle: RefCell::default(),
+            reserved: Cell::new(false),
+            watch: RefCell::default(),
+        }
+    }
+
+    /// The target's address, as text.
+    pub(super) fn host(&self) -> &str {
+        self.paths.host()
+    }
+
+    /// How many connections are held, those that are being opened or closed included.
+    pub(super) fn open(&self) -> u32 {
+        self.open.get()
+    }
+
+    /// How many connections wait for a call.
+    pub(super) fn idle_count(&self) -> usize {
+        self.idle.borrow().len()
+    }
+
+    /// Changes how many connections may be held; idle ones above it are closed at once, those in
+    /// use when they are put back.
+    pub(super) fn set_limit(&self, limit: u32) {
+        self.limit.set(limit);
+        while self.open.get() > limit && self.close_oldest_idle() {}
+        self.freed.notify_one();
+    }
+
+    /// Takes the connection used last, or a new one, or waits for one; none if the share is used
+    /// up until `until`.
+    pub(super) async fn check_out(&self, until: Instant) -> Option<CheckedOut<'_>> {
+        let until = until.min(Instant::now() + PLACE_WAIT);
+        loop {
+            let found = self
+                .take_idle()
+                .or_else(|| (!self.reserved.get()).then(|| self.open_new()).flatten());
+            if found.is_some() {
+                return found;
+            }
+            let freed = self.freed.notified();
+            tokio::time::timeout_at(until.into(), freed).await.ok()?;
+        }
+    }
+
+    /// Takes an idle connection, if there is one.
+    pub(super) fn take_idle(&self) -> Option<CheckedOut<'_>> {
+        let connection = self.idle.borrow_mut().pop()?;
+        Some(self.checked_out(connection))
+    }
+
+    /// Takes the idle connection of an id, if it is idle.
+    pub(super) fn take_idle_id(&self, id: ConnectionId) -> Option<CheckedOut<'_>> {
+        let mut idle = self.idle.borrow_mut();
+        let position = idle.iter().position(|known| known.id == id)?;
+        let connection = idle.remove(position);
+        drop(idle);
+        Some(self.checked_out(connection))
+    }
+
+    /// Opens a connection for a question to the target, in place of an idle one if need be;
+    /// `make_room` is called if none is idle.
+    pub(super) async fn check_out_fresh(&self, make_room: impl FnOnce()) -> Option<CheckedOut<'_>> {
+        if self.limit.get() == 0 {
+            return None;
+        }
+        let _reservation = Reservation::new(&self.reserved);
+        if self.open.get() >= self.limit.get() && !self.close_oldest_idle() {
+            make_room();
+        }
+        loop {
+            let found = self.open_new();
+            if found.is_some() {
+                return found;
+            }
+            self.freed.notified().await;
+        }
+    }
+
+    fn open_new(&self) -> Option<CheckedOut<'_>> {
+        if self.open.get() >= self.limit.get() {
+            return None;
+        }
+        let place = ConnectionPlace::take(&self.open, &self.freed);
+        assert!(
+            self.open.get() <= self.limit.get(),
+            "connections to {} stay within the share",
+            self.host()
+        );
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        let connection = LeafConnection::new(id, &self.paths, place)?;
+        self.watch.borrow_mut().opened(Instant::now(), id);
+        Some(self.checked_out(connection))
+    }
+
+    fn close_oldest_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        if idle.is_empty() {
+            return false;
+        }
+        let connection = idle.remove(0);
+        drop(idle);
+        drop(self.checked_out(connection));
+        true
+    }
+
+    fn checked_out(&self, connection: LeafConnection) -> CheckedOut<'_> {
+        CheckedOut {
+            pool: self,
+            connection: Some(connection),
+        }
+    }
+}
+
+impl CheckedOut<'_> {
+    /// The connection.
+    pub(super) fn connection(&self) -> &LeafConnection {
+        self.connection
+            .as_ref()
+            .expect("a connection is there until it is put back")
+    }
+
+    /// Gives the connection back for the next call; it is closed if the share has shrunk.
+    pub(super) fn put_back(mut self) {
+        if self.pool.open.get() > self.pool.limit.get() {
+            return;
+        }
+        if let Some(connection) = self.connection.take() {
+            self.pool.idle.borrow_mut().push(connection);
+            self.pool.freed.notify_one();
+        }
+    }
+}
+
+impl Drop for CheckedOut<'_> {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.watch.borrow_mut().closed(connection.id);
+        }
+    }
+}
+
+/// Keeps the next place for the question while it lives.
+struct Reservation<'pool>(&'pool Cell<bool>);
+
+impl<'pool> Reservation<'pool> {
+    fn new(reserved: &'pool Cell<bool>) -> Self {
+        reserved.set(true);
+        Self(reserved)
+    }
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`lane`]: the engine and the calls to targets, on a thread of their own.
 //! - `caller`: the callers' listener.
 //! - `config_service`, `platform_reader`: what the platform publishes.
-//! - `leaf_client`: the connections to one target.
+//! - [`leaf`]: the connections to targets, and the calls over them.
 //! - [`error`]: what can go wrong at the start.
 
 mod caller;
@@ -12,7 +12,7 @@
 pub mod daemon;
 pub mod error;
 pub mod lane;
-mod leaf_client;
+pub mod leaf;
 mod platform_reader;
 
 pub use daemon::{Daemon, DaemonAddresses};
