--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,10 +12,12 @@
 //! - [`engine`]: the data path of one daemon.
 //! - [`connection_watch`], [`stall_clock`]: dead connections and pauses, found out.
 //! - [`ticket_ledger`]: what a daemon remembers of non-idempotent requests.
+//! - [`control`]: the control plane of one daemon.
 
 pub mod account;
 pub mod action;
 pub mod connection_watch;
+pub mod control;
 pub mod coverage;
 pub mod engine;
 pub mod event;
--- a/daemon/tests/whole_path.rs
+++ b/daemon/tests/whole_path.rs
@@ -62,6 +62,13 @@
         "the hits are cut to the limit"
     );
     assert!(answer.complete, "the answer's end is marked");
+    let runs: usize = site
+        .leafs
+        .leafs()
+        .iter()
+        .map(|leaf| leaf.runs().len())
+        .sum();
+    assert_eq!(runs, shards as usize, "each shard ran on just one leaf");
     daemon.stop();
 }
 
