Run non-idempotent requests under tickets in the daemon, unfinished

Cause: non-idempotent requests had no path of their own. Ruled out: nothing was tried beside it. Before and after: nothing was measured with this commit.

--- /dev/null
+++ b/daemon/src/execute/desk.rs
@@ -0,0 +1,203 @@
+//! The ledger of this daemon's tickets, with those who wait for an execution's end.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use actix::Addr;
+use tokio::sync::oneshot;
+use tracing::info;
+use xxhash_rust::xxh3::Xxh3;
+use yuccalift_core::ids::{HostName, Incarnation};
+use yuccalift_core::ticket_ledger::{
+    ExecutionEnd, LedgerLimits, RequestDigest, TicketClaim, TicketLedger, TicketNumber,
+    TicketVerdict,
+};
+use yuccalift_core::{Refusal, RefusalCode};
+use yuccalift_wire::caller::{ExecuteAnswer, ExecuteBody, Ticket, TicketGrant};
+
+use super::run::{answer, run};
+use crate::lane::EngineLane;
+
+/// One who waits for the end of an execution.
+struct EndWaiter {
+    number: TicketNumber,
+    sender: oneshot::Sender<ExecutionEnd>,
+}
+
+struct DeskState {
+    ledger: TicketLedger,
+    waiters: Vec<EndWaiter>,
+}
+
+/// The tickets of one daemon, shared by the threads of its listeners.
+pub(crate) struct TicketDesk {
+    host: HostName,
+    incarnation: Incarnation,
+    longest_execution: Duration,
+    state: Mutex<DeskState>,
+}
+
+impl TicketDesk {
+    pub(crate) fn new(host: HostName, incarnation: Incarnation) -> Arc<Self> {
+        let limits = LedgerLimits::default();
+        let ledger = TicketLedger::new(host.clone(), incarnation, limits);
+        Arc::new(Self {
+            host,
+            incarnation,
+            longest_execution: limits.longest_execution,
+            state: Mutex::new(DeskState {
+                ledger,
+                waiters: Vec::new(),
+            }),
+        })
+    }
+
+    /// Grants a ticket of this daemon.
+    pub(crate) fn grant(&self, account: &str) -> Result<TicketGrant, Refusal> {
+        let mut state = self.lock();
+        let number = state.ledger.grant(Instant::now(), account)?;
+        let expires_in_ms = state.ledger.lifetime().as_millis() as u64;
+        let ticket = Ticket {
+            owner: self.host.clone(),
+            incarnation: self.incarnation,
+            number,
+            account: account.into(),
+        };
+        Ok(TicketGrant {
+            ticket,
+            expires_in_ms,
+        })
+    }
+
+    /// Whether a ticket names this daemon's host, be it in this incarnation or another.
+    pub(crate) fn is_owner(&self, ticket: &Ticket) -> bool {
+        ticket.owner == self.host
+    }
+
+    /// Runs a request under its ticket, or tells what became of it.
+    ///
+    /// The execution is a task of its own, so that it ends and is remembered even if the caller
+    /// has gone by then.
+    pub(crate) async fn execute(
+        self: &Arc<Self>,
+        lane: &Addr<EngineLane>,
+        ticket: &Ticket,
+        body: &ExecuteBody,
+    ) -> Result<ExecuteAnswer, Refusal> {
+        let (verdict, end) = self.begin(ticket, body);
+        info!(
+            ticket = ticket.number,
+            request = %body.request,
+            verdict = verdict_name(&verdict),
+            "ticket"
+        );
+        match verdict {
+            TicketVerdict::Run { time_left } => {
+                let run = run(Arc::clone(self), lane.clone(), ticket.number, body, time_left);
+                actix::spawn(run);
+                answer(body, self.wait(end, body).await?, false)
+            }
+            TicketVerdict::Wait => answer(body, self.wait(end, body).await?, true),
+            TicketVerdict::Repeat(end) => answer(body, end, true),
+            TicketVerdict::Refuse(refusal) => Err(refusal.at_peer(self.host.clone())),
+        }
+    }
+
+    /// Takes the end of an execution to the ledger, and to all who wait for it.
+    pub(super) fn finish(&self, number: TicketNumber, end: ExecutionEnd) {
+        let mut state = self.lock();
+        let end = state.ledger.finish(number, end);
+        let (due, others) = std::mem::take(&mut state.waiters)
+            .into_iter()
+            .partition::<Vec<_>, _>(|waiter| waiter.number == number);
+        state.waiters = others;
+        drop(state);
+        for waiter in due {
+            let _waiter_may_have_gone = waiter.sender.send(end.clone());
+        }
+    }
+
+    fn begin(
+        &self,
+        ticket: &Ticket,
+        body: &ExecuteBody,
+    ) -> (TicketVerdict, oneshot::Receiver<ExecutionEnd>) {
+        let claim = TicketClaim {
+            owner: ticket.owner.clone(),
+            incarnation: ticket.incarnation,
+            number: ticket.number,
+            ticket_account: ticket.account.clone(),
+            request_account: body.account.clone(),
+            digest: digest(body),
+        };
+        let (sender, receiver) = oneshot::channel();
+        let mut state = self.lock();
+        let verdict = state.ledger.begin(Instant::now(), &claim);
+        if matches!(verdict, TicketVerdict::Run { .. } | TicketVerdict::Wait) {
+            state.waiters.retain(|waiter| !waiter.sender.is_closed());
+            state.waiters.push(EndWaiter {
+                number: ticket.number,
+                sender,
+            });
+        }
+        (verdict, receiver)
+    }
+
+    /// Waits for an execution's end, no longer than its caller does.
+    async fn wait(
+        &self,
+        end: oneshot::Receiver<ExecutionEnd>,
+        body: &ExecuteBody,
+    ) -> Result<ExecutionEnd, Refusal> {
+        let limit = body
+            .time_left_ms
+            .map_or(self.longest_execution, Duration::from_millis);
+        let limit = limit.min(self.longest_execution) + ANSWER_GRACE;
+        match tokio::time::timeout(limit, end).await {
+            Ok(Ok(end)) => Ok(end),
+            Ok(Err(_closed)) => Err(unknown(RefusalCode::Internal, "the daemon ended meanwhile")),
+            Err(_elapsed) => Err(unknown(
+                RefusalCode::DeadlineExceeded,
+                "the request still runs",
+            )),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How much longer than the deadline an answer is awaited that the engine makes at the deadline.
+const ANSWER_GRACE: Duration = Duration::from_millis(250);
+
+fn unknown(code: RefusalCode, message: &str) -> Refusal {
+    Refusal::unknown(code, "wait for execution", message)
+}
+
+fn verdict_name(verdict: &TicketVerdict) -> &'static str {
+    match verdict {
+        TicketVerdict::Run { .. } => "run",
+        TicketVerdict::Wait => "wait",
+        TicketVerdict::Repeat(_) => "repeat",
+        TicketVerdict::Refuse(_) => "refuse",
+    }
+}
+
+/// A hash over all of a request that decides what it does, borders counted.
+fn digest(body: &ExecuteBody) -> RequestDigest {
+    let mut hasher = Xxh3::new();
+    let shard = body.shard.to_le_bytes();
+    let parts: [&[u8]; 5] = [
+        body.request.as_bytes(),
+        body.account.as_bytes(),
+        body.collection.as_bytes(),
+        &shard,
+        body.text.as_bytes(),
+    ];
+    for part in parts {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest128()
+}
--- /dev/null
+++ b/daemon/src/execute/pass_on.rs
@@ -0,0 +1,121 @@
+//! A request whose ticket another daemon owns: it is passed on there, and never run here.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use yuccalift_core::{Refusal, RefusalCode};
+use yuccalift_wire::caller::{ExecuteAnswer, ExecuteBody, Ticket};
+use yuccalift_wire::codec::{from_rmp, to_rmp};
+use yuccalift_wire::operator::KEY_HEADER;
+use yuccalift_wire::peer::{PeerExecute, PeerExecuteReply};
+
+use crate::peer_directory::{PeerAddress, PeerDirectory};
+
+/// How long the owner is awaited where the caller does not say how long it waits.
+const LONGEST_WAIT: Duration = Duration::from_secs(125);
+/// How much longer than the caller's time left the owner's answer is awaited.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
+/// The largest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
+
+/// Calls the owners of tickets, on one thread.
+#[derive(Clone)]
+pub(crate) struct OwnerCaller {
+    client: awc::Client,
+    directory: PeerDirectory,
+    key: Rc<str>,
+}
+
+impl OwnerCaller {
+    pub(crate) fn new(directory: PeerDirectory, key: &str) -> Self {
+        let client = awc::Client::builder()
+            .disable_redirects()
+            .disable_timeout()
+            .finish();
+        Self {
+            client,
+            directory,
+            key: key.into(),
+        }
+    }
+
+    /// Passes a request on to its ticket's owner.
+    ///
+    /// Whatever keeps the owner from answering, the outcome is unknown: the request may have run
+    /// there when it was sent before.
+    pub(crate) async fn pass_on(
+        &self,
+        ticket: &Ticket,
+        body: &ExecuteBody,
+    ) -> Result<ExecuteAnswer, Refusal> {
+        if ticket.account != body.account {
+            return Err(Refusal::not_run(
+                RefusalCode::TicketInvalid,
+                "check ticket",
+                "the ticket was granted to another account",
+            ));
+        }
+        let owner = self.find_owner(ticket)?;
+        let unreachable = |message: &str| {
+            Refusal::unknown(RefusalCode::OwnerUnreachable, "pass on request", message)
+                .at_peer(owner.host.clone())
+        };
+        match self.call(&owner, body).await {
+            Ok(PeerExecuteReply::Ran(answer)) => Ok(answer),
+            Ok(PeerExecuteReply::Refused(refusal)) => Err(refusal),
+            Err(message) => Err(unreachable(&message)),
+        }
+    }
+
+    fn find_owner(&self, ticket: &Ticket) -> Result<PeerAddress, Refusal> {
+        let refuse = |code, message: &str| {
+            let refusal = Refusal::unknown(code, "find owner", message);
+            Err(refusal.at_peer(ticket.owner.clone()))
+        };
+        match self.directory.find(&ticket.owner) {
+            None => refuse(
+                RefusalCode::OwnerUnreachable,
+                "the ticket's owner is not known here",
+            ),
+            Some(owner) if owner.incarnation > ticket.incarnation => refuse(
+                RefusalCode::TicketInvalid,
+                "the ticket's owner was replaced; the request may have run there",
+            ),
+            Some(owner) => Ok(owner),
+        }
+    }
+
+    async fn call(
+        &self,
+        owner: &PeerAddress,
+        body: &ExecuteBody,
+    ) -> Result<PeerExecuteReply, Box<str>> {
+        let time_left = body
+            .time_left_ms
+            .map_or(LONGEST_WAIT, Duration::from_millis);
+        let message = PeerExecute {
+            body: body.clone(),
+            time_left_ms: time_left.as_millis() as u64,
+        };
+        let sent = to_rmp("write execute", &owner.host, &message).map_err(text)?;
+        let url = format!("http://{}{PATH}", owner.address);
+        let request = self.client.post(url).insert_header((KEY_HEADER, &*self.key));
+        let call = async {
+            let mut response = request.send_body(sent).await.map_err(text)?;
+            let body = response.body().limit(ANSWER_LIMIT).await.map_err(text)?;
+            from_rmp("read execute reply", &owner.host, &body).map_err(text)
+        };
+        let limit = time_left.min(LONGEST_WAIT) + ANSWER_GRACE;
+        match tokio::time::timeout(limit, call).await {
+            Ok(result) => result,
+            Err(_elapsed) => Err("the owner did not answer in time".into()),
+        }
+    }
+}
+
+/// The peer listener's path for requests that are passed on.
+pub(super) const PATH: &str = "/peer/v1/execute";
+
+fn text(error: impl std::fmt::Display) -> Box<str> {
+    error.to_string().into()
+}
--- /dev/null
+++ b/daemon/src/execute/run.rs
@@ -0,0 +1,128 @@
+//! One execution: from the engine's answer to what the ledger remembers and the caller reads.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Addr;
+use yuccalift_core::ids::QueryId;
+use yuccalift_core::ticket_ledger::{ExecutionEnd, TicketNumber};
+use yuccalift_core::{Outcome, Refusal, RefusalCode, RequestKind, SearchAnswer, SearchRequest};
+use yuccalift_wire::caller::{ExecuteAnswer, ExecuteBody};
+
+use super::desk::TicketDesk;
+use crate::caller::{fingerprint, submit};
+use crate::lane::EngineLane;
+
+/// Runs a request that the ledger gave leave for, and takes its end back to the ledger.
+pub(super) fn run(
+    desk: Arc<TicketDesk>,
+    lane: Addr<EngineLane>,
+    number: TicketNumber,
+    body: &ExecuteBody,
+    time_left: Duration,
+) -> impl Future<Output = ()> + use<> {
+    let request = execute_request(body, Some(time_left));
+    let open = OpenExecution {
+        desk,
+        number,
+        ended: false,
+    };
+    async move { open.finish(execution_end(submit(&lane, request).await)) }
+}
+
+/// Runs a request that has no ticket: once, and it is not remembered. It is a task of its own as
+/// well, so that it is not cut off when its caller goes.
+pub(crate) async fn run_without_ticket(
+    lane: &Addr<EngineLane>,
+    body: &ExecuteBody,
+) -> Result<ExecuteAnswer, Refusal> {
+    let request = execute_request(body, None);
+    let lane = lane.clone();
+    let task = actix::spawn(async move { execution_end(submit(&lane, request).await) });
+    let end = task.await.unwrap_or_else(|_stopped| ended_meanwhile());
+    answer(body, end, false)
+}
+
+/// The answer that a caller reads of an execution's end.
+pub(super) fn answer(
+    body: &ExecuteBody,
+    end: ExecutionEnd,
+    repeated: bool,
+) -> Result<ExecuteAnswer, Refusal> {
+    match end {
+        ExecutionEnd::Ran(result) => Ok(ExecuteAnswer {
+            request: body.request.clone(),
+            outcome: Outcome::Ran,
+            result,
+            repeated,
+            complete: true,
+        }),
+        ExecutionEnd::Refused(refusal) => Err(refusal),
+    }
+}
+
+/// An execution that must end at the ledger, also if its task is dropped.
+struct OpenExecution {
+    desk: Arc<TicketDesk>,
+    number: TicketNumber,
+    ended: bool,
+}
+
+impl OpenExecution {
+    fn finish(mut self, end: ExecutionEnd) {
+        self.ended = true;
+        self.desk.finish(self.number, end);
+    }
+}
+
+impl Drop for OpenExecution {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.desk.finish(self.number, ended_meanwhile());
+        }
+    }
+}
+
+fn execute_request(body: &ExecuteBody, longest: Option<Duration>) -> SearchRequest {
+    let shard = body.shard.to_string();
+    let asked = body.time_left_ms.map(Duration::from_millis);
+    SearchRequest {
+        query: rand::random::<QueryId>(),
+        request: body.request.clone(),
+        account: body.account.clone(),
+        collection: body.collection.clone(),
+        kind: RequestKind::Execute { shard: body.shard },
+        text: body.text.clone(),
+        limit: 1,
+        fingerprint: fingerprint(&[&body.account, &body.collection, &shard, &body.text]),
+        time_left: match (asked, longest) {
+            (Some(asked), Some(longest)) => Some(asked.min(longest)),
+            (asked, longest) => asked.or(longest),
+        },
+    }
+}
+
+/// What an answer of the engine says of an execution. One that lacks the shard's reply says
+/// nothing certain.
+fn execution_end(result: Result<SearchAnswer, Refusal>) -> ExecutionEnd {
+    match result {
+        Ok(answer) if answer.coverage.is_whole() && answer.coverage.asked == 1 => {
+            let hit = answer.hits.into_iter().next();
+            ExecutionEnd::Ran(hit.map(|hit| hit.key).unwrap_or_default())
+        }
+        Ok(_answer) => ExecutionEnd::Refused(Refusal::unknown(
+            RefusalCode::TargetLost,
+            "execute",
+            "the target's reply did not come",
+        )),
+        Err(refusal) => ExecutionEnd::Refused(refusal),
+    }
+}
+
+fn ended_meanwhile() -> ExecutionEnd {
+    ExecutionEnd::Refused(Refusal::unknown(
+        RefusalCode::Internal,
+        "execute",
+        "the daemon ended meanwhile",
+    ))
+}
