--- a/daemon/src/caller.rs
+++ b/daemon/src/caller.rs
@@ -1,4 +1,4 @@
-//! The callers' listener: searches over HTTP.
+//! The callers' listener: searches, tickets and non-idempotent requests over HTTP.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -7,14 +7,16 @@
 use actix::Addr;
 use actix_web::http::StatusCode;
 use actix_web::{HttpResponse, web};
+use serde::de::DeserializeOwned;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::Xxh3;
 use yuccalift_core::event::EngineEvent;
 use yuccalift_core::ids::{Fingerprint, QueryId};
 use yuccalift_core::{Outcome, Refusal, RefusalCode, RequestKind, SearchAnswer, SearchRequest};
-use yuccalift_wire::caller::SearchBody;
+use yuccalift_wire::caller::{ExecuteAnswer, ExecuteBody, SearchBody, TicketBody};
 use yuccalift_wire::codec::from_json;
 
+use crate::execute::{OwnerCaller, TicketDesk, run_without_ticket};
 use crate::lane::{EngineLane, FeedEngine, SubmitRequest};
 
 /// What the handlers of the callers' listener share.
@@ -24,11 +26,15 @@
     pub(crate) lane: Addr<EngineLane>,
     /// Whether the daemon takes requests.
     pub(crate) ready: Arc<AtomicBool>,
+    /// The tickets of this daemon.
+    pub(crate) desk: Arc<TicketDesk>,
 }
 
 /// Adds the callers' routes to a listener.
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
     config.route("/v1/search", web::post().to(search));
+    config.route("/v1/tickets", web::post().to(grant_ticket));
+    config.route("/v1/execute", web::post().to(execute));
     config.route("/ready", web::get().to(ready));
 }
 
@@ -48,11 +54,56 @@
 }
 
 async fn run_search(state: &CallerState, body: &[u8]) -> Result<SearchAnswer, Refusal> {
-    let body: SearchBody = from_json("read search", "caller", body).map_err(|error| {
-        Refusal::not_run(RefusalCode::BadRequest, "read search", error.to_string())
-    })?;
+    let body: SearchBody = read_body("read search", body)?;
     let request = search_request(body);
-    submit(&state.lane, request).await
+    let mut watch = CallerWatch {
+        lane: &state.lane,
+        query: request.query,
+        waiting: true,
+    };
+    let result = submit(&state.lane, request).await;
+    watch.waiting = false;
+    result
+}
+
+async fn grant_ticket(state: web::Data<CallerState>, body: web::Bytes) -> HttpResponse {
+    let granted = read_body::<TicketBody>("read ticket request", &body)
+        .and_then(|body| state.desk.grant(&body.account));
+    match granted {
+        Ok(grant) => HttpResponse::Ok().json(grant),
+        Err(refusal) => refusal_response(&refusal),
+    }
+}
+
+async fn execute(
+    state: web::Data<CallerState>,
+    owners: web::Data<OwnerCaller>,
+    body: web::Bytes,
+) -> HttpResponse {
+    match run_execute(&state, &owners, &body).await {
+        Ok(answer) => HttpResponse::Ok().json(answer),
+        Err(refusal) => refusal_response(&refusal),
+    }
+}
+
+async fn run_execute(
+    state: &CallerState,
+    owners: &OwnerCaller,
+    body: &[u8],
+) -> Result<ExecuteAnswer, Refusal> {
+    let body: ExecuteBody = read_body("read execute", body)?;
+    match &body.ticket {
+        None => run_without_ticket(&state.lane, &body).await,
+        Some(ticket) if state.desk.is_owner(ticket) => {
+            state.desk.execute(&state.lane, ticket, &body).await
+        }
+        Some(ticket) => owners.pass_on(ticket, &body).await,
+    }
+}
+
+fn read_body<T: DeserializeOwned>(step: &str, body: &[u8]) -> Result<T, Refusal> {
+    from_json(step, "caller", body)
+        .map_err(|error| Refusal::not_run(RefusalCode::BadRequest, step, error.to_string()))
 }
 
 fn search_request(body: SearchBody) -> SearchRequest {
@@ -70,29 +121,20 @@
     }
 }
 
-/// Runs a request in the lane. When the future is dropped because the caller has gone, the lane
-/// is told, so that targets don't work for nobody.
+/// Runs a request in the lane.
 pub(crate) async fn submit(
     lane: &Addr<EngineLane>,
     request: SearchRequest,
 ) -> Result<SearchAnswer, Refusal> {
-    let mut watch = CallerWatch {
-        lane,
-        query: request.query,
-        waiting: true,
-    };
     let (reply, answer) = oneshot::channel();
     if lane.try_send(SubmitRequest { request, reply }).is_err() {
-        watch.waiting = false;
         return Err(Refusal::not_run(
             RefusalCode::QueueFull,
             "submit",
             "the daemon is overloaded",
         ));
     }
-    let result = answer.await;
-    watch.waiting = false;
-    result.unwrap_or_else(|_closed| {
+    answer.await.unwrap_or_else(|_closed| {
         Err(Refusal::unknown(
             RefusalCode::Internal,
             "submit",
@@ -101,7 +143,7 @@
     })
 }
 
-/// Tells the lane when a caller goes before its answer.
+/// Tells the lane when a caller goes before its answer, so that targets don't work for nobody.
 struct CallerWatch<'lane> {
     lane: &'lane Addr<EngineLane>,
     query: QueryId,
@@ -118,7 +160,7 @@
 }
 
 /// A hash over parts whose borders count, equal for a resent request.
-fn fingerprint(parts: &[&str]) -> Fingerprint {
+pub(crate) fn fingerprint(parts: &[&str]) -> Fingerprint {
     let mut hasher = Xxh3::new();
     for part in parts {
         hasher.update(&part.len().to_le_bytes());
@@ -135,6 +177,7 @@
 fn refusal_status(refusal: &Refusal) -> StatusCode {
     match refusal.code {
         RefusalCode::BadRequest => StatusCode::BAD_REQUEST,
+        RefusalCode::KeyInvalid => StatusCode::UNAUTHORIZED,
         RefusalCode::UnknownAccount => StatusCode::FORBIDDEN,
         RefusalCode::UnknownCollection => StatusCode::NOT_FOUND,
         RefusalCode::TicketInvalid => StatusCode::CONFLICT,
--- a/daemon/src/execute/desk.rs
+++ b/daemon/src/execute/desk.rs
@@ -5,7 +5,6 @@
 
 use actix::Addr;
 use tokio::sync::oneshot;
-use tracing::info;
 use xxhash_rust::xxh3::Xxh3;
 use yuccalift_core::ids::{HostName, Incarnation};
 use yuccalift_core::ticket_ledger::{
@@ -16,6 +15,7 @@
 use yuccalift_wire::caller::{ExecuteAnswer, ExecuteBody, Ticket, TicketGrant};
 
 use super::run::{answer, run};
+use crate::events::LogEvent;
 use crate::lane::EngineLane;
 
 /// One who waits for the end of an execution.
@@ -85,15 +85,21 @@
         body: &ExecuteBody,
     ) -> Result<ExecuteAnswer, Refusal> {
         let (verdict, end) = self.begin(ticket, body);
-        info!(
-            ticket = ticket.number,
-            request = %body.request,
-            verdict = verdict_name(&verdict),
-            "ticket"
-        );
+        LogEvent::TicketChecked {
+            ticket: ticket.number,
+            request: &body.request,
+            verdict: verdict_name(&verdict),
+        }
+        .emit();
         match verdict {
             TicketVerdict::Run { time_left } => {
-                let run = run(Arc::clone(self), lane.clone(), ticket.number, body, time_left);
+                let run = run(
+                    Arc::clone(self),
+                    lane.clone(),
+                    ticket.number,
+                    body,
+                    time_left,
+                );
                 actix::spawn(run);
                 answer(body, self.wait(end, body).await?, false)
             }
--- a/daemon/src/execute/pass_on.rs
+++ b/daemon/src/execute/pass_on.rs
@@ -9,6 +9,7 @@
 use yuccalift_wire::operator::KEY_HEADER;
 use yuccalift_wire::peer::{PeerExecute, PeerExecuteReply};
 
+use crate::events::LogEvent;
 use crate::peer_directory::{PeerAddress, PeerDirectory};
 
 /// How long the owner is awaited where the caller does not say how long it waits.
@@ -56,6 +57,12 @@
             ));
         }
         let owner = self.find_owner(ticket)?;
+        LogEvent::RequestPassedOn {
+            ticket: ticket.number,
+            request: &body.request,
+            owner: &owner.host,
+        }
+        .emit();
         let unreachable = |message: &str| {
             Refusal::unknown(RefusalCode::OwnerUnreachable, "pass on request", message)
                 .at_peer(owner.host.clone())
@@ -99,7 +106,10 @@
         };
         let sent = to_rmp("write execute", &owner.host, &message).map_err(text)?;
         let url = format!("http://{}{PATH}", owner.address);
-        let request = self.client.post(url).insert_header((KEY_HEADER, &*self.key));
+        let request = self
+            .client
+            .post(url)
+            .insert_header((KEY_HEADER, &*self.key));
         let call = async {
             let mut response = request.send_body(sent).await.map_err(text)?;
             let body = response.body().limit(ANSWER_LIMIT).await.map_err(text)?;
--- a/daemon/src/execute/peer.rs
+++ b/daemon/src/execute/peer.rs
@@ -3,11 +3,9 @@
 use std::sync::Arc;
 
 use actix::Addr;
-use actix_web::http::StatusCode;
-use actix_web::{HttpRequest, HttpResponse, web};
+use actix_web::{HttpResponse, web};
 use yuccalift_core::{Refusal, RefusalCode};
 use yuccalift_wire::codec::{from_rmp, to_rmp};
-use yuccalift_wire::operator::KEY_HEADER;
 use yuccalift_wire::peer::{PeerExecute, PeerExecuteReply};
 
 use super::desk::TicketDesk;
@@ -19,23 +17,15 @@
 pub(crate) struct PeerExecuteState {
     pub(crate) desk: Arc<TicketDesk>,
     pub(crate) lane: Addr<EngineLane>,
-    pub(crate) key: Box<str>,
 }
 
-/// Adds the route to the peers' listener.
+/// Adds the route to the peers' listener, which checks the key before.
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
     config.route(PATH, web::post().to(execute));
 }
 
-async fn execute(
-    state: web::Data<PeerExecuteState>,
-    request: HttpRequest,
-    body: Result<web::Bytes, actix_web::Error>,
-) -> HttpResponse {
-    if !has_key(&request, &state.key) {
-        return HttpResponse::build(StatusCode::UNAUTHORIZED).finish();
-    }
-    let reply = match read(body) {
+async fn execute(state: web::Data<PeerExecuteState>, body: web::Bytes) -> HttpResponse {
+    let reply = match read(&body) {
         Ok(message) => run(&state, message).await,
         Err(refusal) => PeerExecuteReply::Refused(refusal),
     };
@@ -45,12 +35,10 @@
     }
 }
 
-fn read(body: Result<web::Bytes, actix_web::Error>) -> Result<PeerExecute, Refusal> {
-    let malformed = |message: String| {
-        Refusal::unknown(RefusalCode::BadRequest, "read passed-on request", message)
-    };
-    let body = body.map_err(|error| malformed(error.to_string()))?;
-    from_rmp("read passed-on request", "peer", &body).map_err(|error| malformed(error.to_string()))
+fn read(body: &[u8]) -> Result<PeerExecute, Refusal> {
+    let step = "read passed-on request";
+    from_rmp(step, "peer", body)
+        .map_err(|error| Refusal::not_run(RefusalCode::BadRequest, step, error.to_string()))
 }
 
 async fn run(state: &PeerExecuteState, message: PeerExecute) -> PeerExecuteReply {
@@ -68,15 +56,3 @@
         Err(refusal) => PeerExecuteReply::Refused(refusal),
     }
 }
-
-/// Whether a request shows the shared key, compared in a time that does not tell where it differs.
-fn has_key(request: &HttpRequest, key: &str) -> bool {
-    let shown = request.headers().get(KEY_HEADER);
-    let shown = shown.map_or(&[][..], awc::http::header::HeaderValue::as_bytes);
-    shown.len() == key.len()
-        && shown
-            .iter()
-            .zip(key.as_bytes())
-            .fold(0, |differing, (left, right)| differing | (left ^ right))
-            == 0
-}
--- a/daemon/src/leaf/client.rs
+++ b/daemon/src/leaf/client.rs
@@ -15,6 +15,8 @@
 use yuccalift_wire::codec::to_json;
 use yuccalift_wire::leaf::{LeafCancel, LeafRequest};
 
+use crate::events::LogEvent;
+
 use super::connection::{LeafAnswer, LeafCall};
 use super::pool::{CheckedOut, ConnectionPool};
 use super::reply::{read_answer, read_status};
@@ -423,6 +425,12 @@
         for &id in &retired {
             self.retire(id);
         }
+        LogEvent::ConnectionsRetired {
+            target: self.pool.host(),
+            retired: retired.len() as u64,
+            answered: proven.is_some(),
+        }
+        .emit();
         if let Some(out) = proven {
             out.put_back();
         }
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -11,6 +11,8 @@
 
 /// The client account that the site publishes for searches.
 pub const ACCOUNT: &str = "vets";
+/// The client account that the site publishes for non-idempotent requests.
+pub const ORDER_ACCOUNT: &str = "orders";
 /// The collection that the site publishes.
 pub const COLLECTION: &str = "tags";
 /// How long a daemon may take until it is ready.
@@ -26,9 +28,17 @@
     deadline: 2s
     patience: 1s
     repeat: hedge
+  order:
+    collections: [tags]
+    urgency: urgent
+    deadline: 2s
+    patience: 1s
+    repeat: never
 accounts:
   vets:
     template: race
+  orders:
+    template: order
 ";
 
 /// Leafs and a platform that publishes them.
