--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -2,7 +2,6 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -16,21 +15,21 @@
 use yuccalift_settings::DaemonSettings;
 
 use crate::caller::{self, CallerState};
-use crate::config_service::ConfigService;
+use crate::control::start::{ControlParts, start_control, start_farewell, start_peer_listener};
+use crate::directory_keeper::DirectoryKeeper;
 use crate::error::{BindSnafu, DaemonError, EndedSnafu, MetricsSnafu, ThreadSnafu};
 use crate::events::LogEvent;
-use crate::execute::{self, OwnerCaller, PeerExecuteState, TicketDesk};
+use crate::execute::{OwnerCaller, PeerExecuteState, TicketDesk};
 use crate::lane::{EngineLane, LANE_SERVICE};
 use crate::listener::{ListenerSpec, serve};
 use crate::metrics::{METRICS_SERVICE, MetricsClient};
 use crate::operator::{self, OperatorState};
 use crate::peer_directory::{PEER_DIRECTORY_SERVICE, PeerDirectory};
+use crate::ready_flag::ReadyFlag;
 use crate::status_board::{STATUS_SERVICE, StatusBoard};
 
 /// How many threads serve callers.
 const CALLER_WORKERS: usize = 2;
-/// How many threads serve peers.
-const PEER_WORKERS: usize = 1;
 /// How many threads serve operators.
 const OPERATOR_WORKERS: usize = 1;
 
@@ -173,6 +172,8 @@
     Ok(registry.publish(PEER_DIRECTORY_SERVICE, directory)?)
 }
 
+/// Starts the services; the last started stops first, so the farewell stands last, and callers
+/// are served until what they need has nothing more to do.
 fn start_services(
     kernel: &mut Kernel,
     settings: &DaemonSettings,
@@ -181,19 +182,31 @@
 ) -> Result<(), DaemonError> {
     let addresses = listeners.addresses(settings)?;
     let incarnation = new_incarnation();
-    let ready = Arc::new(AtomicBool::new(false));
+    let ready = Arc::new(ReadyFlag::default());
     let board = StatusBoard::default();
     kernel.registry().publish(STATUS_SERVICE, board.clone())?;
     let metrics = start_metrics(kernel, settings)?;
     let lane = start_lane(kernel, settings, incarnation)?;
-    let guard = kernel.start("config");
-    let config = ConfigService::new(
-        lane.clone(),
-        Arc::clone(&ready),
-        board.clone(),
-        metrics.clone(),
-    );
-    actix::spawn(config.run(settings.clone(), guard));
+    let parts = ControlParts {
+        lane: lane.clone(),
+        ready: Arc::clone(&ready),
+        incarnation,
+        peer_address: addresses.peer,
+        stop: stop.clone(),
+        board: board.clone(),
+        metrics: metrics.clone(),
+    };
+    let control = start_control(kernel, settings, parts)?;
+    let directory: PeerDirectory = kernel.registry().find(PEER_DIRECTORY_SERVICE)?;
+    let keeper = DirectoryKeeper::new(control.clone(), directory);
+    actix::spawn(keeper.clone().run(kernel.start(PEER_DIRECTORY_SERVICE)));
+    let desk = TicketDesk::new(settings.host.clone(), incarnation);
+    let execute = PeerExecuteState {
+        desk: Arc::clone(&desk),
+        lane: lane.clone(),
+        key: settings.shared_key.clone(),
+    };
+    start_peer_listener(kernel, settings, control.clone(), execute, listeners.peer)?;
     let state = OperatorState {
         host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
@@ -204,14 +217,13 @@
         board,
     };
     start_operator(kernel, state, settings, listeners.operator, metrics.clone())?;
-    let desk = TicketDesk::new(settings.host.clone(), incarnation);
-    let state = PeerExecuteState {
-        desk: Arc::clone(&desk),
-        lane: lane.clone(),
+    let state = CallerState {
+        lane,
+        ready: Arc::clone(&ready),
+        desk,
     };
-    start_peer(kernel, state, settings, listeners.peer, metrics.clone())?;
-    let state = CallerState { lane, ready, desk };
-    start_caller(kernel, state, settings, listeners.caller, metrics)?;
+    start_caller(kernel, state, settings, listeners.caller, metrics, keeper)?;
+    start_farewell(kernel, settings, control, ready);
     log_start(settings, addresses, incarnation);
     Ok(())
 }
@@ -260,6 +272,7 @@
     settings: &DaemonSettings,
     listener: TcpListener,
     metrics: MetricsClient,
+    keeper: DirectoryKeeper,
 ) -> Result<(), DaemonError> {
     let spec = ListenerSpec {
         name: "caller",
@@ -269,46 +282,15 @@
         key: None,
         stop_timeout: settings.stop_timeout,
     };
-    let ready = Arc::clone(&state.ready);
     let data = web::Data::new(state);
-    let directory: PeerDirectory = kernel.registry().find(PEER_DIRECTORY_SERVICE)?;
     let key = settings.shared_key.clone();
     let handle = serve(listener, &spec, metrics, move |config| {
-        let owners = OwnerCaller::new(directory.clone(), &key);
+        let owners = OwnerCaller::new(keeper.clone(), &key);
         config.app_data(data.clone());
         config.app_data(web::Data::new(owners));
         caller::configure(config);
     })?;
     let guard = kernel.start("caller");
-    actix::spawn(async move {
-        guard.token.cancelled().await;
-        ready.store(false, Ordering::Release);
-        handle.stop(true).await;
-    });
-    Ok(())
-}
-
-fn start_peer(
-    kernel: &mut Kernel,
-    state: PeerExecuteState,
-    settings: &DaemonSettings,
-    listener: TcpListener,
-    metrics: MetricsClient,
-) -> Result<(), DaemonError> {
-    let spec = ListenerSpec {
-        name: "peer",
-        address: settings.peer_listen,
-        workers: PEER_WORKERS,
-        limits: settings.limits,
-        key: Some(settings.shared_key.clone()),
-        stop_timeout: settings.stop_timeout,
-    };
-    let data = web::Data::new(state);
-    let handle = serve(listener, &spec, metrics, move |config| {
-        config.app_data(data.clone());
-        execute::configure_peer(config);
-    })?;
-    let guard = kernel.start("peer");
     actix::spawn(async move {
         guard.token.cancelled().await;
         handle.stop(true).await;
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -81,14 +81,32 @@
     102 INFO "stop_started" StopStarted { host: &'a str, limit_ms: u64 }
     #[doc = "The daemon ended; `overdue` names the services that were not done in time."]
     103 INFO "daemon_stopped" DaemonStopped { host: &'a str, overdue: &'a str }
+    #[doc = "The process was paused; beliefs with an age were dropped."]
+    104 WARN "process_paused" ProcessPaused { pause_ms: u64 }
     #[doc = "The thread of the data path was not run for a while; old beliefs are dropped."]
-    104 WARN "lane_paused" LanePaused { gap_ms: u64 }
-    #[doc = "A configuration version is in force."]
-    201 INFO "configuration_in_force" ConfigurationInForce { version: u64 }
+    105 WARN "lane_paused" LanePaused { gap_ms: u64 }
+    #[doc = "A configuration version is in force; `source` is the platform or the peer it came from."]
+    201 INFO "configuration_in_force" ConfigurationInForce { version: u64, source: &'a str }
     #[doc = "A published value was refused; the last good one stays in force."]
     202 WARN "value_refused" ValueRefused { key: &'a str, version: u64, fault: &'a str }
     #[doc = "The platform could not be read; what is in force stays so."]
     203 WARN "platform_unread" PlatformUnread { fault: &'a str }
+    #[doc = "The platform offered an older version than is known; it was passed over."]
+    204 WARN "platform_stale" PlatformStale { offered: u64, known: u64 }
+    #[doc = "A peer has other values at the same version; they are compared whole."]
+    205 WARN "configuration_diverged" ConfigurationDiverged { peer: &'a str, version: u64 }
+    #[doc = "This daemon began or ceased to read the platform for its data centre."]
+    206 INFO "reader_changed" ReaderChanged { reads: bool }
+    #[doc = "A peer did not answer and is suspected."]
+    301 INFO "peer_suspected" PeerSuspected { peer: &'a str }
+    #[doc = "A suspected peer stayed silent and is taken for gone."]
+    302 INFO "peer_gone" PeerGone { peer: &'a str }
+    #[doc = "This daemon was suspected and said that it is alive."]
+    303 INFO "suspicion_refuted" SuspicionRefuted { host: &'a str }
+    #[doc = "A later process runs on this host; this one stops."]
+    304 WARN "daemon_replaced" DaemonReplaced { host: &'a str }
+    #[doc = "An exchange with a peer failed."]
+    305 DEBUG "exchange_failed" ExchangeFailed { fault: &'a str }
     #[doc = "A query was admitted and its shard requests were placed at one snapshot."]
     401 INFO "query_planned" QueryPlanned {
         query: u64, epoch: u64, version: u64, shards: u32, waited_ms: u64,
--- a/daemon/src/execute/pass_on.rs
+++ b/daemon/src/execute/pass_on.rs
@@ -9,8 +9,9 @@
 use yuccalift_wire::operator::KEY_HEADER;
 use yuccalift_wire::peer::{PeerExecute, PeerExecuteReply};
 
+use crate::directory_keeper::DirectoryKeeper;
 use crate::events::LogEvent;
-use crate::peer_directory::{PeerAddress, PeerDirectory};
+use crate::peer_directory::PeerAddress;
 
 /// How long the owner is awaited where the caller does not say how long it waits.
 const LONGEST_WAIT: Duration = Duration::from_secs(125);
@@ -23,19 +24,19 @@
 #[derive(Clone)]
 pub(crate) struct OwnerCaller {
     client: awc::Client,
-    directory: PeerDirectory,
+    keeper: DirectoryKeeper,
     key: Rc<str>,
 }
 
 impl OwnerCaller {
-    pub(crate) fn new(directory: PeerDirectory, key: &str) -> Self {
+    pub(crate) fn new(keeper: DirectoryKeeper, key: &str) -> Self {
         let client = awc::Client::builder()
             .disable_redirects()
             .disable_timeout()
             .finish();
         Self {
             client,
-            directory,
+            keeper,
             key: key.into(),
         }
     }
@@ -56,7 +57,7 @@
                 "the ticket was granted to another account",
             ));
         }
-        let owner = self.find_owner(ticket)?;
+        let owner = self.find_owner(ticket).await?;
         LogEvent::RequestPassedOn {
             ticket: ticket.number,
             request: &body.request,
@@ -74,12 +75,12 @@
         }
     }
 
-    fn find_owner(&self, ticket: &Ticket) -> Result<PeerAddress, Refusal> {
+    async fn find_owner(&self, ticket: &Ticket) -> Result<PeerAddress, Refusal> {
         let refuse = |code, message: &str| {
             let refusal = Refusal::unknown(code, "find owner", message);
             Err(refusal.at_peer(ticket.owner.clone()))
         };
-        match self.directory.find(&ticket.owner) {
+        match self.keeper.find(&ticket.owner, ticket.incarnation).await {
             None => refuse(
                 RefusalCode::OwnerUnreachable,
                 "the ticket's owner is not known here",
--- a/daemon/src/execute/peer.rs
+++ b/daemon/src/execute/peer.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 
 use actix::Addr;
-use actix_web::{HttpResponse, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use yuccalift_core::{Refusal, RefusalCode};
 use yuccalift_wire::codec::{from_rmp, to_rmp};
 use yuccalift_wire::peer::{PeerExecute, PeerExecuteReply};
 
 use super::desk::TicketDesk;
 use super::pass_on::PATH;
+use crate::control::peer_listener::shows_key;
 use crate::lane::EngineLane;
 
 /// What the handler shares.
@@ -17,14 +18,22 @@
 pub(crate) struct PeerExecuteState {
     pub(crate) desk: Arc<TicketDesk>,
     pub(crate) lane: Addr<EngineLane>,
+    pub(crate) key: Box<str>,
 }
 
-/// Adds the route to the peers' listener, which checks the key before.
+/// Adds the route to the peers' listener.
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
     config.route(PATH, web::post().to(execute));
 }
 
-async fn execute(state: web::Data<PeerExecuteState>, body: web::Bytes) -> HttpResponse {
+async fn execute(
+    state: web::Data<PeerExecuteState>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    if !shows_key(&request, &state.key) {
+        return HttpResponse::Forbidden().finish();
+    }
     let reply = match read(&body) {
         Ok(message) => run(&state, message).await,
         Err(refusal) => PeerExecuteReply::Refused(refusal),
--- a/daemon/src/operator.rs
+++ b/daemon/src/operator.rs
@@ -1,7 +1,6 @@
 //! The operators' listener: the daemon's status, and the order to stop.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use actix::Addr;
 use actix_web::{HttpRequest, HttpResponse, web};
@@ -14,6 +13,7 @@
 use crate::caller::refusal_response;
 use crate::events::LogEvent;
 use crate::lane::{EngineLane, GetStatus};
+use crate::ready_flag::ReadyFlag;
 use crate::status_board::{StatusBoard, StatusView};
 
 /// What the handlers of the operators' listener share.
@@ -26,7 +26,7 @@
     /// Its incarnation.
     pub(crate) incarnation: Incarnation,
     /// Whether it takes requests.
-    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) ready: Arc<ReadyFlag>,
     /// Cancelled to start the graceful stop.
     pub(crate) stop: CancellationToken,
     /// The lane, for the engine's part.
@@ -74,7 +74,7 @@
             host: self.host.clone(),
             data_centre: self.data_centre.clone(),
             incarnation: self.incarnation,
-            ready: self.ready.load(Ordering::Acquire),
+            ready: self.ready.is_ready(),
             stopping: self.stop.is_cancelled(),
             config_version,
             refused_values: refused_values
--- a/daemon/src/target_links.rs
+++ b/daemon/src/target_links.rs
@@ -13,8 +13,6 @@
 use crate::lane::{EngineLane, TargetTold};
 use crate::leaf::{LeafChore, LeafClient};
 
-/// How many connections a daemon holds to a target before its share is known.
-const FIRST_SHARE: u32 = 1;
 /// How often a target is asked for its status, once it has answered the first time.
 const STATUS_PERIOD: Duration = Duration::from_secs(1);
 /// The most status probes that are sent in one check period; with many targets the period of each
@@ -182,10 +180,12 @@
         }
     }
 
+    /// The connections that may be held to a target; none before the shares are known.
     fn share(&self, target: TargetId) -> u32 {
-        self.shares
-            .binary_search_by_key(&target, |share| share.target)
-            .map_or(FIRST_SHARE, |position| self.shares[position].connections)
+        let found = self
+            .shares
+            .binary_search_by_key(&target, |share| share.target);
+        found.map_or(0, |position| self.shares[position].connections)
     }
 
     fn position(&self, target: TargetId) -> Result<usize, usize> {
--- a/daemon/tests/at_most_once.rs
+++ b/daemon/tests/at_most_once.rs
@@ -6,17 +6,19 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use support::{COLLECTION, ORDER_ACCOUNT, TestSite};
 use yuccalift_core::{Outcome, Refusal, RefusalCode};
-use yuccalift_daemon::{Daemon, PeerAddress};
+use yuccalift_daemon::Daemon;
 use yuccalift_standins::leaf::DrainSign;
 use yuccalift_standins::leaf::options::CRASH_MARK;
 use yuccalift_standins::{LeafCommand, LeafStandin};
 use yuccalift_testkit::cases;
 use yuccalift_wire::caller::{ExecuteAnswer, ExecuteBody, Ticket, TicketBody, TicketGrant};
 
+/// How long daemons may take to meet.
+const MEET_LIMIT: Duration = Duration::from_secs(10);
 /// A service time during which a test can act.
 const SLOW: Duration = Duration::from_millis(300);
 
@@ -77,15 +79,16 @@
         .sum()
 }
 
-fn meet(daemons: &[&Daemon], hosts: &[&str], tickets: &[&Ticket]) {
-    for daemon in daemons {
-        let peers = daemons.iter().zip(hosts).zip(tickets);
-        let peers = peers.map(|((peer, host), ticket)| PeerAddress {
-            host: (*host).into(),
-            incarnation: ticket.incarnation,
-            address: peer.addresses().peer,
-        });
-        daemon.peer_directory().replace(peers.collect());
+/// Waits until a daemon knows the one on a host in this ticket's incarnation.
+fn wait_met(daemon: &Daemon, ticket: &Ticket) {
+    let end = Instant::now() + MEET_LIMIT;
+    loop {
+        let known = daemon.peer_directory().find(&ticket.owner);
+        if known.is_some_and(|peer| peer.incarnation >= ticket.incarnation) {
+            return;
+        }
+        assert!(Instant::now() < end, "the daemons meet in time");
+        std::thread::sleep(Duration::from_millis(20));
     }
 }
 
@@ -142,12 +145,10 @@
     let site = TestSite::start(1, 2);
     slow(&site);
     let owner = site.start_daemon("entry-1");
-    let other = site.start_daemon("entry-2");
+    let other = site.start_daemon_beside("entry-2", &owner);
+    let ticket = run(grant(owner.addresses().caller));
+    wait_met(&other, &ticket);
     run(async {
-        let ticket = grant(owner.addresses().caller).await;
-        let other_ticket = grant(other.addresses().caller).await;
-        let hosts = ["entry-1", "entry-2"];
-        meet(&[&owner, &other], &hosts, &[&ticket, &other_ticket]);
         let body = body(Some(&ticket), "order 20 bags");
         let addresses = [other.addresses().caller, owner.addresses().caller];
         let sends = (0..6).map(|turn| execute(addresses[turn % 2], &body));
@@ -169,19 +170,18 @@
 fn a_replaced_owner_runs_nothing() {
     let site = TestSite::start(1, 2);
     let owner = site.start_daemon("entry-1");
-    let other = site.start_daemon("entry-2");
+    let other = site.start_daemon_beside("entry-2", &owner);
     let ticket = run(grant(owner.addresses().caller));
     let body = body(Some(&ticket), "order 20 bags");
     run(execute(owner.addresses().caller, &body)).expect("it runs");
     owner.stop();
-    let replaced = site.start_daemon("entry-1");
+    let replaced = site.start_daemon_beside("entry-1", &other);
     let new_ticket = run(grant(replaced.addresses().caller));
     assert!(
         new_ticket.incarnation > ticket.incarnation,
         "a later start has a greater incarnation"
     );
-    let hosts = ["entry-1", "entry-2"];
-    meet(&[&replaced, &other], &hosts, &[&new_ticket, &new_ticket]);
+    wait_met(&other, &new_ticket);
     for daemon in [&replaced, &other] {
         let refusal = run(execute(daemon.addresses().caller, &body));
         let refusal = refusal.expect_err("the new incarnation does not know");
@@ -195,22 +195,15 @@
 fn an_unreachable_owner_is_unknown() {
     let site = TestSite::start(1, 2);
     let owner = site.start_daemon("entry-1");
-    let other = site.start_daemon("entry-2");
-    run(async {
-        let ticket = grant(owner.addresses().caller).await;
-        meet(
-            &[&owner, &other],
-            &["entry-1", "entry-2"],
-            &[&ticket, &ticket],
-        );
-        owner.stop();
-        let body = body(Some(&ticket), "order 20 bags");
-        let refusal = execute(other.addresses().caller, &body)
-            .await
-            .expect_err("nobody may run it");
-        assert_eq!(refusal.outcome, Outcome::Unknown, "{refusal}");
-        assert_eq!(refusal.code, RefusalCode::OwnerUnreachable, "{refusal}");
-    });
+    let other = site.start_daemon_beside("entry-2", &owner);
+    let ticket = run(grant(owner.addresses().caller));
+    wait_met(&other, &ticket);
+    owner.stop();
+    let body = body(Some(&ticket), "order 20 bags");
+    let refusal = run(execute(other.addresses().caller, &body));
+    let refusal = refusal.expect_err("nobody may run it");
+    assert_eq!(refusal.outcome, Outcome::Unknown, "{refusal}");
+    assert_eq!(refusal.code, RefusalCode::OwnerUnreachable, "{refusal}");
     assert_eq!(runs(&site), 0, "nobody else runs it");
     other.stop();
 }
@@ -287,13 +280,10 @@
         assert_eq!(refusal.outcome, Outcome::NotRun, "{refusal}");
         assert_eq!(runs(&site), 0, "the refusal is true");
         leaf.command(LeafCommand::Undrain);
-        let end = std::time::Instant::now() + BACK_LIMIT;
+        let end = Instant::now() + BACK_LIMIT;
         while let Err(refusal) = execute(address, &body).await {
             assert_eq!(refusal.outcome, Outcome::NotRun, "{refusal}");
-            assert!(
-                std::time::Instant::now() < end,
-                "it runs once the leaf is back"
-            );
+            assert!(Instant::now() < end, "it runs once the leaf is back");
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     });
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -41,6 +41,8 @@
     template: order
 ";
 
+const FLEET: &str = r#"{"daemons": 12, "daemons_per_data_centre": 4}"#;
+
 /// Leafs and a platform that publishes them.
 pub struct TestSite {
     /// The platform.
@@ -67,6 +69,7 @@
         let map = serde_json::to_string(&map).expect("a map has a JSON form");
         platform.put_value("map/tags", &map);
         platform.put_value("accounts", ACCOUNTS);
+        platform.put_value("fleet", FLEET);
         Self { platform, leafs }
     }
 
@@ -77,6 +80,15 @@
         daemon
     }
 
+    /// Starts a daemon of the site that knows another from its settings.
+    pub fn start_daemon_beside(&self, host: &str, other: &Daemon) -> Daemon {
+        let mut settings = self.settings(host);
+        settings.seed_peers = vec![other.addresses().peer];
+        let daemon = Daemon::start(settings).expect("the daemon starts");
+        wait_ready(daemon.addresses().caller);
+        daemon
+    }
+
     /// The settings of a daemon of the site.
     pub fn settings(&self, host: &str) -> DaemonSettings {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
