--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,12 +6,19 @@
 
 use crate::error::CommandError;
 
+mod check;
 mod demo;
+mod drain;
 mod error;
 mod experiment;
+mod explain;
 mod fleet;
+mod input;
+mod operator_client;
 mod processor;
 mod standin;
+mod status;
+mod table;
 
 const HELP: &str = "\
 yuccalift: the operators' command line of yuccalift
@@ -19,6 +26,10 @@
 Usage: yuccalift COMMAND [OPTION]...
 
 Commands:
+  check       check settings and published documents, and show every fault
+  explain     show what is in force for an account, and where each value came from
+  status      show what a daemon tells of itself
+  drain       start the graceful stop of a daemon
   demo        start stand-ins and three daemons in this process, and answer real queries
   standin     run one stand-in: platform, leaf or callers
   experiment  run a case against stand-ins and print what was measured
@@ -55,6 +66,10 @@
 
 fn run_command(command: &str, parser: lexopt::Parser) -> Result<(), CommandError> {
     match command {
+        "check" => check::run(parser),
+        "explain" => explain::run(parser),
+        "status" => status::run(parser),
+        "drain" => drain::run(parser),
         "demo" => demo::run(parser),
         "standin" => standin::run(parser),
         "experiment" => experiment::run(parser),
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -2,7 +2,6 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -16,13 +15,17 @@
 use yuccalift_settings::DaemonSettings;
 
 use crate::caller::{self, CallerState};
-use crate::config_service::ConfigService;
+use crate::control::start::{ControlParts, start_control, start_farewell, start_peer_listener};
+use crate::directory_keeper::DirectoryKeeper;
 use crate::error::{BindSnafu, DaemonError, EndedSnafu, MetricsSnafu, ThreadSnafu};
 use crate::events::LogEvent;
+use crate::execute::{OwnerCaller, PeerExecuteState, TicketDesk};
 use crate::lane::{EngineLane, LANE_SERVICE};
 use crate::listener::{ListenerSpec, serve};
 use crate::metrics::{METRICS_SERVICE, MetricsClient};
 use crate::operator::{self, OperatorState};
+use crate::peer_directory::{PEER_DIRECTORY_SERVICE, PeerDirectory};
+use crate::ready_flag::ReadyFlag;
 use crate::status_board::{STATUS_SERVICE, StatusBoard};
 
 /// How many threads serve callers.
@@ -35,6 +38,7 @@
 pub struct Daemon {
     addresses: DaemonAddresses,
     token: CancellationToken,
+    peers: PeerDirectory,
     thread: JoinHandle<StopReport>,
 }
 
@@ -69,14 +73,19 @@
         let host = settings.host.clone();
         let (up, started) = oneshot::channel();
         let stop = token.clone();
+        let peers = PeerDirectory::new();
+        let directory = peers.clone();
         let thread = std::thread::Builder::new()
             .name(format!("daemon-{host}"))
-            .spawn(move || actix::System::new().block_on(run(settings, listeners, up, stop)))
+            .spawn(move || {
+                actix::System::new().block_on(run(settings, listeners, directory, up, stop))
+            })
             .context(ThreadSnafu { thread: "daemon" })?;
         match started.blocking_recv() {
             Ok(Ok(())) => Ok(Self {
                 addresses,
                 token,
+                peers,
                 thread,
             }),
             Ok(Err(error)) => Err(error),
@@ -89,6 +98,11 @@
         self.addresses
     }
 
+    /// Where its peers are, for finding the owner of a ticket.
+    pub fn peer_directory(&self) -> &PeerDirectory {
+        &self.peers
+    }
+
     /// A token whose cancellation starts the graceful stop.
     pub fn stop_token(&self) -> CancellationToken {
         self.token.clone()
@@ -134,12 +148,14 @@
 async fn run(
     settings: DaemonSettings,
     listeners: BoundListeners,
+    directory: PeerDirectory,
     up: oneshot::Sender<Result<(), DaemonError>>,
     stop: CancellationToken,
 ) -> StopReport {
     let mut kernel = Kernel::new();
     let limit = settings.stop_timeout;
-    let started = start_services(&mut kernel, &settings, listeners, &stop);
+    let started = publish(&kernel, directory)
+        .and_then(|()| start_services(&mut kernel, &settings, listeners, &stop));
     let failed = started.is_err();
     let _starter_waits = up.send(started);
     if !failed {
@@ -151,6 +167,13 @@
     report
 }
 
+fn publish(kernel: &Kernel, directory: PeerDirectory) -> Result<(), DaemonError> {
+    let registry = kernel.registry();
+    Ok(registry.publish(PEER_DIRECTORY_SERVICE, directory)?)
+}
+
+/// Starts the services; the last started stops first, so the farewell stands last, and callers
+/// are served until what they need has nothing more to do.
 fn start_services(
     kernel: &mut Kernel,
     settings: &DaemonSettings,
@@ -159,19 +182,31 @@
 ) -> Result<(), DaemonError> {
     let addresses = listeners.addresses(settings)?;
     let incarnation = new_incarnation();
-    let ready = Arc::new(AtomicBool::new(false));
+    let ready = Arc::new(ReadyFlag::default());
     let board = StatusBoard::default();
     kernel.registry().publish(STATUS_SERVICE, board.clone())?;
     let metrics = start_metrics(kernel, settings)?;
     let lane = start_lane(kernel, settings, incarnation)?;
-    let guard = kernel.start("config");
-    let config = ConfigService::new(
-        lane.clone(),
-        Arc::clone(&ready),
-        board.clone(),
-        metrics.clone(),
-    );
-    actix::spawn(config.run(settings.clone(), guard));
+    let parts = ControlParts {
+        lane: lane.clone(),
+        ready: Arc::clone(&ready),
+        incarnation,
+        peer_address: addresses.peer,
+        stop: stop.clone(),
+        board: board.clone(),
+        metrics: metrics.clone(),
+    };
+    let control = start_control(kernel, settings, parts)?;
+    let directory: PeerDirectory = kernel.registry().find(PEER_DIRECTORY_SERVICE)?;
+    let keeper = DirectoryKeeper::new(control.clone(), directory);
+    actix::spawn(keeper.clone().run(kernel.start(PEER_DIRECTORY_SERVICE)));
+    let desk = TicketDesk::new(settings.host.clone(), incarnation);
+    let execute = PeerExecuteState {
+        desk: Arc::clone(&desk),
+        lane: lane.clone(),
+        key: settings.shared_key.clone(),
+    };
+    start_peer_listener(kernel, settings, control.clone(), execute, listeners.peer)?;
     let state = OperatorState {
         host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
@@ -182,9 +217,13 @@
         board,
     };
     start_operator(kernel, state, settings, listeners.operator, metrics.clone())?;
-    let state = CallerState { lane, ready };
-    start_caller(kernel, state, settings, listeners.caller, metrics)?;
-    drop(listeners.peer);
+    let state = CallerState {
+        lane,
+        ready: Arc::clone(&ready),
+        desk,
+    };
+    start_caller(kernel, state, settings, listeners.caller, metrics, keeper)?;
+    start_farewell(kernel, settings, control, ready);
     log_start(settings, addresses, incarnation);
     Ok(())
 }
@@ -233,6 +272,7 @@
     settings: &DaemonSettings,
     listener: TcpListener,
     metrics: MetricsClient,
+    keeper: DirectoryKeeper,
 ) -> Result<(), DaemonError> {
     let spec = ListenerSpec {
         name: "caller",
@@ -242,16 +282,17 @@
         key: None,
         stop_timeout: settings.stop_timeout,
     };
-    let ready = Arc::clone(&state.ready);
     let data = web::Data::new(state);
+    let key = settings.shared_key.clone();
     let handle = serve(listener, &spec, metrics, move |config| {
+        let owners = OwnerCaller::new(keeper.clone(), &key);
         config.app_data(data.clone());
+        config.app_data(web::Data::new(owners));
         caller::configure(config);
     })?;
     let guard = kernel.start("caller");
     actix::spawn(async move {
         guard.token.cancelled().await;
-        ready.store(false, Ordering::Release);
         handle.stop(true).await;
     });
     Ok(())
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -81,12 +81,32 @@
     102 INFO "stop_started" StopStarted { host: &'a str, limit_ms: u64 }
     #[doc = "The daemon ended; `overdue` names the services that were not done in time."]
     103 INFO "daemon_stopped" DaemonStopped { host: &'a str, overdue: &'a str }
-    #[doc = "A configuration version is in force."]
-    201 INFO "configuration_in_force" ConfigurationInForce { version: u64 }
+    #[doc = "The process was paused; beliefs with an age were dropped."]
+    104 WARN "process_paused" ProcessPaused { pause_ms: u64 }
+    #[doc = "The thread of the data path was not run for a while; old beliefs are dropped."]
+    105 WARN "lane_paused" LanePaused { gap_ms: u64 }
+    #[doc = "A configuration version is in force; `source` is the platform or the peer it came from."]
+    201 INFO "configuration_in_force" ConfigurationInForce { version: u64, source: &'a str }
     #[doc = "A published value was refused; the last good one stays in force."]
     202 WARN "value_refused" ValueRefused { key: &'a str, version: u64, fault: &'a str }
     #[doc = "The platform could not be read; what is in force stays so."]
     203 WARN "platform_unread" PlatformUnread { fault: &'a str }
+    #[doc = "The platform offered an older version than is known; it was passed over."]
+    204 WARN "platform_stale" PlatformStale { offered: u64, known: u64 }
+    #[doc = "A peer has other values at the same version; they are compared whole."]
+    205 WARN "configuration_diverged" ConfigurationDiverged { peer: &'a str, version: u64 }
+    #[doc = "This daemon began or ceased to read the platform for its data centre."]
+    206 INFO "reader_changed" ReaderChanged { reads: bool }
+    #[doc = "A peer did not answer and is suspected."]
+    301 INFO "peer_suspected" PeerSuspected { peer: &'a str }
+    #[doc = "A suspected peer stayed silent and is taken for gone."]
+    302 INFO "peer_gone" PeerGone { peer: &'a str }
+    #[doc = "This daemon was suspected and said that it is alive."]
+    303 INFO "suspicion_refuted" SuspicionRefuted { host: &'a str }
+    #[doc = "A later process runs on this host; this one stops."]
+    304 WARN "daemon_replaced" DaemonReplaced { host: &'a str }
+    #[doc = "An exchange with a peer failed."]
+    305 DEBUG "exchange_failed" ExchangeFailed { fault: &'a str }
     #[doc = "A query was admitted and its shard requests were placed at one snapshot."]
     401 INFO "query_planned" QueryPlanned {
         query: u64, epoch: u64, version: u64, shards: u32, waited_ms: u64,
@@ -109,12 +129,20 @@
     408 DEBUG "query_answered" QueryAnswered {
         query: u64, asked: u32, answered: u32, took_ms: u64,
     }
+    #[doc = "A request came under a ticket of this daemon; `verdict` says what is done with it."]
+    409 INFO "ticket_checked" TicketChecked { ticket: u64, request: &'a str, verdict: &'a str }
+    #[doc = "A request was passed on to the daemon that owns its ticket."]
+    410 INFO "request_passed_on" RequestPassedOn { ticket: u64, request: &'a str, owner: &'a str }
     #[doc = "A slow or failing target gets no work for a moment."]
     501 WARN "target_ejected" TargetEjected { target: u32, period_ms: u64 }
     #[doc = "An ejected target gets work again."]
     502 INFO "target_readmitted" TargetReadmitted { target: u32 }
     #[doc = "The limit of requests in flight to a target changed."]
     503 DEBUG "target_limit_changed" TargetLimitChanged { target: u32, limit: u32 }
+    #[doc = "Connections to a target were silent; `answered` says if the target answers on others."]
+    504 WARN "connections_retired" ConnectionsRetired {
+        target: &'a str, retired: u64, answered: bool,
+    }
     #[doc = "A call to a listener was refused before it was read."]
     801 WARN "call_refused" CallRefused { listener: &'a str, peer: &'a str, reason: &'a str }
     #[doc = "An operator asked for a graceful stop."]
--- /dev/null
+++ b/daemon/src/execute/peer.rs
@@ -0,0 +1,67 @@
+//! The owner's end of a request that another daemon passes on.
+
+use std::sync::Arc;
+
+use actix::Addr;
+use actix_web::{HttpRequest, HttpResponse, web};
+use yuccalift_core::{Refusal, RefusalCode};
+use yuccalift_wire::codec::{from_rmp, to_rmp};
+use yuccalift_wire::peer::{PeerExecute, PeerExecuteReply};
+
+use super::desk::TicketDesk;
+use super::pass_on::PATH;
+use crate::control::peer_listener::shows_key;
+use crate::lane::EngineLane;
+
+/// What the handler shares.
+#[derive(Clone)]
+pub(crate) struct PeerExecuteState {
+    pub(crate) desk: Arc<TicketDesk>,
+    pub(crate) lane: Addr<EngineLane>,
+    pub(crate) key: Box<str>,
+}
+
+/// Adds the route to the peers' listener.
+pub(crate) fn configure(config: &mut web::ServiceConfig) {
+    config.route(PATH, web::post().to(execute));
+}
+
+async fn execute(
+    state: web::Data<PeerExecuteState>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    if !shows_key(&request, &state.key) {
+        return HttpResponse::Forbidden().finish();
+    }
+    let reply = match read(&body) {
+        Ok(message) => run(&state, message).await,
+        Err(refusal) => PeerExecuteReply::Refused(refusal),
+    };
+    match to_rmp("write execute reply", "peer", &reply) {
+        Ok(body) => HttpResponse::Ok().body(body),
+        Err(_unwritable) => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+fn read(body: &[u8]) -> Result<PeerExecute, Refusal> {
+    let step = "read passed-on request";
+    from_rmp(step, "peer", body)
+        .map_err(|error| Refusal::not_run(RefusalCode::BadRequest, step, error.to_string()))
+}
+
+async fn run(state: &PeerExecuteState, message: PeerExecute) -> PeerExecuteReply {
+    let mut body = message.body;
+    body.time_left_ms = Some(message.time_left_ms);
+    let Some(ticket) = body.ticket.clone() else {
+        return PeerExecuteReply::Refused(Refusal::not_run(
+            RefusalCode::BadRequest,
+            "read passed-on request",
+            "only requests with a ticket are passed on",
+        ));
+    };
+    match state.desk.execute(&state.lane, &ticket, &body).await {
+        Ok(answer) => PeerExecuteReply::Ran(answer),
+        Err(refusal) => PeerExecuteReply::Refused(refusal),
+    }
+}
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -3,28 +3,29 @@
 //! It decides nothing: it feeds the engine and carries out its actions. Every
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
 
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Instant;
 
-use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
+use actix::{Actor, AsyncContext, Context, Handler, Message, SpawnHandle};
 use tokio::sync::oneshot;
 use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
-use yuccalift_core::event::EngineEvent;
-use yuccalift_core::ids::{AttemptId, QueryId, TargetId};
+use yuccalift_core::connection_watch::CHECK_PERIOD;
+use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
+use yuccalift_core::ids::{QueryId, TargetId};
+use yuccalift_core::stall_clock::StallClock;
 use yuccalift_core::{
     EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
 };
 
 use crate::decision_log::{log_answer, log_decision, log_refusal};
-use crate::leaf_client::LeafClient;
+use crate::events::LogEvent;
 use crate::metrics::{DaemonMetric, MetricsClient};
+use crate::target_links::TargetLinks;
 
 /// The name under which the lane's address is published.
 pub const LANE_SERVICE: &str = "lane";
 
-/// How many connections a daemon holds to a target before its share is known.
-const FIRST_SHARE: u32 = 2;
+/// How many messages the lane's mailbox holds before senders are refused.
+const MAILBOX_MESSAGES: usize = 4096;
 
 /// Asks the lane to run a request; the answer or refusal comes through `reply`.
 #[derive(Debug, Message)]
@@ -57,28 +58,42 @@
     reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
 }
 
-/// The connections to one target.
-struct TargetLink {
-    target: TargetId,
-    address: SocketAddr,
-    client: Rc<LeafClient>,
+/// What became of an attempt, from the task that made the call.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct CallEnded(EngineEvent);
+
+/// What a task learnt of a target beside its calls.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct TargetTold {
+    /// The target.
+    pub(crate) target: TargetId,
+    /// The news.
+    pub(crate) news: Vec<TargetNewsKind>,
 }
 
 /// The actor that runs the engine.
 pub struct EngineLane {
     engine: SearchEngine,
-    sender: Box<str>,
     metrics: MetricsClient,
     callers: Vec<WaitingCaller>,
-    links: Vec<TargetLink>,
+    links: TargetLinks,
+    stall: StallClock,
     actions: Vec<EngineAction>,
-    wake: Option<Instant>,
+    wake: Option<ScheduledWake>,
+}
+
+/// The one pending wake-up of the engine.
+#[derive(Clone, Copy)]
+struct ScheduledWake {
+    due: Instant,
+    handle: SpawnHandle,
 }
 
 impl std::fmt::Debug for EngineLane {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("EngineLane")
-            .field("sender", &self.sender)
             .field("callers", &self.callers.len())
             .field("links", &self.links.len())
             .finish_non_exhaustive()
@@ -90,72 +105,60 @@
     pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>, metrics: MetricsClient) -> Self {
         Self {
             engine: SearchEngine::new(policy, seed),
-            sender,
             metrics,
             callers: Vec::new(),
-            links: Vec::new(),
+            links: TargetLinks::new(sender),
+            stall: StallClock::new(Instant::now()),
             actions: Vec::new(),
             wake: None,
         }
     }
 
     fn feed(&mut self, event: EngineEvent, context: &mut Context<Self>) {
+        let now = Instant::now();
+        self.notice_pause(now, context);
+        self.handle_event(now, event, context);
+        self.schedule_wake(context);
+    }
+
+    /// After a pause the engine hears of it before anything else, whatever woke the thread, and
+    /// no connection is trusted until it has proven itself alive.
+    fn notice_pause(&mut self, now: Instant, context: &mut Context<Self>) {
+        let Some(gap) = self.stall.observe(now) else {
+            return;
+        };
+        let gap_ms = gap.as_millis() as u64;
+        LogEvent::LanePaused { gap_ms }.emit();
+        self.links.suspect_all();
+        self.handle_event(now, EngineEvent::Paused(gap), context);
+    }
+
+    fn handle_event(&mut self, now: Instant, event: EngineEvent, context: &mut Context<Self>) {
         let mut actions = std::mem::take(&mut self.actions);
-        self.engine.handle(Instant::now(), event, &mut actions);
+        self.engine.handle(now, event, &mut actions);
         for action in actions.drain(..) {
             self.carry_out(action, context);
         }
         self.actions = actions;
-        self.schedule_wake(context);
     }
 
     fn carry_out(&mut self, action: EngineAction, context: &mut Context<Self>) {
         match action {
             EngineAction::Send(plan) => self.send(plan, context),
-            EngineAction::Cancel { attempt, target } => self.cancel(attempt, target, context),
+            EngineAction::Cancel { attempt, target } => self.links.cancel(attempt, target),
             EngineAction::Answer { query, answer } => self.reply(query, Ok(answer)),
             EngineAction::Refuse { query, refusal } => self.reply(query, Err(refusal)),
             EngineAction::Decided(decision) => self.note_decision(&decision),
         }
     }
 
+    /// Starts a call as a task of its own. The actor's own futures are all polled whenever one of
+    /// them wakes, which a fan-out of hundreds would pay for with each reply.
     fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
         self.note_attempt(plan.cause);
-        let client = self.link(plan.target, plan.address);
-        let call = async move { client.call(plan).await };
-        context.spawn(
-            call.into_actor(self)
-                .map(|event, lane, context| lane.feed(event, context)),
-        );
-    }
-
-    fn cancel(&mut self, attempt: AttemptId, target: TargetId, context: &mut Context<Self>) {
-        let Ok(position) = self.links.binary_search_by_key(&target, |link| link.target) else {
-            return;
-        };
-        let client = Rc::clone(&self.links[position].client);
-        context.spawn(async move { client.cancel(attempt).await }.into_actor(self));
-    }
-
-    /// The connections to a target; made anew when the target has moved.
-    fn link(&mut self, target: TargetId, address: SocketAddr) -> Rc<LeafClient> {
-        let found = self.links.binary_search_by_key(&target, |link| link.target);
-        if let Ok(position) = found
-            && self.links[position].address == address
-        {
-            return Rc::clone(&self.links[position].client);
-        }
-        let client = LeafClient::new(address, &self.sender, FIRST_SHARE);
-        let link = TargetLink {
-            target,
-            address,
-            client: Rc::clone(&client),
-        };
-        match found {
-            Ok(position) => self.links[position] = link,
-            Err(position) => self.links.insert(position, link),
-        }
-        client
+        let client = self.links.client(plan.target, plan.address);
+        let lane = context.address();
+        actix::spawn(async move { lane.do_send(CallEnded(client.call(plan).await)) });
     }
 
     fn reply(&mut self, query: QueryId, result: Result<SearchAnswer, Refusal>) {
@@ -208,20 +211,58 @@
         }
     }
 
+    /// Keeps one wake-up pending, no later than the engine asks for. One that comes too early does
+    /// no harm, and costs less than to be moved with each reply.
     fn schedule_wake(&mut self, context: &mut Context<Self>) {
         let Some(due) = self.engine.next_wake() else {
             return;
         };
-        let now = Instant::now();
-        let scheduled = self.wake.is_some_and(|wake| wake <= due && wake > now);
-        if scheduled {
-            return;
+        if let Some(wake) = self.wake {
+            if wake.due <= due {
+                return;
+            }
+            context.cancel_future(wake.handle);
         }
-        self.wake = Some(due);
-        context.run_later(due.saturating_duration_since(now), |lane, context| {
+        let delay = due.saturating_duration_since(Instant::now());
+        let handle = context.run_later(delay, |lane, context| {
             lane.wake = None;
             lane.feed(EngineEvent::Tick, context);
         });
+        self.wake = Some(ScheduledWake { due, handle });
+    }
+
+    /// What must be done every check period: pauses noticed, connections and targets probed.
+    fn check(&mut self, context: &mut Context<Self>) {
+        let now = Instant::now();
+        self.notice_pause(now, context);
+        self.links.check(now, &context.address());
+        self.schedule_wake(context);
+    }
+
+    /// Takes from an event what concerns the connections.
+    fn follow_event(&mut self, event: &EngineEvent, context: &mut Context<Self>) {
+        match event {
+            EngineEvent::CallerGone { query } => {
+                let found = self
+                    .callers
+                    .binary_search_by_key(query, |caller| caller.query);
+                if let Ok(position) = found {
+                    self.callers.remove(position);
+                }
+            }
+            EngineEvent::SharesChanged(shares) => self.links.put_shares(shares),
+            EngineEvent::MapChanged(map) => self.links.put_map(map, &context.address()),
+            EngineEvent::MapRemoved(name) => self.links.remove_map(name, &context.address()),
+            EngineEvent::Paused(_) => self.links.suspect_all(),
+            EngineEvent::Submit(_)
+            | EngineEvent::Reply(_)
+            | EngineEvent::Failed { .. }
+            | EngineEvent::Tick
+            | EngineEvent::AccountsChanged(_)
+            | EngineEvent::TargetNews(_)
+            | EngineEvent::Quarantine { .. }
+            | EngineEvent::Stopping => {}
+        }
     }
 }
 
@@ -230,11 +271,29 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.set_mailbox_capacity(MAILBOX_MESSAGES);
+        ctx.run_interval(CHECK_PERIOD, Self::check);
     }
 }
 
-/// How many messages the lane's mailbox holds before senders are refused.
-const MAILBOX_MESSAGES: usize = 4096;
+impl Handler<CallEnded> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: CallEnded, ctx: &mut Self::Context) {
+        self.feed(msg.0, ctx);
+    }
+}
+
+impl Handler<TargetTold> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: TargetTold, ctx: &mut Self::Context) {
+        let target = msg.target;
+        self.links.note_met(target);
+        for kind in msg.news {
+            self.feed(EngineEvent::TargetNews(TargetNews { target, kind }), ctx);
+        }
+    }
+}
 
 impl Handler<SubmitRequest> for EngineLane {
     type Result = ();
@@ -272,22 +331,7 @@
     type Result = ();
 
     fn handle(&mut self, msg: FeedEngine, ctx: &mut Self::Context) {
-        if let EngineEvent::CallerGone { query } = &msg.0
-            && let Ok(position) = self
-                .callers
-                .binary_search_by_key(query, |caller| caller.query)
-        {
-            self.callers.remove(position);
-        }
-        if let EngineEvent::SharesChanged(shares) = &msg.0 {
-            for link in &self.links {
-                if let Ok(position) =
-                    shares.binary_search_by_key(&link.target, |share| share.target)
-                {
-                    link.client.set_limit(shares[position].connections);
-                }
-            }
-        }
+        self.follow_event(&msg.0, ctx);
         self.feed(msg.0, ctx);
     }
 }
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -11,6 +11,8 @@
 
 /// The client account that the site publishes for searches.
 pub const ACCOUNT: &str = "vets";
+/// The client account that the site publishes for non-idempotent requests.
+pub const ORDER_ACCOUNT: &str = "orders";
 /// The collection that the site publishes.
 pub const COLLECTION: &str = "tags";
 /// How long a daemon may take until it is ready.
@@ -26,11 +28,21 @@
     deadline: 2s
     patience: 1s
     repeat: hedge
+  order:
+    collections: [tags]
+    urgency: urgent
+    deadline: 2s
+    patience: 1s
+    repeat: never
 accounts:
   vets:
     template: race
+  orders:
+    template: order
 ";
 
+const FLEET: &str = r#"{"daemons": 12, "daemons_per_data_centre": 4}"#;
+
 /// Leafs and a platform that publishes them.
 pub struct TestSite {
     /// The platform.
@@ -57,6 +69,7 @@
         let map = serde_json::to_string(&map).expect("a map has a JSON form");
         platform.put_value("map/tags", &map);
         platform.put_value("accounts", ACCOUNTS);
+        platform.put_value("fleet", FLEET);
         Self { platform, leafs }
     }
 
@@ -67,6 +80,15 @@
         daemon
     }
 
+    /// Starts a daemon of the site that knows another from its settings.
+    pub fn start_daemon_beside(&self, host: &str, other: &Daemon) -> Daemon {
+        let mut settings = self.settings(host);
+        settings.seed_peers = vec![other.addresses().peer];
+        let daemon = Daemon::start(settings).expect("the daemon starts");
+        wait_ready(daemon.addresses().caller);
+        daemon
+    }
+
     /// The settings of a daemon of the site.
     pub fn settings(&self, host: &str) -> DaemonSettings {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
