--- a/core/tests/engine/random_runs.rs
+++ b/core/tests/engine/random_runs.rs
@@ -34,7 +34,7 @@
 const EVER: Duration = Duration::from_secs(60);
 
 /// Something that happens to the engine; picks count modulo what there is.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Happening {
     Submit {
         account: usize,
@@ -428,17 +428,17 @@
     type SystemUnderTest = Self;
     type Reference = HappeningMachine;
 
-    fn init_test(state: &RunState) -> Self {
-        Self::begin(EngineOptions::new(state.policy, 7))
+    fn init_test(ref_state: &RunState) -> Self {
+        Self::begin(EngineOptions::new(ref_state.policy, 7))
     }
 
-    fn apply(mut run: Self, _: &RunState, happening: Happening) -> Self {
-        run.happen(happening);
-        run
+    fn apply(mut state: Self, _ref_state: &RunState, transition: Happening) -> Self {
+        state.happen(transition);
+        state
     }
 
-    fn teardown(mut run: Self) {
-        run.end();
+    fn teardown(mut state: Self) {
+        state.end();
     }
 }
 
