--- a/core/src/engine/mod.rs
+++ b/core/src/engine/mod.rs
@@ -9,7 +9,7 @@
 //! - `slots`, `timers`, `budget`, `latency`: plain parts.
 //! - `target`, `plan`, `query`, `ledger`, `collection`: the state.
 //! - `limit`, `snapshot`, `choice`, `admission`: one decision each.
-//! - `submit`, `dispatch`, `replies`, `restart`, `finish`, `hedge`, `ejection`, `maps`, `news`,
+//! - `submit`, `start`, `dispatch`, `replies`, `restart`, `finish`, `hedge`, `ejection`, `maps`, `news`,
 //!   `wakes`: the passes, one for each kind of event or step.
 //! - `verifier`: what must hold, asserted.
 
@@ -33,6 +33,7 @@
 mod restart;
 mod slots;
 mod snapshot;
+mod start;
 mod submit;
 mod target;
 mod timers;
--- a/core/src/engine/submit.rs
+++ b/core/src/engine/submit.rs
@@ -1,4 +1,4 @@
-//! From a caller's request to its first sends: checks, waiting and the start.
+//! A caller's request: its checks, its place in the queue, and its refusal where it can't be served.
 //!
 //! See `docs/DESIGN.md`, "Admission".
 
@@ -6,14 +6,13 @@
 use std::time::{Duration, Instant};
 
 use crate::account::Urgency;
-use crate::action::{AttemptCause, EngineAction, EngineDecision};
+use crate::action::{EngineAction, EngineDecision};
 use crate::coverage::Snapshot;
 use crate::engine::SearchEngine;
 use crate::engine::admission::{FlowKey, WaitingQuery};
-use crate::engine::plan::{PlanSnapshot, ShardPlan};
-use crate::engine::query::{QueryStage, QueryState, ShardProgress};
+use crate::engine::plan::PlanSnapshot;
+use crate::engine::query::{QueryStage, QueryState};
 use crate::engine::slots::Slot;
-use crate::engine::snapshot::choose_snapshot;
 use crate::engine::timers::{QueryRef, TimerKind};
 use crate::outcome::{Refusal, RefusalCode};
 use crate::search::{RequestKind, SearchRequest};
@@ -337,141 +336,6 @@
         let plan = self.collections.get(collection)?.current?;
         self.plans.get(plan)?.snapshot
     }
-
-    /// The snapshot for new queries of a plan, computed again where targets have changed.
-    pub(super) fn fresh_snapshot(&mut self, plan: Slot) -> Option<PlanSnapshot> {
-        let plan = self.plans.get_mut(plan)?;
-        if plan.stale {
-            plan.snapshot = choose_snapshot(plan, &self.targets);
-            plan.stale = false;
-        }
-        plan.snapshot
-    }
-
-    /// Begins waiting queries of a collection, in their order, as long as targets have room.
-    pub(super) fn start_waiting(
-        &mut self,
-        now: Instant,
-        collection: Slot,
-        actions: &mut Vec<EngineAction>,
-    ) {
-        loop {
-            let Some(state) = self.collections.get(collection) else {
-                return;
-            };
-            if state.queue.is_empty() {
-                return;
-            }
-            let Some(plan) = state.current else {
-                return;
-            };
-            let Some(snapshot) = self.settled_snapshot(now, plan) else {
-                return;
-            };
-            let Some((key, entry)) = self.next_query(collection, plan) else {
-                return;
-            };
-            self.take_from_queue(now, collection, plan, key, entry);
-            self.start_query(now, entry.query, plan, snapshot, actions);
-        }
-    }
-
-    /// The snapshot for new queries of a plan, unless some targets should tell their versions first.
-    fn settled_snapshot(&mut self, now: Instant, plan: Slot) -> Option<PlanSnapshot> {
-        let snapshot = self.fresh_snapshot(plan)?;
-        let settled_at = self.plans.get(plan)?.settled_at;
-        (snapshot.untold == 0 || now >= settled_at).then_some(snapshot)
-    }
-
-    fn next_query(&self, collection: Slot, plan: Slot) -> Option<(FlowKey, WaitingQuery)> {
-        let queue = &self.collections.get(collection)?.queue;
-        let plan = self.plans.get(plan)?;
-        queue.next(|key, query| {
-            self.queries
-                .get(query)
-                .is_some_and(|state| can_start(plan, key, state.kind))
-        })
-    }
-
-    fn take_from_queue(
-        &mut self,
-        now: Instant,
-        collection: Slot,
-        plan: Slot,
-        key: FlowKey,
-        entry: WaitingQuery,
-    ) {
-        let Some(state) = self.queries.get(entry.query) else {
-            return;
-        };
-        let shards = self.plans.get(plan).map_or(1, ShardPlan::shard_count);
-        let cost = match state.kind {
-            RequestKind::Search => 1.0,
-            RequestKind::Execute { .. } => 1.0 / f64::from(shards),
-        };
-        let account = state.account;
-        if let Some(collection) = self.collections.get_mut(collection) {
-            collection.queue.start(now, key, entry, cost);
-        }
-        if let Some(account) = self.accounts.get_mut(account) {
-            account.waiting -= 1;
-        }
-    }
-
-    /// Pins a query to a snapshot and asks its shards.
-    pub(super) fn start_query(
-        &mut self,
-        now: Instant,
-        query: QueryRef,
-        plan: Slot,
-        snapshot: PlanSnapshot,
-        actions: &mut Vec<EngineAction>,
-    ) {
-        let Some(known) = self.plans.get_mut(plan) else {
-            return;
-        };
-        let Some(state) = self.queries.get_mut(query) else {
-            return;
-        };
-        known.users += 1;
-        state.stage = QueryStage::Running { plan };
-        state.snapshot = Snapshot {
-            epoch: known.map.epoch,
-            version: snapshot.version,
-        };
-        state.shards = asked_shards(known, state.kind);
-        state.open = state.shards.len() as u32;
-        let again = state.restarts > 0;
-        let decision = if again {
-            EngineDecision::Restarted {
-                query: state.query,
-                snapshot: state.snapshot,
-            }
-        } else {
-            EngineDecision::Planned {
-                query: state.query,
-                snapshot: state.snapshot,
-                shards: state.open,
-                waited: now.saturating_duration_since(state.submitted),
-            }
-        };
-        let shards = state.open;
-        actions.push(EngineAction::Decided(decision));
-        if shards == 0 {
-            // The shard of a non-idempotent request is not in this map.
-            self.due.finishes.push(query);
-            return;
-        }
-        let cause = if again {
-            AttemptCause::Retry
-        } else {
-            AttemptCause::First
-        };
-        for place in 0..shards {
-            self.ask_shard(now, query, place, cause, actions);
-        }
-        self.begin_hedge_watch(now, query);
-    }
 }
 
 /// The class of an urgency: 0 is served first.
@@ -483,29 +347,6 @@
     }
 }
 
-fn can_start(plan: &ShardPlan, key: FlowKey, kind: RequestKind) -> bool {
-    let class = usize::from(key.class);
-    match kind {
-        RequestKind::Search => !plan.is_saturated(class),
-        RequestKind::Execute { shard } => plan
-            .position(shard)
-            .is_none_or(|position| !plan.is_shard_saturated(position, class)),
-    }
-}
-
-fn asked_shards(plan: &ShardPlan, kind: RequestKind) -> Vec<ShardProgress> {
-    match kind {
-        RequestKind::Search => (0..plan.shard_count())
-            .map(|position| ShardProgress::new(position, plan.shard(position)))
-            .collect(),
-        RequestKind::Execute { shard } => plan
-            .position(shard)
-            .map(|position| ShardProgress::new(position, shard))
-            .into_iter()
-            .collect(),
-    }
-}
-
 fn refuse(code: RefusalCode, message: &str) -> Refusal {
     Refusal::not_run(code, ADMIT_STEP, message)
 }
--- a/core/tests/engine/main.rs
+++ b/core/tests/engine/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod crest;
 mod fleet;
+mod happenings;
 mod interruptions;
 mod random_runs;
 mod stragglers;
