Wait for each service at a stop, and tell peers of draining targets

Cause: an async move block that used only guard.token took just that field, and the other half of the guard, by whose drop the kernel knows that the service has ended, was dropped where the block was made. So a stop went through all services at once: the listener closed before readiness had been seen to go, and in-flight requests were cut. Ruled out: the balancer's poll (100 ms against a grace of 1.25 s) and actix's own graceful stop (it was never waited for).

Change: the guard has a Drop of its own, so that it moves as a whole.

A target's own refusal as draining is now news to the other daemons, beside the platform's list; operators see peers, quarantines and control's cost.

--- a/core/src/control/contact_table.rs
+++ b/core/src/control/contact_table.rs
@@ -6,7 +6,7 @@
 
 use super::event::HostHint;
 use super::member_record::{MemberRecord, MemberState};
-use crate::ids::DataCentreName;
+use crate::ids::{ConfigVersion, DataCentreName};
 
 /// How many daemons of each other data centre are known.
 pub const CONTACTS_PER_DATA_CENTRE: usize = 4;
@@ -19,6 +19,7 @@
 struct ContactEntry {
     record: MemberRecord,
     failures: u32,
+    heard_version: ConfigVersion,
 }
 
 #[derive(Clone, Debug)]
@@ -90,13 +91,23 @@
         centre.contacts.push(ContactEntry {
             record,
             failures: 0,
+            heard_version: 0,
         });
     }
 
-    /// Notes that a contact answered.
-    pub fn answered(&mut self, host: &str) {
+    /// The contacts with the configuration version that each told of itself; 0 if it has not yet.
+    pub fn versions(&self) -> impl Iterator<Item = (&MemberRecord, ConfigVersion)> {
+        self.centres
+            .iter()
+            .flat_map(|centre| centre.contacts.iter())
+            .map(|contact| (&contact.record, contact.heard_version))
+    }
+
+    /// Notes that a contact spoke, and the configuration version that it told of itself.
+    pub fn answered(&mut self, host: &str, version: ConfigVersion) {
         if let Some(contact) = self.find(host) {
             contact.failures = 0;
+            contact.heard_version = version;
         }
     }
 
@@ -155,6 +166,7 @@
         let entry = ContactEntry {
             record: record.clone(),
             failures: 0,
+            heard_version: 0,
         };
         if self.contacts.len() < CONTACTS_PER_DATA_CENTRE {
             self.contacts.push(entry);
--- a/core/src/control/member_table.rs
+++ b/core/src/control/member_table.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::member_record::{MemberRecord, MemberState};
-use crate::ids::HostName;
+use crate::ids::{ConfigVersion, HostName};
 
 /// How long a suspected member has to refute the suspicion.
 pub const SUSPICION_TIMEOUT: Duration = Duration::from_secs(5);
@@ -40,6 +40,7 @@
     changed: Instant,
     is_rumor: bool,
     sends: u32,
+    heard_version: ConfigVersion,
 }
 
 /// The daemons of the own data centre.
@@ -70,6 +71,20 @@
         self.members.iter().map(|entry| &entry.record)
     }
 
+    /// The others with the configuration version that each told of itself; 0 if it has not yet.
+    pub fn versions(&self) -> impl Iterator<Item = (&MemberRecord, ConfigVersion)> {
+        self.members
+            .iter()
+            .map(|entry| (&entry.record, entry.heard_version))
+    }
+
+    /// Notes the configuration version that a member told of itself.
+    pub fn note_version(&mut self, host: &str, version: ConfigVersion) {
+        if let Ok(position) = self.position(host) {
+            self.members[position].heard_version = version;
+        }
+    }
+
     /// The record of another member.
     pub fn find(&self, host: &str) -> Option<&MemberRecord> {
         let position = self.position(host).ok()?;
@@ -116,7 +131,7 @@
                 if !record.supersedes(&self.members[position].record) {
                     return MergeOutcome::Known;
                 }
-                self.members[position] = MemberEntry::rumor(now, record.clone());
+                self.members[position].take(now, record.clone());
             }
             Err(_) if record.state == MemberState::Gone => return MergeOutcome::Known,
             Err(_) if self.members.len() >= MAX_MEMBERS => return MergeOutcome::Known,
@@ -230,7 +245,7 @@
             "invariant: a belief about {} never steps back",
             record.host
         );
-        self.members[position] = MemberEntry::rumor(now, record);
+        self.members[position].take(now, record);
         self.settled = now;
     }
 
@@ -241,12 +256,22 @@
 }
 
 impl MemberEntry {
+    /// Replaces the belief; what the daemon itself told of its configuration stays.
+    fn take(&mut self, now: Instant, record: MemberRecord) {
+        let heard_version = self.heard_version;
+        *self = Self {
+            heard_version,
+            ..Self::rumor(now, record)
+        };
+    }
+
     fn rumor(now: Instant, record: MemberRecord) -> Self {
         Self {
             record,
             changed: now,
             is_rumor: true,
             sends: 0,
+            heard_version: 0,
         }
     }
 }
--- a/core/src/control/node/messages.rs
+++ b/core/src/control/node/messages.rs
@@ -47,7 +47,9 @@
         actions: &mut Vec<ControlAction>,
     ) {
         self.take_record(now, &message.from, actions);
-        self.contacts.answered(&message.from.host);
+        let version = message.config.version;
+        self.contacts.answered(&message.from.host, version);
+        self.members.note_version(&message.from.host, version);
         for record in &message.rumors {
             self.take_record(now, record, actions);
         }
@@ -61,7 +63,7 @@
         }
         self.take_config(message, actions);
         self.ready.heard_peer = true;
-        self.ready.heard_version = self.ready.heard_version.max(message.config.version);
+        self.ready.heard_version = self.ready.heard_version.max(version);
     }
 
     /// The answer to a peer's message, which has been taken already.
--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -15,7 +15,7 @@
     ExchangeMessage, MemberRecord, NewsKind, RefusedValue,
 };
 use yuccalift_core::ids::{ConfigVersion, HostName};
-use yuccalift_wire::operator::ControlReport;
+use yuccalift_wire::operator::{ControlReport, PeerReport};
 
 use super::control_traffic::ControlTraffic;
 use super::peer_client::{control_client, exchange};
@@ -124,6 +124,8 @@
     pub refused: Vec<RefusedValue>,
     /// The other daemons that it knows, those of its own data centre first.
     pub peers: Vec<MemberRecord>,
+    /// The same daemons with what each told of its configuration, sorted by host.
+    pub reports: Vec<PeerReport>,
     /// What is said now, with the time left.
     pub news: Vec<(NewsKind, Duration)>,
     /// What control has cost.
@@ -300,12 +302,28 @@
             hash: node.store().hash(),
             refused: node.store().refused(),
             peers: near.chain(node.contacts().records()).cloned().collect(),
+            reports: peer_reports(node),
             news: node.news().active(Instant::now()),
             traffic: self.traffic.report(),
         }
     }
 }
 
+fn peer_reports(node: &ControlNode) -> Vec<PeerReport> {
+    let peers = node.members().versions().chain(node.contacts().versions());
+    let mut reports: Vec<PeerReport> = peers
+        .map(|(record, config_version)| PeerReport {
+            host: record.host.clone(),
+            data_centre: record.data_centre.clone(),
+            incarnation: record.incarnation,
+            state: record.state.name().into(),
+            config_version,
+        })
+        .collect();
+    reports.sort_unstable_by(|left, right| left.host.cmp(&right.host));
+    reports
+}
+
 impl Actor for ControlLane {
     type Context = Context<Self>;
 
--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -12,9 +12,10 @@
 use yuccalift_core::ids::HostName;
 use yuccalift_core::{ShardMap, TargetEntry};
 use yuccalift_kernel::ServiceGuard;
+use yuccalift_wire::operator::QuarantineReport;
 use yuccalift_wire::platform::{ACCOUNTS_KEY, FLEET_KEY, MAP_PREFIX};
 
-use super::control_lane::{AnnounceNews, ControlLane, ControlOutput, SetBounds};
+use super::control_lane::{AnnounceNews, ControlLane, ControlOutput, GetControl, SetBounds};
 use super::notice_log::report_notice;
 use crate::events::LogEvent;
 use crate::lane::{EngineLane, FeedEngine};
@@ -24,7 +25,9 @@
 use crate::version_probe::probe_versions;
 
 /// How long a target is taken to drain after the platform's list said so last.
-const DRAINING_LIFE: Duration = Duration::from_secs(60);
+pub(crate) const DRAINING_LIFE: Duration = Duration::from_secs(60);
+/// How often operators' view of the control plane is brought up to date.
+const BOARD_PERIOD: Duration = Duration::from_secs(1);
 
 /// Takes the control plane's output until the daemon stops.
 pub(crate) struct ForceService {
@@ -46,9 +49,14 @@
         mut output: UnboundedReceiver<ControlOutput>,
         guard: ServiceGuard,
     ) {
+        let mut board_due = tokio::time::interval(BOARD_PERIOD);
         loop {
             let next = tokio::select! {
                 () = guard.token.cancelled() => return,
+                _ = board_due.tick() => {
+                    self.update_board().await;
+                    continue;
+                }
                 next = output.recv() => next,
             };
             match next {
@@ -58,6 +66,17 @@
         }
     }
 
+    /// Tells the board what the control plane knows.
+    async fn update_board(&self) {
+        let Ok(known) = self.control.send(GetControl).await else {
+            return;
+        };
+        self.board.set_peers(known.reports);
+        self.board.set_control(known.traffic);
+        let quarantines = known.news.iter().filter_map(quarantine_report);
+        self.board.set_quarantines(quarantines.collect());
+    }
+
     fn take(&mut self, output: ControlOutput) {
         match output {
             ControlOutput::InForce(value) => self.put_in_force(&value),
@@ -158,6 +177,16 @@
     }
 }
 
+fn quarantine_report(news: &(NewsKind, Duration)) -> Option<QuarantineReport> {
+    match *news {
+        (NewsKind::Quarantine(fingerprint), left) => Some(QuarantineReport {
+            fingerprint: format!("{fingerprint:016x}").into(),
+            left_ms: left.as_millis() as u64,
+        }),
+        (NewsKind::Draining(_), _) => None,
+    }
+}
+
 fn news_event(kind: NewsKind, active: bool) -> EngineEvent {
     match kind {
         NewsKind::Quarantine(fingerprint) => EngineEvent::Quarantine {
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -15,7 +15,7 @@
 pub mod control_lane;
 pub mod control_traffic;
 pub mod fleet_probe;
-mod force_service;
+pub(crate) mod force_service;
 mod notice_log;
 mod peer_client;
 pub mod peer_listener;
--- a/daemon/src/control/start.rs
+++ b/daemon/src/control/start.rs
@@ -23,7 +23,7 @@
 use super::value_check::check_value;
 use crate::error::{BindSnafu, DaemonError, ThreadSnafu};
 use crate::events::LogEvent;
-use crate::lane::{EngineLane, FeedEngine};
+use crate::lane::{EngineLane, FeedEngine, SetNewsRoute};
 use crate::metrics::MetricsClient;
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::StatusBoard;
@@ -61,6 +61,8 @@
         host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
     };
+    let news = control.clone().recipient();
+    parts.lane.do_send(SetNewsRoute(news));
     let guard = kernel.start("force");
     let force = ForceService {
         place,
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -8,15 +8,20 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use actix::{Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, WrapFuture};
+use actix::{
+    Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, Recipient, WrapFuture,
+};
 use tokio::sync::oneshot;
 use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
-use yuccalift_core::event::{EngineEvent, TargetShare};
+use yuccalift_core::control::NewsKind;
+use yuccalift_core::event::{AttemptFailure, EngineEvent, TargetShare};
 use yuccalift_core::ids::{AttemptId, QueryId, TargetId};
 use yuccalift_core::{
     EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
 };
 
+use crate::control::AnnounceNews;
+use crate::control::force_service::DRAINING_LIFE;
 use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::leaf_client::LeafClient;
 use crate::metrics::{DaemonMetric, MetricsClient};
@@ -39,6 +44,11 @@
 #[rtype(result = "()")]
 pub struct FeedEngine(pub EngineEvent);
 
+/// Tells the lane where its news for other daemons goes.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetNewsRoute(pub Recipient<AnnounceNews>);
+
 /// Asks what the engine holds.
 #[derive(Debug, Message)]
 #[rtype(result = "StatusAnswer")]
@@ -70,6 +80,7 @@
     callers: Vec<WaitingCaller>,
     links: Vec<TargetLink>,
     shares: Arc<[TargetShare]>,
+    news: Option<Recipient<AnnounceNews>>,
     actions: Vec<EngineAction>,
     wake: Option<Instant>,
 }
@@ -94,6 +105,7 @@
             callers: Vec::new(),
             links: Vec::new(),
             shares: Arc::default(),
+            news: None,
             actions: Vec::new(),
             wake: None,
         }
@@ -121,12 +133,30 @@
 
     fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
         self.note_attempt(plan.cause);
-        let client = self.link(plan.target, plan.address);
+        let target = plan.target;
+        let client = self.link(target, plan.address);
         let call = async move { client.call(plan).await };
-        context.spawn(
-            call.into_actor(self)
-                .map(|event, lane, context| lane.feed(event, context)),
-        );
+        context.spawn(call.into_actor(self).map(move |event, lane, context| {
+            lane.announce_drain(target, &event);
+            lane.feed(event, context);
+        }));
+    }
+
+    /// Tells the other daemons when a target's own reply says that it drains.
+    fn announce_drain(&self, target: TargetId, event: &EngineEvent) {
+        let EngineEvent::Failed {
+            failure: AttemptFailure::Draining,
+            ..
+        } = event
+        else {
+            return;
+        };
+        if let Some(news) = &self.news {
+            news.do_send(AnnounceNews {
+                kind: NewsKind::Draining(target),
+                life: DRAINING_LIFE,
+            });
+        }
     }
 
     fn cancel(&mut self, attempt: AttemptId, target: TargetId, context: &mut Context<Self>) {
@@ -297,6 +327,14 @@
     }
 }
 
+impl Handler<SetNewsRoute> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: SetNewsRoute, _ctx: &mut Self::Context) {
+        self.news = Some(msg.0);
+    }
+}
+
 impl Handler<GetStatus> for EngineLane {
     type Result = StatusAnswer;
 
--- a/daemon/src/status_board.rs
+++ b/daemon/src/status_board.rs
@@ -83,13 +83,9 @@
         self.with(|view| view.quarantines = quarantines);
     }
 
-    /// Adds to what control has cost.
-    pub fn add_control(&self, cost: ControlReport) {
-        self.with(|view| {
-            view.control.messages_sent += cost.messages_sent;
-            view.control.bytes += cost.bytes;
-            view.control.platform_calls += cost.platform_calls;
-        });
+    /// Notes what control has cost since the start.
+    pub fn set_control(&self, cost: ControlReport) {
+        self.with(|view| view.control = cost);
     }
 
     fn with<T>(&self, change: impl FnOnce(&mut StatusView) -> T) -> T {
--- /dev/null
+++ b/daemon/tests/planned_stop.rs
@@ -0,0 +1,296 @@
+//! Planned stops cut no request, and a draining target gets no new work, whichever sign is first.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use support::{ACCOUNT, COLLECTION, TestSite};
+use yuccalift_daemon::Daemon;
+use yuccalift_standins::LeafCommand;
+use yuccalift_standins::leaf::DrainSign;
+use yuccalift_testkit::cases;
+use yuccalift_wire::caller::SearchBody;
+use yuccalift_wire::operator::KEY_HEADER;
+use yuccalift_wire::platform::{HostEntry, HostList, HostState};
+
+const KEY: &str = "test-key-test-key";
+/// How often the balancer of these tests asks for readiness.
+const BALANCER_POLL: Duration = Duration::from_millis(100);
+/// In how long a draining target gets no more new work.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+/// How long the load goes on after that.
+const DRAIN_WATCH: Duration = Duration::from_secs(2);
+const CALLERS: usize = 4;
+const CALL_PAUSE: Duration = Duration::from_millis(10);
+
+async fn get_status(address: SocketAddr) -> Option<u16> {
+    let request = awc::Client::default().get(format!("http://{address}/ready"));
+    let response = request.send().await.ok()?;
+    Some(response.status().as_u16())
+}
+
+async fn search(address: SocketAddr, request: String) -> Result<u16, String> {
+    let body = SearchBody {
+        request: request.into(),
+        account: ACCOUNT.into(),
+        collection: COLLECTION.into(),
+        text: "ewe 4711".into(),
+        limit: 1,
+        time_left_ms: None,
+    };
+    let request = awc::Client::default().post(format!("http://{address}/v1/search"));
+    let mut response = request
+        .send_json(&body)
+        .await
+        .map_err(|error| format!("{address}: {error}"))?;
+    let status = response.status().as_u16();
+    let body = response.body().await.map_err(|error| error.to_string())?;
+    if status == 200 {
+        return Ok(status);
+    }
+    Err(format!(
+        "{address}: {status} {}",
+        String::from_utf8_lossy(&body)
+    ))
+}
+
+/// Callers behind a balancer that sends to whichever daemons are ready.
+struct BalancedLoad {
+    daemons: Arc<Mutex<Vec<SocketAddr>>>,
+    failures: Arc<Mutex<Vec<String>>>,
+    answered: Arc<AtomicU32>,
+    stop: Arc<AtomicBool>,
+    thread: std::thread::JoinHandle<()>,
+}
+
+impl BalancedLoad {
+    fn start(daemons: Vec<SocketAddr>) -> Self {
+        let daemons = Arc::new(Mutex::new(daemons));
+        let failures = Arc::<Mutex<Vec<String>>>::default();
+        let (answered, stop) = (Arc::<AtomicU32>::default(), Arc::<AtomicBool>::default());
+        let load = LoadState {
+            daemons: Arc::clone(&daemons),
+            ready: Arc::default(),
+            failures: Arc::clone(&failures),
+            answered: Arc::clone(&answered),
+            stop: Arc::clone(&stop),
+        };
+        let thread = std::thread::spawn(move || actix_rt::System::new().block_on(load.run()));
+        Self {
+            daemons,
+            failures,
+            answered,
+            stop,
+            thread,
+        }
+    }
+
+    fn replace(&self, old: SocketAddr, new: SocketAddr) {
+        let mut daemons = self.daemons.lock().unwrap_or_else(PoisonError::into_inner);
+        daemons.retain(|&known| known != old);
+        daemons.push(new);
+    }
+
+    /// Ends the load; returns how many requests were answered, and what became of the others.
+    fn end(self) -> (u32, Vec<String>) {
+        self.stop.store(true, Ordering::Release);
+        self.thread.join().expect("the load ends");
+        let failures = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
+        (self.answered.load(Ordering::Acquire), failures.clone())
+    }
+}
+
+#[derive(Clone)]
+struct LoadState {
+    daemons: Arc<Mutex<Vec<SocketAddr>>>,
+    ready: Arc<Mutex<Vec<SocketAddr>>>,
+    failures: Arc<Mutex<Vec<String>>>,
+    answered: Arc<AtomicU32>,
+    stop: Arc<AtomicBool>,
+}
+
+impl LoadState {
+    async fn run(self) {
+        let mut tasks = vec![actix_rt::spawn(self.clone().balance())];
+        for caller in 0..CALLERS {
+            tasks.push(actix_rt::spawn(self.clone().call(caller)));
+        }
+        for task in tasks {
+            task.await.expect("a caller ends");
+        }
+    }
+
+    async fn balance(self) {
+        while !self.stop.load(Ordering::Acquire) {
+            let daemons = self.daemons.lock().expect("it is not poisoned").clone();
+            let mut ready = Vec::new();
+            for address in daemons {
+                if get_status(address).await == Some(200) {
+                    ready.push(address);
+                }
+            }
+            *self.ready.lock().expect("it is not poisoned") = ready;
+            actix_rt::time::sleep(BALANCER_POLL).await;
+        }
+    }
+
+    async fn call(self, caller: usize) {
+        let mut number = 0;
+        while !self.stop.load(Ordering::Acquire) {
+            number += 1;
+            let ready = self.ready.lock().expect("it is not poisoned").clone();
+            if let Some(&address) = ready.get((caller + number) % ready.len().max(1)) {
+                match search(address, format!("{caller}-{number}")).await {
+                    Ok(_status) => drop(self.answered.fetch_add(1, Ordering::AcqRel)),
+                    Err(failure) => {
+                        let mut failures = self.failures.lock().expect("it is not poisoned");
+                        failures.push(failure);
+                    }
+                }
+            }
+            actix_rt::time::sleep(CALL_PAUSE).await;
+        }
+    }
+}
+
+/// A site whose daemons find each other through the platform's list.
+fn listed_daemons(site: &TestSite, hosts: &[&str]) -> Vec<Daemon> {
+    let mut daemons: Vec<Daemon> = Vec::new();
+    for host in hosts {
+        let mut settings = site.settings(host);
+        settings.seed_peers = daemons.iter().map(|one| one.addresses().peer).collect();
+        let daemon = Daemon::start(settings).expect("the daemon starts");
+        support::wait_ready(daemon.addresses().caller);
+        daemons.push(daemon);
+    }
+    daemons
+}
+
+#[test]
+fn rolling_restart_cuts_no_request() {
+    let site = TestSite::start(6, 2);
+    let daemons = listed_daemons(&site, &["entry-1", "entry-2", "entry-3"]);
+    let load = BalancedLoad::start(daemons.iter().map(|one| one.addresses().caller).collect());
+    std::thread::sleep(Duration::from_secs(1));
+    for (number, daemon) in daemons.into_iter().enumerate() {
+        let old = daemon.addresses();
+        let mut settings = site.settings(&format!("entry-{}", number + 1));
+        settings.seed_peers = vec![old.peer];
+        let report = daemon.stop();
+        assert!(
+            report.overdue.is_empty(),
+            "every service stops in time: {report:?}"
+        );
+        let fresh = Daemon::start(settings).expect("the daemon starts again");
+        support::wait_ready(fresh.addresses().caller);
+        load.replace(old.caller, fresh.addresses().caller);
+        // The fresh ones end with the test; dropping one does not stop it.
+        std::mem::forget(fresh);
+    }
+    let (answered, failures) = load.end();
+    assert_eq!(failures, Vec::<String>::new(), "no request is cut");
+    assert!(answered > 100, "the load went on: {answered} answered");
+}
+
+/// What begins a planned stop.
+#[derive(Clone, Copy)]
+enum StopOrder {
+    /// The token, as the process cancels it on SIGTERM.
+    Token,
+    /// An operator's call.
+    Operator,
+}
+
+/// Readiness goes away first, while requests are still served; those in flight are finished.
+fn stop_says_so_first_and_finishes(order: StopOrder) {
+    let site = TestSite::start(1, 1);
+    let daemon = site.start_daemon("entry-1");
+    let addresses = daemon.addresses();
+    // The leaf is so slow that requests are in flight all along.
+    site.leafs.leafs()[0].command(LeafCommand::Slow(100.0));
+    let system = actix_rt::System::new();
+    let token = daemon.stop_token();
+    system.block_on(async move {
+        let before = actix_rt::spawn(search(addresses.caller, "before".to_owned()));
+        actix_rt::time::sleep(BALANCER_POLL).await;
+        match order {
+            StopOrder::Token => token.cancel(),
+            StopOrder::Operator => {
+                let url = format!("http://{}/v1/drain", addresses.operator);
+                let request = awc::Client::default().post(url);
+                let sent = request.insert_header((KEY_HEADER, KEY)).send().await;
+                assert_eq!(sent.expect("the daemon answers").status().as_u16(), 202);
+            }
+        }
+        actix_rt::time::sleep(BALANCER_POLL).await;
+        assert_eq!(
+            get_status(addresses.caller).await,
+            Some(503),
+            "readiness is gone"
+        );
+        let after = search(addresses.caller, "after".to_owned()).await;
+        assert_eq!(after, Ok(200), "what the balancer still sends is served");
+        let before = before.await.expect("the call ends");
+        assert_eq!(before, Ok(200), "what was in flight is finished");
+    });
+    let report = daemon.join();
+    assert!(
+        report.overdue.is_empty(),
+        "every service stops in time: {report:?}"
+    );
+}
+
+fn list_leaf_host(site: &TestSite, host: &str) {
+    site.platform.set_hosts(HostList {
+        entry_hosts: Vec::new(),
+        target_hosts: vec![HostEntry {
+            host: host.into(),
+            data_centre: "dc-1".into(),
+            peer_address: "".into(),
+            state: HostState::Leaving,
+        }],
+    });
+}
+
+/// A target drains while two daemons send it work; after three seconds neither does.
+fn draining_target_gets_no_new_work(sign: DrainSign, is_listed: bool) {
+    let site = TestSite::start(1, 3);
+    let daemons = listed_daemons(&site, &["entry-1", "entry-2"]);
+    let load = BalancedLoad::start(daemons.iter().map(|one| one.addresses().caller).collect());
+    let leaf = &site.leafs.leafs()[0];
+    let end = Instant::now() + DRAIN_LIMIT;
+    while leaf.counts().received == 0 {
+        assert!(
+            Instant::now() < end,
+            "the target gets work before it drains"
+        );
+        std::thread::sleep(CALL_PAUSE);
+    }
+    leaf.command(LeafCommand::Drain(sign));
+    if is_listed {
+        list_leaf_host(&site, "leaf-0");
+    }
+    std::thread::sleep(DRAIN_LIMIT + DRAIN_WATCH);
+    let late = leaf.counts().work_after_drain_ms.unwrap_or(0);
+    let (answered, failures) = load.end();
+    assert!(
+        u128::from(late) <= DRAIN_LIMIT.as_millis(),
+        "new work {late} ms after the drain"
+    );
+    assert_eq!(failures, Vec::<String>::new(), "no caller notices");
+    assert!(answered > 50, "the load went on: {answered} answered");
+    for daemon in daemons {
+        daemon.stop();
+    }
+}
+
+cases! {
+    a_stop_by_token_finishes_what_it_has: stop_says_so_first_and_finishes(StopOrder::Token);
+    a_stop_by_an_operator_finishes_what_it_has:
+        stop_says_so_first_and_finishes(StopOrder::Operator);
+    a_target_that_refuses_gets_no_work: draining_target_gets_no_new_work(DrainSign::Refusal, false);
+    a_target_that_is_listed_gets_no_work: draining_target_gets_no_new_work(DrainSign::None, true);
+}
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -21,7 +21,18 @@
 pub struct ServiceGuard {
     /// Cancelled when the service must stop; it then finishes what it has and drops the guard.
     pub token: CancellationToken,
-    _stopped: oneshot::Sender<()>,
+    stopped: Option<oneshot::Sender<()>>,
+}
+
+/// With a drop of its own the guard moves as a whole: without one, an `async move` block that uses
+/// the token alone would take just the token, and the rest of the guard would be dropped where
+/// the block is made, so that the kernel would not wait for the service.
+impl Drop for ServiceGuard {
+    fn drop(&mut self) {
+        if let Some(stopped) = self.stopped.take() {
+            let _kernel_may_have_gone = stopped.send(());
+        }
+    }
 }
 
 /// How a stop went.
@@ -62,7 +73,7 @@
         });
         ServiceGuard {
             token,
-            _stopped: sender,
+            stopped: Some(sender),
         }
     }
 
--- a/kernel/tests/kernel.rs
+++ b/kernel/tests/kernel.rs
@@ -1,8 +1,10 @@
 //! Services are found by name and stop in the reverse order of their start.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use yuccalift_kernel::{Kernel, RegistryError, ServiceRegistry};
+use yuccalift_kernel::{Kernel, RegistryError, ServiceRegistry, pause_length};
 use yuccalift_testkit::cases;
 
 const LIMIT: Duration = Duration::from_secs(5);
@@ -41,6 +43,34 @@
     });
 }
 
+/// A service that uses only the guard's token still holds the whole guard until it ends.
+fn waits_for_what_a_service_does_last() {
+    run(async {
+        let mut kernel = Kernel::new();
+        let done = Arc::new(AtomicBool::new(false));
+        let guard = kernel.start("finishing");
+        let finished = Arc::clone(&done);
+        actix_rt::spawn(async move {
+            guard.token.cancelled().await;
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+            finished.store(true, Ordering::Release);
+        });
+        let report = kernel.stop(LIMIT).await;
+        assert_eq!(report.stopped, ["finishing"], "the service stops in time");
+        assert!(
+            done.load(Ordering::Acquire),
+            "the kernel waited for its end"
+        );
+    });
+}
+
+/// A wake-up counts as late by whichever clock shows it.
+fn pause_is_noticed(monotonic_ms: u64, wall_ms: u64, expected_ms: Option<u64>) {
+    let elapsed = Duration::from_millis;
+    let pause = pause_length(elapsed(monotonic_ms), elapsed(wall_ms));
+    assert_eq!(pause, expected_ms.map(Duration::from_millis));
+}
+
 fn finds_by_name_and_type() {
     let registry = ServiceRegistry::new();
     registry.publish("number", 7_u32).expect("the name is free");
@@ -63,5 +93,9 @@
 cases! {
     the_last_started_stops_first: stops_last_first();
     an_overdue_service_is_named: names_the_overdue();
+    the_kernel_waits_for_the_last_of_a_service: waits_for_what_a_service_does_last();
+    a_wake_up_in_time_is_no_pause: pause_is_noticed(100, 100, None);
+    a_late_wake_up_is_a_pause: pause_is_noticed(5_100, 5_100, Some(5_000));
+    a_suspended_machine_is_a_pause: pause_is_noticed(100, 60_100, Some(60_000));
     services_are_found_by_name_and_type: finds_by_name_and_type();
 }
