--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -16,12 +16,15 @@
 
 use crate::caller::{self, CallerState};
 use crate::control::start::{ControlParts, start_control, start_farewell, start_peer_listener};
+use crate::directory_keeper::DirectoryKeeper;
 use crate::error::{BindSnafu, DaemonError, EndedSnafu, MetricsSnafu, ThreadSnafu};
 use crate::events::LogEvent;
+use crate::execute::{OwnerCaller, PeerExecuteState, TicketDesk};
 use crate::lane::{EngineLane, LANE_SERVICE};
 use crate::listener::{ListenerSpec, serve};
 use crate::metrics::{METRICS_SERVICE, MetricsClient};
 use crate::operator::{self, OperatorState};
+use crate::peer_directory::{PEER_DIRECTORY_SERVICE, PeerDirectory};
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::{STATUS_SERVICE, StatusBoard};
 
@@ -35,6 +38,7 @@
 pub struct Daemon {
     addresses: DaemonAddresses,
     token: CancellationToken,
+    peers: PeerDirectory,
     thread: JoinHandle<StopReport>,
 }
 
@@ -69,14 +73,19 @@
         let host = settings.host.clone();
         let (up, started) = oneshot::channel();
         let stop = token.clone();
+        let peers = PeerDirectory::new();
+        let directory = peers.clone();
         let thread = std::thread::Builder::new()
             .name(format!("daemon-{host}"))
-            .spawn(move || actix::System::new().block_on(run(settings, listeners, up, stop)))
+            .spawn(move || {
+                actix::System::new().block_on(run(settings, listeners, directory, up, stop))
+            })
             .context(ThreadSnafu { thread: "daemon" })?;
         match started.blocking_recv() {
             Ok(Ok(())) => Ok(Self {
                 addresses,
                 token,
+                peers,
                 thread,
             }),
             Ok(Err(error)) => Err(error),
@@ -89,6 +98,11 @@
         self.addresses
     }
 
+    /// Where its peers are, for finding the owner of a ticket.
+    pub fn peer_directory(&self) -> &PeerDirectory {
+        &self.peers
+    }
+
     /// A token whose cancellation starts the graceful stop.
     pub fn stop_token(&self) -> CancellationToken {
         self.token.clone()
@@ -134,12 +148,14 @@
 async fn run(
     settings: DaemonSettings,
     listeners: BoundListeners,
+    directory: PeerDirectory,
     up: oneshot::Sender<Result<(), DaemonError>>,
     stop: CancellationToken,
 ) -> StopReport {
     let mut kernel = Kernel::new();
     let limit = settings.stop_timeout;
-    let started = start_services(&mut kernel, &settings, listeners, &stop);
+    let started = publish(&kernel, directory)
+        .and_then(|()| start_services(&mut kernel, &settings, listeners, &stop));
     let failed = started.is_err();
     let _starter_waits = up.send(started);
     if !failed {
@@ -151,6 +167,11 @@
     report
 }
 
+fn publish(kernel: &Kernel, directory: PeerDirectory) -> Result<(), DaemonError> {
+    let registry = kernel.registry();
+    Ok(registry.publish(PEER_DIRECTORY_SERVICE, directory)?)
+}
+
 /// Starts the services; the last started stops first, so the farewell stands last, and callers
 /// are served until what they need has nothing more to do.
 fn start_services(
@@ -176,7 +197,16 @@
         metrics: metrics.clone(),
     };
     let control = start_control(kernel, settings, parts)?;
-    start_peer_listener(kernel, settings, control.clone(), listeners.peer)?;
+    let directory: PeerDirectory = kernel.registry().find(PEER_DIRECTORY_SERVICE)?;
+    let keeper = DirectoryKeeper::new(control.clone(), directory);
+    actix::spawn(keeper.clone().run(kernel.start(PEER_DIRECTORY_SERVICE)));
+    let desk = TicketDesk::new(settings.host.clone(), incarnation);
+    let execute = PeerExecuteState {
+        desk: Arc::clone(&desk),
+        lane: lane.clone(),
+        key: settings.shared_key.clone(),
+    };
+    start_peer_listener(kernel, settings, control.clone(), execute, listeners.peer)?;
     let state = OperatorState {
         host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
@@ -190,8 +220,9 @@
     let state = CallerState {
         lane,
         ready: Arc::clone(&ready),
+        desk,
     };
-    start_caller(kernel, state, settings, listeners.caller, metrics)?;
+    start_caller(kernel, state, settings, listeners.caller, metrics, keeper)?;
     start_farewell(kernel, settings, control, ready);
     log_start(settings, addresses, incarnation);
     Ok(())
@@ -241,6 +272,7 @@
     settings: &DaemonSettings,
     listener: TcpListener,
     metrics: MetricsClient,
+    keeper: DirectoryKeeper,
 ) -> Result<(), DaemonError> {
     let spec = ListenerSpec {
         name: "caller",
@@ -251,8 +283,11 @@
         stop_timeout: settings.stop_timeout,
     };
     let data = web::Data::new(state);
+    let key = settings.shared_key.clone();
     let handle = serve(listener, &spec, metrics, move |config| {
+        let owners = OwnerCaller::new(keeper.clone(), &key);
         config.app_data(data.clone());
+        config.app_data(web::Data::new(owners));
         caller::configure(config);
     })?;
     let guard = kernel.start("caller");
--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -1,5 +1,6 @@
 //! Planned stops cut no request, and a draining target gets no new work, whichever sign is first.
 
+#[expect(dead_code, reason = "each test file uses its own part of the support")]
 mod support;
 
 use std::net::SocketAddr;
