--- a/daemon/src/control/start.rs
+++ b/daemon/src/control/start.rs
@@ -24,7 +24,7 @@
 use crate::error::{BindSnafu, DaemonError, ThreadSnafu};
 use crate::events::LogEvent;
 use crate::execute::{PeerExecuteState, configure_peer};
-use crate::lane::{EngineLane, FeedEngine};
+use crate::lane::{EngineLane, FeedEngine, SetNewsRoute};
 use crate::metrics::MetricsClient;
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::StatusBoard;
@@ -59,6 +59,8 @@
         host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
     };
+    let news = control.clone().recipient();
+    parts.lane.do_send(SetNewsRoute(news));
     let guard = kernel.start("force");
     let force = ForceService {
         place,
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -5,17 +5,20 @@
 
 use std::time::Instant;
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, SpawnHandle};
+use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
 use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
-use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
+use yuccalift_core::control::NewsKind;
+use yuccalift_core::event::{AttemptFailure, EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::{QueryId, TargetId};
 use yuccalift_core::stall_clock::StallClock;
 use yuccalift_core::{
     EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
 };
 
+use crate::control::AnnounceNews;
+use crate::control::force_service::DRAINING_LIFE;
 use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::events::LogEvent;
 use crate::metrics::{DaemonMetric, MetricsClient};
@@ -61,7 +64,15 @@
 /// What became of an attempt, from the task that made the call.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-struct CallEnded(EngineEvent);
+struct CallEnded {
+    target: TargetId,
+    event: EngineEvent,
+}
+
+/// Tells the lane where its news for other daemons goes.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetNewsRoute(pub Recipient<AnnounceNews>);
 
 /// What a task learnt of a target beside its calls.
 #[derive(Debug, Message)]
@@ -80,6 +91,7 @@
     callers: Vec<WaitingCaller>,
     links: TargetLinks,
     stall: StallClock,
+    news: Option<Recipient<AnnounceNews>>,
     actions: Vec<EngineAction>,
     wake: Option<ScheduledWake>,
 }
@@ -109,6 +121,7 @@
             callers: Vec::new(),
             links: TargetLinks::new(sender),
             stall: StallClock::new(Instant::now()),
+            news: None,
             actions: Vec::new(),
             wake: None,
         }
@@ -156,9 +169,23 @@
     /// them wakes, which a fan-out of hundreds would pay for with each reply.
     fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
         self.note_attempt(plan.cause);
-        let client = self.links.client(plan.target, plan.address);
+        let target = plan.target;
+        let client = self.links.client(target, plan.address);
         let lane = context.address();
-        actix::spawn(async move { lane.do_send(CallEnded(client.call(plan).await)) });
+        actix::spawn(async move {
+            let event = client.call(plan).await;
+            lane.do_send(CallEnded { target, event });
+        });
+    }
+
+    /// Tells the other daemons that a target itself says that it drains.
+    fn announce_drain(&self, target: TargetId) {
+        if let Some(news) = &self.news {
+            news.do_send(AnnounceNews {
+                kind: NewsKind::Draining(target),
+                life: DRAINING_LIFE,
+            });
+        }
     }
 
     fn reply(&mut self, query: QueryId, result: Result<SearchAnswer, Refusal>) {
@@ -279,7 +306,22 @@
     type Result = ();
 
     fn handle(&mut self, msg: CallEnded, ctx: &mut Self::Context) {
-        self.feed(msg.0, ctx);
+        if let EngineEvent::Failed {
+            failure: AttemptFailure::Draining,
+            ..
+        } = &msg.event
+        {
+            self.announce_drain(msg.target);
+        }
+        self.feed(msg.event, ctx);
+    }
+}
+
+impl Handler<SetNewsRoute> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: SetNewsRoute, _ctx: &mut Self::Context) {
+        self.news = Some(msg.0);
     }
 }
 
@@ -290,6 +332,9 @@
         let target = msg.target;
         self.links.note_met(target);
         for kind in msg.news {
+            if kind == TargetNewsKind::Draining {
+                self.announce_drain(target);
+            }
             self.feed(EngineEvent::TargetNews(TargetNews { target, kind }), ctx);
         }
     }
