Answer a search through separate processes in one test

Cause: the thin path was shown in threads only. Change: a test that starts the platform, three leafs and yuccaliftd as processes, reads one answer whole, holds it against the leafs' records, and stops the daemon gracefully by a signal.

--- /dev/null
+++ b/cli/tests/processes.rs
@@ -0,0 +1,189 @@
+//! The whole path as separate processes: platform, leafs, daemons and callers, over TCP.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use awc::Client;
+use serde_json::json;
+use support::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
+use yuccalift_core::{SearchAnswer, ShardEntry, ShardMap, TargetEntry};
+use yuccalift_standins::LeafRun;
+
+const ACCOUNTS: &str = "\
+templates:
+  race:
+    collections: [tags]
+    urgency: urgent
+    deadline: 5s
+    patience: 2s
+    repeat: hedge
+accounts:
+  vets:
+    template: race
+";
+
+/// How many shards the collection has; each is on its own leaf.
+const SHARDS: u32 = 3;
+
+/// A leaf process with its two addresses.
+struct LeafProcess {
+    _process: TestProcess,
+    address: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl LeafProcess {
+    fn start(shard: u32) -> Self {
+        let shard = shard.to_string();
+        let arguments = [
+            "standin",
+            "leaf",
+            "--admin",
+            "127.0.0.2:0",
+            "--shards",
+            &shard,
+        ];
+        let process = TestProcess::yuccalift(&arguments);
+        let address = process.wait_address("leaf ");
+        let admin = process.wait_address("admin ");
+        Self {
+            _process: process,
+            address,
+            admin,
+        }
+    }
+}
+
+fn shard_map(leafs: &[LeafProcess]) -> ShardMap {
+    let targets = leafs.iter().zip(0..).map(|(leaf, target)| TargetEntry {
+        target,
+        address: leaf.address,
+        data_centre: "dc-1".into(),
+        host: format!("leaf-{target}").into(),
+        slots: 3,
+        connections: 30,
+        connect_ms: 6,
+    });
+    ShardMap {
+        collection: "tags".into(),
+        epoch: 1,
+        shards: (0..SHARDS)
+            .map(|shard| ShardEntry {
+                shard,
+                replicas: vec![shard],
+            })
+            .collect(),
+        targets: targets.collect(),
+    }
+}
+
+fn settings(host: &str, platform: SocketAddr) -> String {
+    format!(
+        "host: {host}\n\
+         data_centre: dc-1\n\
+         listen:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n\
+         platform: [\"{platform}\"]\n\
+         shared_key: test-key-test-key\n\
+         log:\n  format: json\n  level: info\n"
+    )
+}
+
+async fn put_value(client: &Client, platform: SocketAddr, key: &str, value: String) {
+    let url = format!("http://{platform}/admin/values/{key}");
+    let response = client.put(url).send_body(value).await;
+    assert!(
+        response
+            .expect("the platform answers")
+            .status()
+            .is_success(),
+        "{key} is put"
+    );
+}
+
+async fn wait_ready(client: &Client, daemon: SocketAddr) {
+    let until = Instant::now() + STEP_LIMIT;
+    loop {
+        let asked = client.get(format!("http://{daemon}/ready")).send().await;
+        if asked.is_ok_and(|response| response.status().is_success()) {
+            return;
+        }
+        assert!(Instant::now() < until, "the daemon gets ready");
+        actix_rt::time::sleep(POLL_PERIOD).await;
+    }
+}
+
+async fn search(client: &Client, daemon: SocketAddr) -> SearchAnswer {
+    let body = json!({
+        "request": "request-1",
+        "account": "vets",
+        "collection": "tags",
+        "text": "ewe 4711",
+    });
+    let request = client
+        .post(format!("http://{daemon}/v1/search"))
+        .timeout(STEP_LIMIT);
+    let mut response = request.send_json(&body).await.expect("the daemon answers");
+    let body = response.body().await.expect("the body is whole");
+    let text = String::from_utf8_lossy(&body);
+    assert!(
+        response.status().is_success(),
+        "the search is answered: {text}"
+    );
+    serde_json::from_slice(&body).expect("the answer is read")
+}
+
+async fn read_runs(client: &Client, leaf: &LeafProcess) -> Vec<LeafRun> {
+    let url = format!("http://{}/admin/runs", leaf.admin);
+    let mut response = client.get(url).send().await.expect("the leaf answers");
+    let body = response.body().await.expect("the body is whole");
+    serde_json::from_slice(&body).expect("the record is read")
+}
+
+#[test]
+fn a_search_goes_through_processes() {
+    let folder = TestFolder::new("processes");
+    let arguments = ["standin", "platform", "--listen", "127.0.0.2:0"];
+    let platform_process = TestProcess::yuccalift(&arguments);
+    let platform = platform_process.wait_address("platform ");
+    let leafs: Vec<LeafProcess> = (0..SHARDS).map(LeafProcess::start).collect();
+    let path = folder.write("daemon.yaml", &settings("entry-1", platform));
+    let mut daemon_process = TestProcess::yuccaliftd(&path);
+    let daemon: SocketAddr = daemon_process.wait_line(|line| {
+        let event: serde_json::Value = serde_json::from_str(line).ok()?;
+        event.get("callers")?.as_str()?.parse().ok()
+    });
+    actix_rt::System::new().block_on(async {
+        let client = Client::default();
+        let map = serde_json::to_string(&shard_map(&leafs)).expect("a map has a JSON form");
+        let fleet = json!({"daemons": 2, "daemons_per_data_centre": 2});
+        put_value(&client, platform, "accounts", ACCOUNTS.to_owned()).await;
+        put_value(&client, platform, "fleet", fleet.to_string()).await;
+        put_value(&client, platform, "map/tags", map).await;
+        wait_ready(&client, daemon).await;
+        let answer = search(&client, daemon).await;
+        assert_eq!(
+            answer.request.as_ref(),
+            "request-1",
+            "the caller's request is answered"
+        );
+        assert_eq!(answer.coverage.asked, SHARDS, "every shard is asked");
+        assert!(
+            answer.coverage.is_whole(),
+            "every shard answers: {:?}",
+            answer.coverage
+        );
+        assert!(answer.complete, "the answer's end is marked");
+        for (leaf, shard) in leafs.iter().zip(0..) {
+            let runs = read_runs(&client, leaf).await;
+            let shards: Vec<u32> = runs.iter().map(|run| run.shard).collect();
+            assert_eq!(shards, vec![shard], "each leaf ran its own shard once");
+        }
+    });
+    daemon_process.signal("-TERM");
+    assert!(
+        daemon_process.wait_end().success(),
+        "a graceful stop is a good end"
+    );
+}
