Count links' threads apart from daemons'

Cause: the time of the links' threads was counted as the daemons'. Ruled out: nothing was tried beside it. Change: as the title says.

--- a/cli/src/processor.rs
+++ b/cli/src/processor.rs
@@ -9,7 +9,7 @@
 /// How much processor time one tick of the system's counters is.
 const TICK: Duration = Duration::from_millis(10);
 /// The names of threads that are not a daemon's, as the stand-ins give them.
-const OTHER_THREADS: [&str; 5] = ["callers", "leaf", "leafs", "platform", "yuccalift"];
+const OTHER_THREADS: [&str; 6] = ["callers", "leaf", "leafs", "links", "platform", "yuccalift"];
 /// The places of the user's and the system's time after the name in a thread's `stat`.
 const TIME_FIELDS: [usize; 2] = [11, 12];
 
