--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,10 +11,13 @@
 //! - [`event`], [`action`]: what the engine is told, and what it decides.
 //! - [`engine`]: the data path of one daemon.
 //! - [`quarantine`]: holding back a request that crashes its targets.
+//! - [`connection_watch`], [`stall_clock`]: dead connections and pauses, found out.
+//! - [`ticket_ledger`]: what a daemon remembers of non-idempotent requests.
 //! - [`control`]: the control plane of one daemon.
 
 pub mod account;
 pub mod action;
+pub mod connection_watch;
 pub mod control;
 pub mod coverage;
 pub mod engine;
@@ -24,6 +27,8 @@
 pub mod quarantine;
 pub mod search;
 pub mod shard_map;
+pub mod stall_clock;
+pub mod ticket_ledger;
 
 pub use account::{AccountPolicy, AccountTable, RepeatPolicy, Urgency};
 pub use action::{EngineAction, EngineDecision};
--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -21,7 +21,6 @@
 use crate::metrics::MetricsClient;
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::StatusBoard;
-use crate::version_probe::probe_versions;
 
 /// How long a target is taken to drain after the platform's list said so last.
 const DRAINING_LIFE: Duration = Duration::from_secs(60);
@@ -124,8 +123,7 @@
                 let map = Arc::new(map);
                 self.maps.push(Arc::clone(&map));
                 self.feed_shares();
-                self.feed(EngineEvent::MapChanged(Arc::clone(&map)));
-                actix::spawn(probe_versions(self.lane.clone(), map));
+                self.feed(EngineEvent::MapChanged(map));
             }
         }
     }
--- a/daemon/src/control/start.rs
+++ b/daemon/src/control/start.rs
@@ -23,14 +23,12 @@
 use super::value_check::check_value;
 use crate::error::{BindSnafu, DaemonError, ThreadSnafu};
 use crate::events::LogEvent;
+use crate::execute::{PeerExecuteState, configure_peer};
 use crate::lane::{EngineLane, FeedEngine};
 use crate::metrics::MetricsClient;
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::StatusBoard;
 
-/// The seconds that peers' exchanges get to finish when the listener stops.
-const PEER_STOP_SECONDS: u64 = 1;
-
 /// What the control plane's services are started with.
 pub(crate) struct ControlParts {
     /// The engine's lane.
@@ -83,6 +81,7 @@
     kernel: &mut Kernel,
     settings: &DaemonSettings,
     control: Addr<ControlLane>,
+    execute: PeerExecuteState,
     listener: TcpListener,
 ) -> Result<(), DaemonError> {
     let guard = kernel.start("peer");
@@ -91,14 +90,17 @@
         lane: control,
         key: settings.shared_key.clone(),
     });
+    let execute = web::Data::new(execute);
     let server = HttpServer::new(move || {
         App::new()
             .app_data(state.clone())
+            .app_data(execute.clone())
             .configure(peer_listener::configure)
+            .configure(configure_peer)
     })
     .workers(1)
     .disable_signals()
-    .shutdown_timeout(PEER_STOP_SECONDS)
+    .shutdown_timeout(settings.stop_timeout.as_secs())
     .client_request_timeout(settings.limits.header_timeout)
     .listen(listener)
     .context(BindSnafu {
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -83,6 +83,8 @@
     103 INFO "daemon_stopped" DaemonStopped { host: &'a str, overdue: &'a str }
     #[doc = "The process was paused; beliefs with an age were dropped."]
     104 WARN "process_paused" ProcessPaused { pause_ms: u64 }
+    #[doc = "The thread of the data path was not run for a while; old beliefs are dropped."]
+    105 WARN "lane_paused" LanePaused { gap_ms: u64 }
     #[doc = "A configuration version is in force; `source` is the platform or the peer it came from."]
     201 INFO "configuration_in_force" ConfigurationInForce { version: u64, source: &'a str }
     #[doc = "A published value was refused; the last good one stays in force."]
@@ -127,12 +129,20 @@
     408 DEBUG "query_answered" QueryAnswered {
         query: u64, asked: u32, answered: u32, took_ms: u64,
     }
+    #[doc = "A request came under a ticket of this daemon; `verdict` says what is done with it."]
+    409 INFO "ticket_checked" TicketChecked { ticket: u64, request: &'a str, verdict: &'a str }
+    #[doc = "A request was passed on to the daemon that owns its ticket."]
+    410 INFO "request_passed_on" RequestPassedOn { ticket: u64, request: &'a str, owner: &'a str }
     #[doc = "A slow or failing target gets no work for a moment."]
     501 WARN "target_ejected" TargetEjected { target: u32, period_ms: u64 }
     #[doc = "An ejected target gets work again."]
     502 INFO "target_readmitted" TargetReadmitted { target: u32 }
     #[doc = "The limit of requests in flight to a target changed."]
     503 DEBUG "target_limit_changed" TargetLimitChanged { target: u32, limit: u32 }
+    #[doc = "Connections to a target were silent; `answered` says if the target answers on others."]
+    504 WARN "connections_retired" ConnectionsRetired {
+        target: &'a str, retired: u64, answered: bool,
+    }
     #[doc = "A call to a listener was refused before it was read."]
     801 WARN "call_refused" CallRefused { listener: &'a str, peer: &'a str, reason: &'a str }
     #[doc = "An operator asked for a graceful stop."]
