--- a/daemon/src/bin/yuccaliftd.rs
+++ b/daemon/src/bin/yuccaliftd.rs
@@ -75,7 +75,7 @@
         }
     };
     if check_only {
-        return ExitCode::SUCCESS;
+        return print_and_end(&format!("{file}: valid settings of a daemon\n"));
     }
     match serve(settings) {
         Ok(code) => code,
