--- /dev/null
+++ b/settings/tests/pages.rs
@@ -0,0 +1,33 @@
+//! The settings page says what the table of fields says.
+
+use std::fs;
+
+use yuccalift_settings::{DAEMON_FIELDS, FieldDefault, FieldSpec, POLICY_FIELDS};
+
+fn row(spec: &FieldSpec) -> String {
+    let default = match spec.default {
+        FieldDefault::Required => "must be given".to_owned(),
+        FieldDefault::Absent => "none".to_owned(),
+        FieldDefault::Value(text) => format!("`{text}`"),
+        FieldDefault::Derived(rule) => rule.to_owned(),
+    };
+    let (name, allowed, help) = (spec.name, spec.kind.allowed(), spec.help);
+    format!("| `{name}` | {allowed} | {default} | {help} |")
+}
+
+#[test]
+fn every_field_is_on_the_page() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/SETTINGS.md");
+    let text = fs::read_to_string(path).expect("the page is there");
+    let rows: Vec<&str> = text
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
+    let specs = DAEMON_FIELDS.iter().chain(POLICY_FIELDS);
+    let expected: Vec<String> = specs.map(row).collect();
+    assert_eq!(
+        rows.join("\n"),
+        expected.join("\n"),
+        "docs/SETTINGS.md lists the fields"
+    );
+}
