--- a/daemon/tests/whole_path.rs
+++ b/daemon/tests/whole_path.rs
@@ -1,5 +1,6 @@
 //! A search goes from a caller through a daemon to every shard and back.
 
+#[allow(dead_code, reason = "each test file uses its own part of the support")]
 mod support;
 
 use support::{ACCOUNT, COLLECTION, TestSite};
