Add the gate that attempts pass on their way to a target

Change: the gate knows which attempts each target runs, counts attempts that are lost together as one loss, keeps those that wait for a trial, and tells the daemon what to send, drop, tell and hold.

--- a/core/src/quarantine/mod.rs
+++ b/core/src/quarantine/mod.rs
@@ -16,10 +16,13 @@
 //!
 //! - `suspect`: what is held against one request.
 //! - [`table`]: all suspects of a daemon, and the verdicts.
+//! - [`gate`]: what every attempt passes on its way; the daemon uses the table through it.
 
+pub mod gate;
 mod suspect;
 pub mod table;
 
+pub use gate::{AttemptGate, GateAction};
 pub use table::{
     NoticeKind, QuarantineEntry, QuarantineNotice, QuarantineTable, RunningRequest, TrialRequest,
     TrialVerdict,
--- a/core/src/quarantine/table.rs
+++ b/core/src/quarantine/table.rs
@@ -192,6 +192,32 @@
             .is_ok_and(|position| self.suspects[position].is_held(now))
     }
 
+    /// Whether requests of the fingerprint are suspected or held back.
+    pub fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
+        self.position(fingerprint).is_ok()
+    }
+
+    /// Ends a hold before its time; true if there was one.
+    pub fn lift(&mut self, now: Instant, fingerprint: Fingerprint) -> bool {
+        let Ok(position) = self.position(fingerprint) else {
+            return false;
+        };
+        let suspect = &mut self.suspects[position];
+        let was_held = suspect.held_until.is_some();
+        if was_held {
+            suspect.release(now);
+        }
+        was_held
+    }
+
+    /// When [`Self::expire`] is due next, if at all.
+    pub fn next_end(&self) -> Option<Instant> {
+        self.suspects
+            .iter()
+            .map(|suspect| suspect.held_until.unwrap_or(suspect.ends))
+            .min()
+    }
+
     /// Ends what has run out; returns the fingerprints that are held back no longer.
     pub fn expire(&mut self, now: Instant) -> Vec<Fingerprint> {
         let mut released = Vec::new();
