Put peers behind the same gate, and take removed accounts out of force

Cause: the peers' listener compared the key by itself and had no request rate and no typed errors; a removed accounts document was replaced by the text `accounts: []`, which the reader refuses, so that the accounts stayed in force. An empty document of templates and accounts stands in for a removed one.

--- a/daemon/src/caller.rs
+++ b/daemon/src/caller.rs
@@ -177,8 +177,7 @@
 fn refusal_status(refusal: &Refusal) -> StatusCode {
     match refusal.code {
         RefusalCode::BadRequest => StatusCode::BAD_REQUEST,
-        RefusalCode::KeyInvalid => StatusCode::UNAUTHORIZED,
-        RefusalCode::UnknownAccount => StatusCode::FORBIDDEN,
+        RefusalCode::KeyInvalid | RefusalCode::UnknownAccount => StatusCode::FORBIDDEN,
         RefusalCode::UnknownCollection => StatusCode::NOT_FOUND,
         RefusalCode::TicketInvalid => StatusCode::CONFLICT,
         RefusalCode::QueueFull | RefusalCode::RateLimited | RefusalCode::Hopeless => {
--- a/daemon/src/control/fleet_probe.rs
+++ b/daemon/src/control/fleet_probe.rs
@@ -23,9 +23,10 @@
     AnnounceNews, ControlLane, ControlOutput, ControlSnapshot, GetControl, LaneSettings,
     LeaveFleet, SetBounds, StopLane, TakePause,
 };
-use super::peer_listener::{answer, shows_key};
+use super::peer_listener::answer;
 use super::value_check::check_value;
 use crate::error::{BindSnafu, DaemonError, EndedSnafu, ThreadSnafu};
+use crate::listener::shows_key;
 
 /// The key that the control planes of a probe show each other.
 const PROBE_KEY: &str = "probe-key-probe-key";
--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -24,6 +24,8 @@
 
 /// How long a target is taken to drain after the platform's list said so last.
 const DRAINING_LIFE: Duration = Duration::from_secs(60);
+/// What is in force where the accounts' document was removed.
+const NO_ACCOUNTS: &str = "templates: {}\naccounts: {}\n";
 
 /// Takes the control plane's output until the daemon stops.
 pub(crate) struct ForceService {
@@ -93,7 +95,7 @@
     }
 
     fn put_accounts(&self, value: &ConfigValue) {
-        let text = value.value.as_deref().unwrap_or("accounts: []");
+        let text = value.value.as_deref().unwrap_or(NO_ACCOUNTS);
         if let Ok(table) = yuccalift_settings::parse_accounts(ACCOUNTS_KEY, text, value.version) {
             self.feed(EngineEvent::AccountsChanged(Arc::new(table)));
         }
--- a/daemon/src/control/peer_listener.rs
+++ b/daemon/src/control/peer_listener.rs
@@ -3,11 +3,13 @@
 use actix::Addr;
 use actix_web::{HttpRequest, HttpResponse, web};
 use yuccalift_core::control::exchange::MAX_MESSAGE_BYTES;
+use yuccalift_core::{Refusal, RefusalCode};
 use yuccalift_wire::codec::{from_rmp, to_rmp};
-use yuccalift_wire::operator::KEY_HEADER;
 use yuccalift_wire::peer::{EXCHANGE_PATH, ExchangeMessage};
 
 use super::control_lane::{ControlLane, TakeExchange};
+use crate::caller::refusal_response;
+use crate::listener::shows_key;
 
 /// What the handlers of the peers' listener share.
 #[derive(Clone, Debug)]
@@ -26,18 +28,6 @@
     config.service(resource);
 }
 
-/// Whether a request shows the shared key; compared in a time that does not tell how much of it
-/// is right.
-pub fn shows_key(request: &HttpRequest, key: &str) -> bool {
-    let shown = request.headers().get(KEY_HEADER);
-    let shown = shown.map_or(&[][..], |value| value.as_bytes());
-    let differing = shown
-        .iter()
-        .zip(key.bytes())
-        .fold(0, |sum, (left, right)| sum | (left ^ right));
-    shown.len() == key.len() && differing == 0
-}
-
 async fn take_exchange(
     request: HttpRequest,
     state: web::Data<PeerState>,
@@ -60,7 +50,11 @@
         .map_or_else(String::new, |peer| peer.to_string());
     let message: ExchangeMessage = match from_rmp("read exchange", &peer, body) {
         Ok(message) => message,
-        Err(error) => return HttpResponse::BadRequest().body(error.to_string()),
+        Err(error) => {
+            let code = RefusalCode::BadRequest;
+            let refusal = Refusal::not_run(code, "read exchange", error.to_string());
+            return refusal_response(&refusal);
+        }
     };
     let bytes = body.len();
     let Ok(reply) = lane.send(TakeExchange { message, bytes }).await else {
--- a/daemon/src/control/start.rs
+++ b/daemon/src/control/start.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 
 use actix::{Actor, Addr, Arbiter};
-use actix_web::{App, HttpServer, web};
+use actix_web::web;
 use snafu::ResultExt;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
+use yuccalift_core::control::exchange::MAX_MESSAGE_BYTES;
 use yuccalift_core::control::{ControlSettings, DaemonPlace, MemberRecord, MemberState};
 use yuccalift_core::event::EngineEvent;
 use yuccalift_core::ids::Incarnation;
 use yuccalift_kernel::{Kernel, watch_pauses};
-use yuccalift_settings::DaemonSettings;
+use yuccalift_settings::{DaemonSettings, ListenerLimits};
 
 use super::control_lane::{
     CONTROL_SERVICE, ControlLane, ControlOutput, LaneSettings, LeaveFleet, TakePause,
@@ -21,14 +22,18 @@
 use super::peer_listener::{self, PeerState};
 use super::stop_grace::stop_grace;
 use super::value_check::check_value;
-use crate::error::{BindSnafu, DaemonError, ThreadSnafu};
+use crate::error::{DaemonError, ThreadSnafu};
 use crate::events::LogEvent;
 use crate::execute::{PeerExecuteState, configure_peer};
 use crate::lane::{EngineLane, FeedEngine};
-use crate::metrics::MetricsClient;
+use crate::listener::{ListenerSpec, serve};
+use crate::metrics::{METRICS_SERVICE, MetricsClient};
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::StatusBoard;
 
+/// How many threads serve peers.
+const PEER_WORKERS: usize = 1;
+
 /// What the control plane's services are started with.
 pub(crate) struct ControlParts {
     /// The engine's lane.
@@ -84,32 +89,30 @@
     execute: PeerExecuteState,
     listener: TcpListener,
 ) -> Result<(), DaemonError> {
-    let guard = kernel.start("peer");
-    let address = settings.peer_listen;
+    let spec = ListenerSpec {
+        name: "peer",
+        address: settings.peer_listen,
+        workers: PEER_WORKERS,
+        limits: ListenerLimits {
+            body_bytes: MAX_MESSAGE_BYTES,
+            ..settings.limits
+        },
+        key: Some(settings.shared_key.clone()),
+        stop_timeout: settings.stop_timeout,
+    };
     let state = web::Data::new(PeerState {
         lane: control,
         key: settings.shared_key.clone(),
     });
     let execute = web::Data::new(execute);
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(state.clone())
-            .app_data(execute.clone())
-            .configure(peer_listener::configure)
-            .configure(configure_peer)
-    })
-    .workers(1)
-    .disable_signals()
-    .shutdown_timeout(settings.stop_timeout.as_secs())
-    .client_request_timeout(settings.limits.header_timeout)
-    .listen(listener)
-    .context(BindSnafu {
-        listener: "peer",
-        address,
-    })?
-    .run();
-    let handle = server.handle();
-    actix::spawn(server);
+    let metrics = kernel.registry().find(METRICS_SERVICE)?;
+    let handle = serve(listener, &spec, metrics, move |config| {
+        config.app_data(state.clone());
+        config.app_data(execute.clone());
+        peer_listener::configure(config);
+        configure_peer(config);
+    })?;
+    let guard = kernel.start("peer");
     actix::spawn(async move {
         guard.token.cancelled().await;
         handle.stop(true).await;
--- a/daemon/src/execute/peer.rs
+++ b/daemon/src/execute/peer.rs
@@ -10,8 +10,8 @@
 
 use super::desk::TicketDesk;
 use super::pass_on::PATH;
-use crate::control::peer_listener::shows_key;
 use crate::lane::EngineLane;
+use crate::listener::shows_key;
 
 /// What the handler shares.
 #[derive(Clone)]
--- a/daemon/src/listener.rs
+++ b/daemon/src/listener.rs
@@ -12,7 +12,7 @@
 use actix_web::dev::{Payload, ServerHandle, ServiceRequest, ServiceResponse};
 use actix_web::http::StatusCode;
 use actix_web::middleware::{Next, from_fn};
-use actix_web::{App, HttpResponse, HttpServer, web};
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use snafu::ResultExt;
 use subtle::ConstantTimeEq;
 use yuccalift_core::{Refusal, RefusalCode};
@@ -141,12 +141,10 @@
         let Some(key) = &self.key else {
             return Ok(());
         };
-        let shown = call.headers().get(KEY_HEADER);
-        let shown = shown.map_or(&[][..], |value| value.as_bytes());
-        if bool::from(shown.ct_eq(key.as_bytes())) {
+        if shows_key(call.request(), key) {
             return Ok(());
         }
-        let status = StatusCode::UNAUTHORIZED;
+        let status = StatusCode::FORBIDDEN;
         let message = "the shared key is missing or wrong";
         Err(gate_refusal(
             status,
@@ -209,6 +207,14 @@
     Ok(response.map_into_left_body())
 }
 
+/// Whether a call shows the shared key; compared in a time that does not tell how much of it is
+/// right.
+pub(crate) fn shows_key(call: &HttpRequest, key: &str) -> bool {
+    let shown = call.headers().get(KEY_HEADER);
+    let shown = shown.map_or(&[][..], |value| value.as_bytes());
+    shown.ct_eq(key.as_bytes()).into()
+}
+
 fn is_empty(size: BodySize) -> bool {
     matches!(size, BodySize::None | BodySize::Sized(0))
 }
