Keep who is gone as the way back, and prove kills, pauses and splits

Cause: a member taken for gone was forgotten as soon as a reader saw that the platform's list, which lags, did not name it. After a split inside a data centre nobody then knew whom to try, and an old rumor could have brought a dead process back. Ruled out: the order of beliefs (gone stays above alive of the same age) and the reconnect period (nothing was left to reconnect to).

Before: split_data_centre_knows_its_members_again and the pause of a process failed (no 'gone' entry left). After: kept for 60 s beyond the list; both pass.

Nine daemons as processes: two killed at once, one stopped for 9 s by SIGSTOP, one ended by SIGTERM.

--- /dev/null
+++ b/cli/tests/fleet_processes.rs
@@ -0,0 +1,238 @@
+//! Nine daemons as processes in three data centres: kills, pauses and replacements at the moment
+//! of a change.
+
+#[allow(dead_code, reason = "each test file uses its own part of the support")]
+mod spawned;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use spawned::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
+use yuccalift_core::ids::ConfigVersion;
+use yuccalift_standins::{PlatformOptions, PlatformStandin};
+use yuccalift_wire::operator::{KEY_HEADER, StatusReport};
+
+const DAEMONS: usize = 9;
+const DATA_CENTRES: usize = 3;
+const KEY: &str = "test-key-test-key";
+/// In how long a change is in force everywhere, at the size of today.
+const SPREAD_LIMIT: Duration = Duration::from_secs(3);
+/// Longer than a suspicion lasts.
+const PAUSE: Duration = Duration::from_secs(9);
+
+/// Where one daemon's listeners are.
+#[derive(Clone, Copy)]
+struct DaemonPlace {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    operators: SocketAddr,
+}
+
+struct ProcessFleet {
+    platform: PlatformStandin,
+    folder: TestFolder,
+    places: Vec<DaemonPlace>,
+    daemons: Vec<Option<TestProcess>>,
+}
+
+impl ProcessFleet {
+    fn start(name: &str) -> Self {
+        let platform = PlatformStandin::start(PlatformOptions::default()).expect("it starts");
+        let bounds = r#"{"daemons": 12, "daemons_per_data_centre": 4}"#;
+        platform.put_value("fleet", bounds);
+        let mut fleet = Self {
+            platform,
+            folder: TestFolder::new(name),
+            places: (0..DAEMONS).map(free_place).collect(),
+            daemons: (0..DAEMONS).map(|_| None).collect(),
+        };
+        for position in 0..DAEMONS {
+            fleet.start_daemon(position);
+        }
+        let version = fleet.publish("first");
+        fleet.wait("has the first version", STEP_LIMIT, |report| {
+            report.ready && report.config_version >= version
+        });
+        fleet.wait_all_alive();
+        fleet
+    }
+
+    /// Starts a daemon's process, after the one before it has been ended.
+    fn start_daemon(&mut self, position: usize) {
+        self.daemons[position] = None;
+        let place = self.places[position];
+        let seeds: Vec<String> = self
+            .places
+            .iter()
+            .map(|other| other.peers)
+            .filter(|&peers| peers != place.peers)
+            .map(|peers| peers.to_string())
+            .collect();
+        let settings = format!(
+            "host: entry-{position}\ndata_centre: dc-{}\nlisten:\n  callers: {}\n  peers: {}\n  \
+             operators: {}\nplatform: ['{}']\nseed_peers: {seeds:?}\nshared_key: {KEY}\n\
+             stop_timeout: 4s\n",
+            position % DATA_CENTRES,
+            place.callers,
+            place.peers,
+            place.operators,
+            self.platform.address(),
+        );
+        let file = self.folder.write(&format!("{position}.yaml"), &settings);
+        self.daemons[position] = Some(TestProcess::yuccaliftd(&file));
+    }
+
+    fn kill(&mut self, position: usize) {
+        self.daemons[position] = None;
+    }
+
+    fn signal(&self, position: usize, signal: &str) {
+        let daemon = self.daemons[position].as_ref();
+        daemon.expect("the daemon runs").signal(signal);
+    }
+
+    fn publish(&self, mark: &str) -> ConfigVersion {
+        let text = format!(
+            "templates: {{ race: {{ collections: [tags], urgency: urgent, deadline: 2s, \
+             patience: 1s, repeat: hedge }} }}\naccounts: {{ {mark}: {{ template: race }} }}\n"
+        );
+        self.platform.put_value("accounts", &text)
+    }
+
+    fn report(&self, position: usize) -> Option<StatusReport> {
+        self.daemons[position].as_ref()?;
+        let address = self.places[position].operators;
+        actix_rt::System::new().block_on(async move {
+            let request = awc::Client::default()
+                .get(format!("http://{address}/v1/status"))
+                .insert_header((KEY_HEADER, KEY));
+            request.send().await.ok()?.json().await.ok()
+        })
+    }
+
+    /// Waits until a condition holds of each daemon that runs.
+    fn wait(&self, what: &str, limit: Duration, holds: impl Fn(&StatusReport) -> bool) {
+        let end = Instant::now() + limit;
+        for position in (0..DAEMONS).filter(|&position| self.daemons[position].is_some()) {
+            loop {
+                let report = self.report(position);
+                if report.as_ref().is_some_and(&holds) {
+                    break;
+                }
+                assert!(
+                    Instant::now() < end,
+                    "daemon {position} {what} in {limit:?}: {report:?}"
+                );
+                std::thread::sleep(POLL_PERIOD);
+            }
+        }
+    }
+
+    /// Waits until each daemon takes all the others of its data centre to be alive.
+    fn wait_all_alive(&self) {
+        let running = self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.is_some())
+            .count();
+        assert_eq!(running, DAEMONS, "all daemons run");
+        self.wait(
+            "knows all others of its data centre",
+            STEP_LIMIT,
+            |report| near_states(report) == ["alive"; DAEMONS / DATA_CENTRES - 1],
+        );
+    }
+}
+
+/// The states of the peers in the daemon's own data centre.
+fn near_states(report: &StatusReport) -> Vec<&str> {
+    let near = report
+        .peers
+        .iter()
+        .filter(|peer| peer.data_centre == report.data_centre);
+    near.map(|peer| peer.state.as_ref()).collect()
+}
+
+/// Free ports at an address from which no other test's calls leave.
+fn free_place(position: usize) -> DaemonPlace {
+    let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 30, position as u8 + 1));
+    let listeners: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind((ip, 0)).expect("a port is free"))
+        .collect();
+    let address = |index: usize| listeners[index].local_addr().expect("it is bound");
+    DaemonPlace {
+        callers: address(0),
+        peers: address(1),
+        operators: address(2),
+    }
+}
+
+#[test]
+fn kill_of_two_daemons_at_once_delays_no_change() {
+    let mut fleet = ProcessFleet::start("kill-two");
+    fleet.kill(0);
+    fleet.kill(1);
+    let version = fleet.publish("second");
+    fleet.wait("has the change", SPREAD_LIMIT, |report| {
+        report.config_version >= version
+    });
+    fleet.start_daemon(0);
+    fleet.start_daemon(1);
+    fleet.wait("is ready with the change", STEP_LIMIT, |report| {
+        report.ready && report.config_version >= version
+    });
+    fleet.wait_all_alive();
+}
+
+#[test]
+fn paused_daemon_is_missed_and_comes_back_without_condemning_others() {
+    let fleet = ProcessFleet::start("pause");
+    fleet.signal(0, "-STOP");
+    let version = fleet.publish("second");
+    let end = Instant::now() + PAUSE;
+    for position in 1..DAEMONS {
+        while fleet
+            .report(position)
+            .is_none_or(|report| report.config_version < version)
+        {
+            assert!(Instant::now() < end, "daemon {position} has the change");
+            std::thread::sleep(POLL_PERIOD);
+        }
+    }
+    std::thread::sleep(end.saturating_duration_since(Instant::now()));
+    let known = fleet.report(DATA_CENTRES).expect("it answers");
+    let paused = known
+        .peers
+        .iter()
+        .find(|peer| peer.host.as_ref() == "entry-0");
+    assert_eq!(
+        paused.map(|peer| peer.state.as_ref()),
+        Some("gone"),
+        "who does not answer is taken for gone"
+    );
+    fleet.signal(0, "-CONT");
+    fleet.wait("has the change", SPREAD_LIMIT, |report| {
+        report.config_version >= version
+    });
+    fleet.wait_all_alive();
+}
+
+#[test]
+fn stop_by_signal_says_so_and_ends_well() {
+    let mut fleet = ProcessFleet::start("stop");
+    fleet.signal(0, "-TERM");
+    let end = Instant::now() + SPREAD_LIMIT;
+    let knows = |position: usize| {
+        let report = fleet.report(position).expect("it answers");
+        near_states(&report).contains(&"leaving")
+    };
+    while !(knows(DATA_CENTRES) && knows(2 * DATA_CENTRES)) {
+        assert!(Instant::now() < end, "its peers hear that it is leaving");
+        std::thread::sleep(POLL_PERIOD);
+    }
+    let mut stopped = fleet.daemons[0].take().expect("the daemon runs");
+    assert!(
+        stopped.wait_end().success(),
+        "the process ends with status 0"
+    );
+}
--- a/core/src/control/member_table.rs
+++ b/core/src/control/member_table.rs
@@ -16,6 +16,8 @@
 pub const SUSPICION_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a member that is gone is remembered and tried again now and then.
 pub const GONE_KEPT: Duration = Duration::from_secs(600);
+/// How long one that the platform does not list is.
+pub const UNLISTED_KEPT: Duration = Duration::from_secs(60);
 /// How long a change is passed on after it was learned.
 pub const RUMOR_PERIOD: Duration = Duration::from_secs(10);
 /// How many members a table holds.
@@ -182,10 +184,13 @@
         given_up
     }
 
-    /// Forgets members that are gone and that `is_unlisted` says the platform lists no more.
-    pub fn forget_gone(&mut self, is_unlisted: impl Fn(&str) -> bool) {
+    /// Forgets members that have been gone for a while and that the platform lists no more. Not
+    /// at once: the list lags, and a member that is gone is the way back after a cut.
+    pub fn forget_gone(&mut self, now: Instant, is_unlisted: impl Fn(&str) -> bool) {
         self.members.retain(|entry| {
-            entry.record.state != MemberState::Gone || !is_unlisted(&entry.record.host)
+            let age = now.saturating_duration_since(entry.changed);
+            let is_gone = entry.record.state == MemberState::Gone && age >= UNLISTED_KEPT;
+            !is_gone || !is_unlisted(&entry.record.host)
         });
     }
 
--- a/core/src/control/node/messages.rs
+++ b/core/src/control/node/messages.rs
@@ -18,7 +18,7 @@
 
 impl ControlNode {
     /// Keeps the platform's list as a hint: whom to try, and who may be forgotten.
-    pub(super) fn take_hints(&mut self, hints: Vec<HostHint>) {
+    pub(super) fn take_hints(&mut self, now: Instant, hints: Vec<HostHint>) {
         let own = self.members.own().clone();
         for hint in &hints {
             if hint.data_centre != own.data_centre {
@@ -32,7 +32,7 @@
         self.hints
             .sort_unstable_by(|left, right| left.host.cmp(&right.host));
         let hints = &self.hints;
-        self.members.forget_gone(|host| {
+        self.members.forget_gone(now, |host| {
             hints
                 .binary_search_by(|hint| hint.host.as_ref().cmp(host))
                 .is_err()
--- a/core/src/control/node/reading.rs
+++ b/core/src/control/node/reading.rs
@@ -155,7 +155,7 @@
             self.raise_beat(now);
         }
         let is_first = !self.knows_peers();
-        self.take_hints(hints);
+        self.take_hints(now, hints);
         if is_first {
             self.join(now, actions);
         }
--- /dev/null
+++ b/core/tests/control_node.rs
@@ -0,0 +1,196 @@
+//! One control plane by itself: when it is ready, when it reads the platform, whom it suspects.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use yuccalift_core::control::{
+    ConfigValue, ControlAction, ControlEvent, ControlNode, ControlNotice, ControlSettings,
+    ExchangeMessage, FleetBounds, MemberRecord, MemberState,
+};
+use yuccalift_core::ids::ConfigVersion;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn record(number: u16) -> MemberRecord {
+    MemberRecord {
+        host: format!("entry-{number}").into(),
+        data_centre: "hanoi".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7000 + number)),
+        incarnation: 1,
+        refutation: 0,
+        state: MemberState::Alive,
+    }
+}
+
+fn node(now: Instant, number: u16, seeds: &[u16]) -> ControlNode {
+    let settings = ControlSettings {
+        own: record(number),
+        seeds: seeds.iter().map(|&seed| record(seed).address).collect(),
+        seed: u64::from(number),
+        check: |_key, _value| Ok(()),
+    };
+    ControlNode::new(now, settings)
+}
+
+fn published(version: ConfigVersion) -> ControlEvent {
+    let value = ConfigValue {
+        key: "accounts".into(),
+        version,
+        value: Some(Arc::from(format!("value {version}"))),
+    };
+    ControlEvent::Published {
+        version,
+        values: vec![value],
+    }
+}
+
+fn handle(node: &mut ControlNode, now: Instant, event: ControlEvent) -> Vec<ControlAction> {
+    let mut actions = Vec::new();
+    node.handle(now, event, &mut actions);
+    actions
+}
+
+/// The exchanges among the actions.
+fn exchanges(actions: &[ControlAction]) -> Vec<(u64, SocketAddr, ExchangeMessage)> {
+    let exchange = |action: &ControlAction| match action {
+        ControlAction::Exchange {
+            exchange,
+            address,
+            message,
+        } => Some((*exchange, *address, message.as_ref().clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(exchange).collect()
+}
+
+/// Lets one node's exchange reach another, and its answer come back.
+fn deliver(
+    now: Instant,
+    from: &mut ControlNode,
+    to: &mut ControlNode,
+    exchange: &(u64, SocketAddr, ExchangeMessage),
+) -> Vec<ControlAction> {
+    let message = Box::new(to.answer(now, &exchange.2, &mut Vec::new()));
+    let exchange = exchange.0;
+    handle(from, now, ControlEvent::Replied { exchange, message })
+}
+
+fn reads_values(actions: &[ControlAction]) -> bool {
+    let reads = |action: &ControlAction| matches!(action, ControlAction::ReadValues { .. });
+    actions.iter().any(reads)
+}
+
+/// Runs a node's ticks for a while, answering none of its exchanges; returns all its actions.
+fn run(node: &mut ControlNode, from: Instant, length: Duration) -> Vec<ControlAction> {
+    let mut actions = Vec::new();
+    while node.next_wake() < from + length {
+        let now = node.next_wake();
+        node.handle(now, ControlEvent::Tick, &mut actions);
+    }
+    actions
+}
+
+#[test]
+fn old_value_of_a_stale_platform_makes_nobody_ready() {
+    let now = Instant::now();
+    let mut peer = node(now, 1, &[]);
+    handle(&mut peer, now, published(9));
+    let mut fresh = node(now, 2, &[1]);
+    let asked = exchanges(&handle(&mut fresh, now, ControlEvent::Tick));
+    handle(&mut fresh, now, published(4));
+    assert!(
+        !fresh.is_ready(),
+        "no peer has confirmed that this is the newest"
+    );
+    deliver(now, &mut fresh, &mut peer, &asked[0]);
+    assert_eq!(fresh.store().version(), 9, "the peer knows a newer one");
+    assert!(fresh.is_ready(), "and has confirmed it");
+}
+
+#[test]
+fn silent_peers_hold_up_readiness_only_for_a_while() {
+    let now = Instant::now();
+    let mut fresh = node(now, 2, &[1]);
+    handle(&mut fresh, now, published(4));
+    assert!(!fresh.is_ready(), "its seeds may know a newer one");
+    run(&mut fresh, now, 3 * SECOND);
+    assert!(
+        fresh.is_ready(),
+        "nobody answers, and it goes on with what it has"
+    );
+}
+
+#[test]
+fn paused_daemon_asks_again_before_it_is_ready() {
+    let now = Instant::now();
+    let (mut peer, mut paused) = (node(now, 1, &[]), node(now, 2, &[1]));
+    handle(&mut peer, now, published(9));
+    let asked = exchanges(&handle(&mut paused, now, ControlEvent::Tick));
+    deliver(now, &mut paused, &mut peer, &asked[0]);
+    assert!(paused.is_ready());
+    let woken = now + 60 * SECOND;
+    let actions = handle(&mut paused, woken, ControlEvent::Tick);
+    assert!(!paused.is_ready(), "it slept too long to know");
+    let asked = exchanges(&actions);
+    handle(&mut peer, woken, published(12));
+    deliver(woken, &mut paused, &mut peer, &asked[0]);
+    assert!(paused.is_ready());
+    assert_eq!(paused.store().version(), 12);
+}
+
+#[test]
+fn late_answer_after_a_pause_condemns_nobody() {
+    let now = Instant::now();
+    let (mut peer, mut paused) = (node(now, 1, &[]), node(now, 2, &[1]));
+    let asked = exchanges(&handle(&mut paused, now, ControlEvent::Tick));
+    deliver(now, &mut paused, &mut peer, &asked[0]);
+    let actions = run(&mut paused, now, 2 * SECOND);
+    let probe = exchanges(&actions)[0].0;
+    // The process sleeps; what wakes it first is the time-out of what it had asked.
+    let woken = now + 60 * SECOND;
+    let event = ControlEvent::Unanswered { exchange: probe };
+    let actions = handle(&mut paused, woken, event);
+    let suspects = |action: &ControlAction| {
+        matches!(
+            action,
+            ControlAction::Noticed(ControlNotice::PeerSuspected(_) | ControlNotice::PeerGone(_))
+        )
+    };
+    assert!(
+        !actions.iter().any(suspects),
+        "its own sleep is no sign of the other's end"
+    );
+    assert_eq!(paused.members().alive().count(), 1);
+}
+
+/// While a reader's beats come, a daemon that is no reader leaves the platform alone; when they
+/// cease, it reads by itself.
+#[test]
+fn daemon_reads_by_itself_only_when_nobody_relays() {
+    let now = Instant::now();
+    let bounds = FleetBounds {
+        daemons: 1_000,
+        daemons_per_data_centre: 1_000,
+    };
+    let (mut reader, mut other) = (node(now, 1, &[]), node(now, 2, &[1]));
+    handle(&mut other, now, ControlEvent::BoundsChanged(bounds));
+    let mut actions = Vec::new();
+    let mut time = now;
+    while time < now + 20 * SECOND {
+        time += SECOND / 2;
+        handle(&mut reader, time, published(9));
+        let next = handle(&mut other, time, ControlEvent::Tick);
+        for exchange in exchanges(&next) {
+            actions.extend(deliver(time, &mut other, &mut reader, &exchange));
+        }
+        actions.extend(next);
+    }
+    assert!(!other.is_reader(), "two daemons of a thousand do not watch");
+    assert!(
+        !reads_values(&actions),
+        "the beats of the reader are enough"
+    );
+    let alone = run(&mut other, time, 30 * SECOND);
+    assert!(reads_values(&alone), "when they cease it reads by itself");
+}
--- a/daemon/tests/control_fleet.rs
+++ b/daemon/tests/control_fleet.rs
@@ -149,6 +149,28 @@
     site.wait_members();
 }
 
+/// A data centre splits into two parts that take each other for gone; after healing each knows
+/// all again, although nobody had a reason to ask one that is gone.
+#[test]
+fn split_data_centre_knows_its_members_again() {
+    let site = ControlSite::start(6, 1);
+    site.wait_members();
+    site.split(&[0, 1, 2]);
+    site.wait_all("takes the other part for gone", |site, position| {
+        let known = site.snapshot(position);
+        known
+            .peers
+            .iter()
+            .filter(|peer| peer.state.name() == "gone")
+            .count()
+            == 3
+    });
+    let version = site.publish("vets");
+    site.assert_spreads(version, TARGET_LIMIT);
+    site.heal();
+    site.wait_members();
+}
+
 #[test]
 fn paused_daemon_condemns_nobody_and_asks_again() {
     let site = site();
--- a/daemon/tests/control_site/mod.rs
+++ b/daemon/tests/control_site/mod.rs
@@ -50,9 +50,7 @@
         let platform_link = links
             .add(platform.address(), PLATFORM_ZONE)
             .expect("the platform's link listens");
-        let ips: Vec<IpAddr> = (0..daemons)
-            .map(|position| zone_ip(position % data_centres))
-            .collect();
+        let ips: Vec<IpAddr> = (0..daemons).map(zone_ip).collect();
         let listeners = FleetProbe::bind(&ips).expect("the listeners are bound");
         let listens: Vec<SocketAddr> = listeners
             .iter()
@@ -62,7 +60,7 @@
             .iter()
             .enumerate()
             .map(|(position, &listen)| {
-                let zone = zone(position % data_centres);
+                let zone = zone(position);
                 links.add(listen, zone).expect("a link listens")
             })
             .collect();
@@ -92,27 +90,29 @@
 
     /// Cuts a data centre from the others and from the platform.
     pub fn cut_off(&self, data_centre: usize, cut: CutKind) {
-        let own = zone(data_centre);
-        let others = (0..self.data_centres).map(zone).chain([PLATFORM_ZONE]);
-        let mut cuts = Vec::new();
-        for other in others.filter(|&other| other != own) {
-            let outward = LinkCut {
-                from: own,
-                to: other,
-            };
-            let inward = LinkCut {
-                from: other,
-                to: own,
-            };
-            match cut {
-                CutKind::Both => cuts.extend([outward, inward]),
-                CutKind::Outward => cuts.push(outward),
-                CutKind::Inward => cuts.push(inward),
-                CutKind::Platform if other == PLATFORM_ZONE => cuts.push(outward),
-                CutKind::Platform => {}
-            }
-        }
-        self.links.cut(cuts);
+        let platform = [PLATFORM_ZONE];
+        let inside = self.positions(data_centre);
+        let outside = (0..self.probe.len()).filter(|position| !inside.contains(position));
+        let mut others: Vec<LinkZone> = outside.map(zone).collect();
+        others.extend(platform);
+        let inside: Vec<LinkZone> = inside.into_iter().map(zone).collect();
+        let outward = || cuts_between(&inside, &others);
+        let inward = || cuts_between(&others, &inside);
+        self.links.cut(match cut {
+            CutKind::Both => [outward(), inward()].concat(),
+            CutKind::Outward => outward(),
+            CutKind::Inward => inward(),
+            CutKind::Platform => cuts_between(&inside, &platform),
+        });
+    }
+
+    /// Cuts some control planes from all others, both ways; each reaches the platform.
+    pub fn split(&self, part: &[usize]) {
+        let rest = (0..self.probe.len()).filter(|position| !part.contains(position));
+        let rest: Vec<LinkZone> = rest.map(zone).collect();
+        let part: Vec<LinkZone> = part.iter().copied().map(zone).collect();
+        let cuts = [cuts_between(&part, &rest), cuts_between(&rest, &part)];
+        self.links.cut(cuts.concat());
     }
 
     /// Heals every cut.
@@ -195,10 +195,17 @@
     Platform,
 }
 
-fn zone(data_centre: usize) -> LinkZone {
-    FIRST_ZONE + data_centre as LinkZone
+fn cuts_between(from: &[LinkZone], to: &[LinkZone]) -> Vec<LinkCut> {
+    let pairs = from
+        .iter()
+        .flat_map(|&from| to.iter().map(move |&to| LinkCut { from, to }));
+    pairs.collect()
+}
+
+fn zone(position: usize) -> LinkZone {
+    FIRST_ZONE + position as LinkZone
 }
 
-fn zone_ip(data_centre: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 0, zone(data_centre), 1))
+fn zone_ip(position: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, zone(position), 1))
 }
