--- a/daemon/benches/fleet.rs
+++ b/daemon/benches/fleet.rs
@@ -10,13 +10,16 @@
 
 use serde_json::json;
 use yuccalift_daemon::control::{FleetProbe, ProbeDaemon};
-use yuccalift_standins::{PlatformOptions, PlatformStandin};
+use yuccalift_standins::{PlatformMode, PlatformOptions, PlatformStandin};
 
 const DEFAULT_SECONDS: u64 = 20;
 const START_LIMIT: Duration = Duration::from_secs(60);
 const SPREAD_LIMIT: Duration = Duration::from_secs(14);
 const CHANGE_PERIOD: Duration = Duration::from_secs(1);
 const SEEDS: usize = 3;
+const OUTAGE: Duration = Duration::from_secs(20);
+const BURST_WATCH: Duration = Duration::from_secs(10);
+const SAMPLE_PERIOD: Duration = Duration::from_millis(100);
 const ACCOUNTS: &str = "
 templates:
   race: { collections: [tags], urgency: urgent, deadline: 2s, patience: 1s, repeat: hedge }
@@ -47,7 +50,7 @@
     let first = platform.put_value("accounts", ACCOUNTS);
     let memory_before = resident_kb();
     let started = Instant::now();
-    let probe = start_probe(&platform, daemons, data_centres);
+    let mut probe = start_probe(&platform, daemons, data_centres);
     let whole = probe.wait_for(first, START_LIMIT);
     let start_seconds = started.elapsed().as_secs_f64();
     let calls_at_start = platform.calls();
@@ -66,9 +69,11 @@
             snapshot.peers.iter().filter(near).count() + 1
         })
         .collect();
+    let states = measure_states(&mut probe, &platform);
     json!({
         "daemons": daemons,
         "data_centres": data_centres,
+        "states": states,
         "all_started": whole,
         "start_s": start_seconds,
         "start_calls": calls_at_start.total,
@@ -173,6 +178,72 @@
     })
 }
 
+/// Calls to the platform and the time to a change in force, in the states in which many might
+/// call at once: an outage and its end, a restart of all, the death of every reader.
+fn measure_states(probe: &mut FleetProbe, platform: &PlatformStandin) -> serde_json::Value {
+    platform.set_mode(PlatformMode::Down);
+    let outage = calls_peak(platform, OUTAGE);
+    let back = Instant::now();
+    platform.set_mode(PlatformMode::Normal);
+    let version = platform.put_value("accounts", &format!("{ACCOUNTS}# back\n"));
+    let peak_back = calls_peak(platform, BURST_WATCH);
+    let back_s = seconds_until_reached(probe, version, back);
+    let restarted = Instant::now();
+    for position in 0..probe.len() {
+        probe.restart(position);
+    }
+    let peak_restart = calls_peak(platform, BURST_WATCH);
+    let restart_s = seconds_until_reached(probe, version, restarted);
+    let readers: Vec<usize> = (0..probe.len())
+        .filter(|&position| {
+            let known = probe.snapshot(position);
+            known.is_some_and(|snapshot| snapshot.is_reader)
+        })
+        .collect();
+    for &reader in &readers {
+        probe.kill(reader);
+    }
+    let killed = Instant::now();
+    let version = platform.put_value("accounts", &format!("{ACCOUNTS}# killed\n"));
+    let peak_killed = calls_peak(platform, BURST_WATCH);
+    json!({
+        "outage_calls_peak_per_s": outage,
+        "back_calls_peak_per_s": peak_back,
+        "back_s": back_s,
+        "restart_calls_peak_per_s": peak_restart,
+        "restart_s": restart_s,
+        "readers_killed": readers.len(),
+        "readers_killed_calls_peak_per_s": peak_killed,
+        "readers_killed_s": seconds_until_reached(probe, version, killed),
+    })
+}
+
+/// The most calls of any second during a time.
+fn calls_peak(platform: &PlatformStandin, length: Duration) -> u64 {
+    let mut totals = vec![platform.calls().total];
+    let end = Instant::now() + length;
+    while Instant::now() < end {
+        std::thread::sleep(SAMPLE_PERIOD);
+        totals.push(platform.calls().total);
+    }
+    let window = (1_000 / SAMPLE_PERIOD.as_millis()) as usize;
+    totals
+        .windows(window + 1)
+        .map(|window| window[window.len() - 1] - window[0])
+        .max()
+        .unwrap_or(0)
+}
+
+/// Seconds from a moment until the last control plane reached a version; none if one never did.
+fn seconds_until_reached(probe: &FleetProbe, version: u64, since: Instant) -> Option<f64> {
+    if !probe.wait_for(version, START_LIMIT) {
+        return None;
+    }
+    let reached = (0..probe.len()).filter_map(|position| probe.reached_at(position, version));
+    let last = reached.max()?;
+    Some(last.saturating_duration_since(since).as_secs_f64())
+}
+
 /// Messages sent and bytes of all control planes.
 fn traffic(probe: &FleetProbe) -> (u64, u64) {
     probe.snapshots().iter().fold((0, 0), |sum, snapshot| {
