--- a/daemon/tests/planned_stop.rs
+++ b/daemon/tests/planned_stop.rs
@@ -24,6 +24,8 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 /// How long the load goes on after that.
 const DRAIN_WATCH: Duration = Duration::from_secs(2);
+/// The connections that each target of the site publishes.
+const CONNECTIONS: u32 = 30;
 const CALLERS: usize = 4;
 const CALL_PAUSE: Duration = Duration::from_millis(10);
 
@@ -194,6 +196,13 @@
     let (answered, failures) = load.end();
     assert_eq!(failures, Vec::<String>::new(), "no request is cut");
     assert!(answered > 100, "the load went on: {answered} answered");
+    for leaf in site.leafs.leafs() {
+        let held = leaf.connections();
+        assert!(
+            held.peak <= CONNECTIONS,
+            "connections within the limit: {held:?}"
+        );
+    }
 }
 
 /// What begins a planned stop.
