Split the exchange's answers and the probe's places into files of their own

Cause: two files had grown too large to read. Ruled out: nothing was tried beside it. Change: as the title says. Conclusion: it stands as it is.

--- a/core/src/control/node/exchanging.rs
+++ b/core/src/control/node/exchanging.rs
@@ -7,8 +7,8 @@
 use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
 
 use super::ControlNode;
-use crate::control::event::{ControlAction, ControlNotice, ExchangeId};
-use crate::control::exchange::{ExchangeMessage, MAX_DELTA_BYTES};
+use crate::control::event::{ControlAction, ExchangeId};
+use crate::control::exchange::ExchangeMessage;
 use crate::control::member_record::{MemberRecord, MemberState};
 use crate::ids::{ConfigVersion, HostName, Incarnation};
 
@@ -26,14 +26,8 @@
 const MAX_PUSH_BYTES: usize = 8 * 1024;
 /// How many peers a fresh daemon asks at once.
 const JOIN_FANOUT: usize = 3;
-/// How long a table must have been unchanged before a difference from another one is looked at.
-const SETTLED_FOR: Duration = Duration::from_secs(5);
-/// The least time between two exchanges of whole tables.
-const WHOLE_PERIOD: Duration = Duration::from_secs(10);
 /// How long one peer is given to send the changes that were asked of it.
 const GRANT_PERIOD: Duration = Duration::from_millis(500);
-/// How many messages one exchange may take.
-const MAX_ROUNDS: u32 = 64;
 
 /// When the next exchanges are due.
 #[derive(Debug)]
@@ -41,7 +35,7 @@
     next_probe: Instant,
     next_remote: Instant,
     next_reconnect: Instant,
-    next_whole: Instant,
+    pub(super) next_whole: Instant,
     probe_order: Vec<HostName>,
     joined: bool,
     push: Option<ConfigVersion>,
@@ -53,11 +47,11 @@
 /// An exchange whose answer is awaited.
 #[derive(Debug)]
 pub(super) struct PendingExchange {
-    exchange: ExchangeId,
-    address: SocketAddr,
-    peer: Option<(HostName, Incarnation)>,
-    round: u32,
-    sent_after: Option<ConfigVersion>,
+    pub(super) exchange: ExchangeId,
+    pub(super) address: SocketAddr,
+    pub(super) peer: Option<(HostName, Incarnation)>,
+    pub(super) round: u32,
+    pub(super) sent_after: Option<ConfigVersion>,
 }
 
 impl ExchangePlan {
@@ -147,93 +141,7 @@
         }
     }
 
-    pub(super) fn take_reply(
-        &mut self,
-        now: Instant,
-        exchange: ExchangeId,
-        message: &ExchangeMessage,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let Some(pending) = self.take_pending(exchange) else {
-            return;
-        };
-        let before = self.store.version();
-        self.take_message(now, message, actions);
-        if pending.round >= MAX_ROUNDS {
-            return;
-        }
-        let version = self.store.version();
-        let theirs = message.config.version;
-        let has_sent = pending.sent_after.is_some_and(|sent| theirs <= sent);
-        if message.wants.delta && theirs < version && !has_sent {
-            self.send_changes(now, &pending, message, actions);
-        } else if theirs > version && version > before {
-            self.follow_up(now, &pending, false, actions);
-        } else if self.is_other_table(now, message) {
-            self.exchange_plan.next_whole = now + WHOLE_PERIOD;
-            self.follow_up(now, &pending, true, actions);
-        }
-    }
-
-    pub(super) fn take_silence(
-        &mut self,
-        now: Instant,
-        exchange: ExchangeId,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let Some(pending) = self.take_pending(exchange) else {
-            return;
-        };
-        let Some((host, incarnation)) = pending.peer else {
-            return;
-        };
-        self.contacts.failed(&host);
-        let known = self.members.find(&host);
-        let is_same = known.is_some_and(|record| record.incarnation == incarnation);
-        if is_same && self.members.suspect(now, &host) {
-            let notice = ControlNotice::PeerSuspected(host);
-            actions.push(ControlAction::Noticed(notice));
-        }
-    }
-
-    /// Sends a peer the changes that it lacks and asked for.
-    fn send_changes(
-        &mut self,
-        now: Instant,
-        pending: &PendingExchange,
-        message: &ExchangeMessage,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let base = message.config.version;
-        let whole = &message.wants.whole;
-        let mut next = self.message(now, false);
-        next.delta = Some(self.store.delta_since(base, whole, MAX_DELTA_BYTES));
-        // A peer that asks for whole values has found that a patch did not fit; it gets one more.
-        let sent_after = whole.is_empty().then_some(base);
-        let peer = pending.peer.clone();
-        let round = pending.round + 1;
-        self.send(pending.address, peer, round, sent_after, next, actions);
-    }
-
-    fn follow_up(
-        &mut self,
-        now: Instant,
-        pending: &PendingExchange,
-        tells_members: bool,
-        actions: &mut Vec<ControlAction>,
-    ) {
-        let mut next = self.message(now, true);
-        if tells_members {
-            next.wants.members = true;
-            next.rumors = self.members.records().cloned().collect();
-            next.news = self.news.all(now);
-        }
-        let peer = pending.peer.clone();
-        let round = pending.round + 1;
-        self.send(pending.address, peer, round, None, next, actions);
-    }
-
-    fn send(
+    pub(super) fn send(
         &mut self,
         address: SocketAddr,
         peer: Option<(HostName, Incarnation)>,
@@ -369,13 +277,6 @@
         self.send(address, None, 0, None, message, actions);
     }
 
-    fn is_other_table(&self, now: Instant, message: &ExchangeMessage) -> bool {
-        let is_near = message.from.data_centre == self.members.own().data_centre;
-        let settled = now.saturating_duration_since(self.members.settled()) >= SETTLED_FOR;
-        let due = now >= self.exchange_plan.next_whole;
-        is_near && settled && due && message.digest != self.members.digest()
-    }
-
     /// Whether a peer may send changes now; only one at a time may, so that a large value comes
     /// once.
     pub(super) fn grant(&mut self, now: Instant) -> bool {
@@ -387,7 +288,7 @@
         true
     }
 
-    fn take_pending(&mut self, exchange: ExchangeId) -> Option<PendingExchange> {
+    pub(super) fn take_pending(&mut self, exchange: ExchangeId) -> Option<PendingExchange> {
         let position = self
             .pending
             .binary_search_by_key(&exchange, |pending| pending.exchange)
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! See `docs/DESIGN.md`, "Configuration" and "Membership".
 
+mod answers;
 mod exchanging;
 mod messages;
 mod reading;
--- a/daemon/src/control/fleet_probe.rs
+++ b/daemon/src/control/fleet_probe.rs
@@ -5,31 +5,26 @@
 //! share a few threads. See `docs/CAPACITY.md`.
 
 use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use actix::{Actor, Addr, Arbiter, ArbiterHandle};
+use actix::{Arbiter, ArbiterHandle};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use snafu::ResultExt;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
-use yuccalift_core::control::{ControlSettings, MemberRecord, MemberState};
 use yuccalift_core::ids::{ConfigVersion, Incarnation};
 use yuccalift_wire::peer::EXCHANGE_PATH;
-use yuccalift_wire::platform::FLEET_KEY;
 
 use super::control_lane::{
-    AnnounceNews, ControlLane, ControlOutput, ControlSnapshot, GetControl, LaneSettings,
-    LeaveFleet, SetBounds, StopLane, TakePause,
+    AnnounceNews, ControlLane, ControlSnapshot, GetControl, LeaveFleet, TakePause,
 };
 use super::peer_listener::answer;
-use super::value_check::check_value;
+use super::probe_slot::{PROBE_KEY, ProbeSlot};
 use crate::error::{BindSnafu, DaemonError, EndedSnafu, ThreadSnafu};
 use crate::listener::shows_key;
 
-/// The key that the control planes of a probe show each other.
-const PROBE_KEY: &str = "probe-key-probe-key";
 /// How many threads serve the listeners.
 const LISTENER_WORKERS: usize = 2;
 /// How many threads run the lanes.
@@ -54,29 +49,6 @@
     pub calls_from: Option<IpAddr>,
 }
 
-/// When a configuration version was reached by a control plane.
-#[derive(Clone, Copy, Debug)]
-struct ReachedVersion {
-    version: ConfigVersion,
-    at: Instant,
-}
-
-/// What one control plane has told.
-#[derive(Debug, Default)]
-struct ProbeRecord {
-    reached: Vec<ReachedVersion>,
-    ready: bool,
-    replaced: bool,
-}
-
-#[derive(Debug)]
-struct ProbeSlot {
-    daemon: ProbeDaemon,
-    address: SocketAddr,
-    lane: RwLock<Option<Addr<ControlLane>>>,
-    record: Arc<Mutex<ProbeRecord>>,
-}
-
 /// Many control planes in one process.
 #[derive(Debug)]
 pub struct FleetProbe {
@@ -161,11 +133,7 @@
 
     /// Ends a control plane without a word to the others.
     pub fn kill(&self, position: usize) {
-        let slot = &self.slots[position];
-        let mut lane = slot.lane.write().unwrap_or_else(PoisonError::into_inner);
-        if let Some(lane) = lane.take() {
-            lane.do_send(StopLane);
-        }
+        self.slots[position].end();
     }
 
     /// Has a control plane say that it is leaving.
@@ -267,95 +235,6 @@
     }
 }
 
-impl ProbeSlot {
-    fn new(daemon: ProbeDaemon) -> Self {
-        Self {
-            address: daemon.listen,
-            daemon,
-            lane: RwLock::new(None),
-            record: Arc::default(),
-        }
-    }
-
-    fn lane(&self) -> Option<Addr<ControlLane>> {
-        let lane = self.lane.read().unwrap_or_else(PoisonError::into_inner);
-        lane.clone()
-    }
-
-    fn record(&self) -> std::sync::MutexGuard<'_, ProbeRecord> {
-        lock(&self.record)
-    }
-
-    fn start(&self, position: usize, incarnation: Incarnation, arbiter: &ArbiterHandle) {
-        *self.record() = ProbeRecord::default();
-        let settings = self.lane_settings(position, incarnation);
-        let (sender, output) = mpsc::unbounded_channel();
-        let lane =
-            ControlLane::start_in_arbiter(arbiter, move |_| ControlLane::new(settings, sender));
-        arbiter.spawn(record_output(
-            output,
-            lane.clone(),
-            Arc::clone(&self.record),
-        ));
-        let mut slot = self.lane.write().unwrap_or_else(PoisonError::into_inner);
-        *slot = Some(lane);
-    }
-
-    fn lane_settings(&self, position: usize, incarnation: Incarnation) -> LaneSettings {
-        let daemon = &self.daemon;
-        LaneSettings {
-            node: ControlSettings {
-                own: MemberRecord {
-                    host: format!("entry-{position:04}").into(),
-                    data_centre: format!("dc-{:02}", daemon.data_centre).into(),
-                    address: daemon.reached_at.unwrap_or(daemon.listen),
-                    incarnation,
-                    refutation: 0,
-                    state: MemberState::Alive,
-                },
-                seeds: daemon.seeds.clone(),
-                seed: incarnation,
-                check: check_value,
-            },
-            key: PROBE_KEY.into(),
-            platform: vec![daemon.platform],
-            calls_from: daemon.calls_from,
-        }
-    }
-}
-
-fn lock(record: &Mutex<ProbeRecord>) -> std::sync::MutexGuard<'_, ProbeRecord> {
-    record.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-async fn record_output(
-    mut output: mpsc::UnboundedReceiver<ControlOutput>,
-    lane: Addr<ControlLane>,
-    record: Arc<Mutex<ProbeRecord>>,
-) {
-    while let Some(output) = output.recv().await {
-        match output {
-            ControlOutput::InForce(value) => {
-                let at = Instant::now();
-                let version = value.version;
-                lock(&record).reached.push(ReachedVersion { version, at });
-                let text = value.value.as_deref().unwrap_or_default();
-                if value.key.as_ref() == FLEET_KEY
-                    && let Ok(bounds) = yuccalift_settings::parse_fleet(FLEET_KEY, text)
-                {
-                    lane.do_send(SetBounds(bounds));
-                }
-            }
-            ControlOutput::Ready(ready) => lock(&record).ready = ready,
-            ControlOutput::Replaced => lock(&record).replaced = true,
-            ControlOutput::News { .. }
-            | ControlOutput::LeavingHosts(_)
-            | ControlOutput::Noticed(_)
-            | ControlOutput::PlatformUnread(_) => {}
-        }
-    }
-}
-
 async fn serve(
     slots: Arc<Vec<ProbeSlot>>,
     listeners: Vec<TcpListener>,
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -8,7 +8,7 @@
 //! - `start`, `stop_grace`: the services' start, and the first step of a graceful stop.
 //! - `notice_log`: a line in the log for what was noticed.
 //! - [`control_traffic`]: what control costs.
-//! - [`fleet_probe`]: many control planes in one process, to measure slopes.
+//! - [`fleet_probe`], `probe_slot`: many control planes in one process, to measure slopes.
 //!
 //! See `docs/DESIGN.md`, "Configuration" and "Membership".
 
@@ -20,6 +20,7 @@
 mod peer_client;
 pub mod peer_listener;
 mod platform_client;
+mod probe_slot;
 pub(crate) mod start;
 mod stop_grace;
 pub mod value_check;
