Count reasons in reports, and hold refusals against what excuses them

Cause: a rolling restart showed no cut request while seven searches were refused, six of them as unknown since their daemon ended; the report counted lost connections alone.

--- a/cli/src/experiment/case.rs
+++ b/cli/src/experiment/case.rs
@@ -23,6 +23,8 @@
     pub about: &'static str,
     /// Whether a report compares it with the baseline policy.
     pub compared: bool,
+    /// Whether its faults or its load excuse refusals; planned stops and changes do not.
+    pub excuses_refusals: bool,
     /// For how long requests are due, where the command line does not say.
     pub seconds: u64,
     /// The fleet.
@@ -102,6 +104,11 @@
         (self.specs[0].shape)()
     }
 
+    /// Whether any of its parts excuses refusals.
+    pub fn excuses_refusals(&self) -> bool {
+        self.specs.iter().any(|spec| spec.excuses_refusals)
+    }
+
     /// The streams of the whole load.
     pub fn streams(&self, shape: &FleetShape, duration: Duration) -> Vec<LoadStream> {
         let mut streams = (self.specs[0].load)(shape, duration);
--- a/cli/src/experiment/cases/drain.rs
+++ b/cli/src/experiment/cases/drain.rs
@@ -17,6 +17,7 @@
     name: "drain",
     about: "three targets leave: one says so, one refuses, one is only in the host list",
     compared: false,
+    excuses_refusals: false,
     seconds: 10,
     shape: usual_shape,
     load: usual_load,
--- a/cli/src/experiment/cases/poison.rs
+++ b/cli/src/experiment/cases/poison.rs
@@ -19,6 +19,7 @@
     name: "poison",
     about: "one request crashes each target that runs it, and is sent again and again",
     compared: false,
+    excuses_refusals: true,
     seconds: 10,
     shape: usual_shape,
     load: usual_load,
--- a/cli/src/experiment/cases/snapshot_change.rs
+++ b/cli/src/experiment/cases/snapshot_change.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use yuccalift_core::{ShardEntry, ShardMap};
-use yuccalift_standins::LeafCommand;
+use yuccalift_standins::{LeafCommand, LoadStream};
 
-use super::{no_fields, no_load, usual_load, usual_shape};
+use super::{URGENT, URGENT_WAIT, no_fields, no_load, rate_from, searches, usual_shape};
 use crate::experiment::case::{CaseSpec, FaultAction, FaultStep};
 use crate::fleet::FleetShape;
 
+/// The share of the leafs' capacity that the load takes: the targets that get a second shard have
+/// twice the work.
+const SHARE: f64 = 0.3;
 /// When the first target holds the new version as well.
 const LOAD_FROM: Duration = Duration::from_secs(2);
 /// When the first target drops the old version.
@@ -26,15 +29,25 @@
     name: "snapshot-change",
     about: "targets change index versions one by one; then a shard splits and one moves",
     compared: false,
+    excuses_refusals: false,
     seconds: 13,
     shape: usual_shape,
-    load: usual_load,
+    load,
     side_load: no_load,
     faults,
     fields: no_fields,
     plot: None,
 };
 
+fn load(shape: &FleetShape, _duration: Duration) -> Vec<LoadStream> {
+    let rate = shape.searches_per_second() * SHARE;
+    vec![searches(
+        URGENT,
+        URGENT_WAIT,
+        vec![rate_from(Duration::ZERO, rate)],
+    )]
+}
+
 /// Shard 0 moves to the targets of shard 1, and a new shard comes on the targets of shard 2.
 fn faults(shape: &FleetShape, _duration: Duration) -> Vec<FaultStep> {
     let leafs = shape.leafs() as usize;
--- a/cli/src/experiment/cases/steady.rs
+++ b/cli/src/experiment/cases/steady.rs
@@ -7,6 +7,7 @@
     name: "steady",
     about: "half load and nothing wrong",
     compared: true,
+    excuses_refusals: false,
     seconds: 12,
     shape: usual_shape,
     load: usual_load,
--- a/cli/src/experiment/cases/straggler.rs
+++ b/cli/src/experiment/cases/straggler.rs
@@ -24,6 +24,7 @@
     name: "straggler",
     about: "one target in twenty is slowed tenfold by spells that no report shows",
     compared: true,
+    excuses_refusals: false,
     seconds: 15,
     shape: usual_shape,
     load: usual_load,
--- a/cli/src/experiment/measure.rs
+++ b/cli/src/experiment/measure.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// How often a reason was given.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ReasonCount {
+    /// The reason.
+    pub reason: Box<str>,
+    /// How often.
+    pub count: u64,
+}
+
 /// The figures of one run.
 #[derive(Clone, Debug, Serialize)]
 pub struct RunReport {
@@ -83,6 +92,10 @@
     pub connections_peak: u32,
     /// How many it accepts.
     pub connections_limit: u32,
+    /// How many shards were missing from answers, for each reason.
+    pub missing: Vec<ReasonCount>,
+    /// How many requests were refused or lost, for each reason.
+    pub unanswered: Vec<ReasonCount>,
     /// What belongs to the case.
     #[serde(flatten, serialize_with = "write_fields")]
     pub fields: Vec<CaseField>,
@@ -126,11 +139,10 @@
     /// The wait that a request counts with: its latency, or all of its caller's patience if it
     /// got no answer.
     pub fn counted_latency(&self, call: &CallRecord) -> Duration {
-        match call.result {
-            CallResult::Answered(_) | CallResult::Executed { .. } => call.latency,
-            CallResult::Refused(_) | CallResult::Lost { .. } => {
-                call.latency.max(self.streams[call.stream].wait)
-            }
+        if is_answered(call) {
+            call.latency
+        } else {
+            call.latency.max(self.streams[call.stream].wait)
         }
     }
 
@@ -147,6 +159,14 @@
     matches!(&call.result, CallResult::Answered(answer) if answer.missing.is_empty())
 }
 
+/// Whether a request got an answer, whole or not.
+pub fn is_answered(call: &CallRecord) -> bool {
+    matches!(
+        call.result,
+        CallResult::Answered(_) | CallResult::Executed { .. }
+    )
+}
+
 /// The latencies of some requests.
 pub fn latencies<'a>(
     view: &CaseView,
@@ -194,12 +214,49 @@
             .map(|leaf| leaf.connections_limit)
             .max()
             .unwrap_or(0),
+        missing: count_reasons(missing_reasons(view)),
+        unanswered: count_reasons(unanswered_reasons(view)),
         fields: fields.collect(),
         violations_total: violations.len(),
         violations: list_violations(&violations),
     }
 }
 
+fn missing_reasons(view: &CaseView) -> Vec<Box<str>> {
+    let answers = view.searches().filter_map(|call| match &call.result {
+        CallResult::Answered(answer) => Some(answer),
+        _ => None,
+    });
+    let missing = answers.flat_map(|answer| &answer.missing);
+    missing
+        .map(|missing| format!("{:?}", missing.reason).into())
+        .collect()
+}
+
+fn unanswered_reasons(view: &CaseView) -> Vec<Box<str>> {
+    let calls = view.evidence.calls.iter();
+    let reason = |call: &CallRecord| -> Option<Box<str>> {
+        match &call.result {
+            CallResult::Answered(_) | CallResult::Executed { .. } => None,
+            CallResult::Lost { step, .. } => Some(format!("lost at {step}").into()),
+            CallResult::Refused(refusal) => {
+                Some(format!("{:?} {:?}", refusal.code, refusal.outcome).into())
+            }
+        }
+    };
+    calls.filter_map(reason).collect()
+}
+
+fn count_reasons(mut reasons: Vec<Box<str>>) -> Vec<ReasonCount> {
+    reasons.sort_unstable();
+    let groups = reasons.chunk_by(|left, right| left == right);
+    let counts = groups.map(|group| ReasonCount {
+        reason: group[0].clone(),
+        count: group.len() as u64,
+    });
+    counts.collect()
+}
+
 fn list_violations(violations: &[CheckViolation]) -> Vec<Box<str>> {
     let listed = violations.iter().take(LISTED_VIOLATIONS);
     listed
@@ -270,6 +327,12 @@
         for CaseField { name, value } in self.figures() {
             writeln!(f, "  {name:28} {value:12.3}")?;
         }
+        for ReasonCount { reason, count } in &self.missing {
+            writeln!(f, "  {count} shards missing: {reason}")?;
+        }
+        for ReasonCount { reason, count } in &self.unanswered {
+            writeln!(f, "  {count} requests unanswered: {reason}")?;
+        }
         for violation in &self.violations {
             writeln!(f, "  {violation}")?;
         }
--- a/standins/src/check.rs
+++ b/standins/src/check.rs
@@ -33,6 +33,8 @@
     ForeignAnswer,
     /// A request got neither an answer nor a typed refusal.
     Dropped,
+    /// A request was refused though nothing that happened excuses that.
+    Unexcused,
     /// A draining target got new work after the grace.
     WorkAfterDrain,
     /// A target's connections passed its limit.
@@ -90,6 +92,8 @@
     pub leafs: Vec<LeafRecord>,
     /// The maps that were published during the run.
     pub epochs: Vec<EpochShards>,
+    /// Whether faults or the load excuse refusals; planned stops and changes do not.
+    pub excuses_refusals: bool,
 }
 
 impl RunEvidence {
@@ -98,6 +102,9 @@
         let runs = SortedRuns::new(&self.leafs);
         let mut violations = Vec::new();
         for call in &self.calls {
+            if !self.excuses_refusals {
+                check_answered(call, &mut violations);
+            }
             check_call(
                 call,
                 runs.of_request(&call.request),
@@ -182,6 +189,16 @@
     }
 }
 
+fn check_answered(call: &CallRecord, violations: &mut Vec<CheckViolation>) {
+    if let CallResult::Refused(refusal) = &call.result {
+        violations.push(CheckViolation {
+            kind: CheckKind::Unexcused,
+            subject: call.request.clone(),
+            detail: refusal.to_string().into(),
+        });
+    }
+}
+
 /// The step of a refusal that says `not_run` of a request that ran.
 ///
 /// A search that was sent more than once is passed over: an earlier sending that was lost may
--- a/standins/tests/checks.rs
+++ b/standins/tests/checks.rs
@@ -85,6 +85,7 @@
             epoch: 1,
             shards: vec![0, 1],
         }],
+        excuses_refusals: true,
     }
 }
 
@@ -179,6 +180,12 @@
         let unknown = Refusal::unknown(RefusalCode::TargetLost, "send", "lost");
         refuse(run_record, ORDER, &unknown);
     });
+    an_unexcused_refusal_is_found: finds(&[CheckKind::Unexcused], |run_record| {
+        run_record.excuses_refusals = false;
+        let unknown = Refusal::unknown(RefusalCode::Internal, "submit", "the daemon ended");
+        refuse(run_record, ORDER, &unknown);
+    });
+    answers_need_no_excuse: finds(&[], |run_record| run_record.excuses_refusals = false);
     a_false_ran_is_found: finds(&[CheckKind::FalseRan], |run_record| {
         run_record.leafs[0].runs.pop();
     });
