--- a/cli/src/experiment.rs
+++ b/cli/src/experiment.rs
@@ -4,18 +4,21 @@
 //! - [`cases`]: the cases, one module each.
 //! - [`runner`]: runs a case.
 //! - [`measure`]: the figures and violations of a run.
+//! - [`spread`]: how a change of the configuration spreads over many control planes.
 //! - [`report`]: several runs of many cases, as tables and plots.
 
 use std::io::IsTerminal;
 use std::time::Duration;
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
+use serde::Serialize;
 use yuccalift_core::PolicyKind;
 
 use crate::error::CommandError;
 use crate::experiment::case::{ExperimentCase, find_case};
 use crate::experiment::measure::RunReport;
 use crate::experiment::runner::{RunOptions, run_case};
+use crate::experiment::spread::run_spread;
 
 mod case;
 mod cases;
@@ -23,11 +26,13 @@
 mod plot;
 mod report;
 mod runner;
+mod spread;
 
 const HELP: &str = "\
 Usage: yuccalift experiment --list
        yuccalift experiment report --out DIR [--seeds N] [--seconds S] [NAME]...
        yuccalift experiment NAME [--seed N] [--policy full|baseline|both] [--seconds S] [--json]
+       yuccalift experiment config-spread [--daemons N] [--seconds S] [--json]
 
 NAME is a case of the list, or a pair such as crest+straggler: the fleet and the load of the
 first, with the faults of both. With --json each run prints one JSON object on one line.
@@ -54,6 +59,7 @@
     seed: u64,
     policies: Vec<PolicyKind>,
     duration: Option<Duration>,
+    daemons: usize,
     json: bool,
 }
 
@@ -73,6 +79,7 @@
         seed: DEFAULT_SEED,
         policies: vec![PolicyKind::Full],
         duration: None,
+        daemons: spread::DEFAULT_DAEMONS,
         json: false,
     };
     while let Some(argument) = parser.next()? {
@@ -88,6 +95,7 @@
             Long("seed") => args.seed = parser.value()?.parse()?,
             Long("policy") => args.policies = read_policies(&parser.value()?.string()?)?,
             Long("seconds") => args.duration = Some(Duration::from_secs(parser.value()?.parse()?)),
+            Long("daemons") => args.daemons = parser.value()?.parse()?,
             Long("json") => args.json = true,
             Value(value) if name.is_none() => {
                 let value = value.string()?;
@@ -120,9 +128,13 @@
     for case in cases::ALL {
         println!("{:18} {}", case.name, case.about);
     }
+    println!("{:18} {}", spread::NAME, spread::ABOUT);
 }
 
 fn run_experiment(args: &ExperimentArgs) -> Result<(), CommandError> {
+    if args.name.as_ref() == spread::NAME {
+        return run_config_spread(args);
+    }
     let case = find_case(&args.name)?;
     let mut broken = 0;
     for &policy in &args.policies {
@@ -130,13 +142,29 @@
         print_report(&report, args.json)?;
         broken += report.violations.len();
     }
-    if broken > 0 {
-        return Err(CommandError::failed(
-            format!("experiment {}", args.name),
-            &format!("{broken} violations"),
-        ));
+    check_unbroken(&args.name, broken)
+}
+
+fn run_config_spread(args: &ExperimentArgs) -> Result<(), CommandError> {
+    let duration = args.duration.unwrap_or(spread::DEFAULT_DURATION);
+    let report = run_spread(args.daemons, args.seed, duration)?;
+    if args.json {
+        print_json(&report)?;
+    } else {
+        print!("{report}");
     }
-    Ok(())
+    check_unbroken(&args.name, report.violations.len())
+}
+
+fn check_unbroken(name: &str, violations: usize) -> Result<(), CommandError> {
+    if violations == 0 {
+        return Ok(());
+    }
+    let step = format!("experiment {name}");
+    Err(CommandError::failed(
+        step,
+        &format!("{violations} violations"),
+    ))
 }
 
 fn run_one(
@@ -155,11 +183,16 @@
 
 fn print_report(report: &RunReport, json: bool) -> Result<(), CommandError> {
     if json {
-        let line = serde_json::to_string(report)
-            .map_err(|error| CommandError::failed("write report", &error))?;
-        println!("{line}");
+        print_json(report)?;
     } else {
         print!("{report}");
     }
     Ok(())
 }
+
+fn print_json(report: &impl Serialize) -> Result<(), CommandError> {
+    let line = serde_json::to_string(report)
+        .map_err(|error| CommandError::failed("write report", &error))?;
+    println!("{line}");
+    Ok(())
+}
--- a/cli/src/experiment/measure.rs
+++ b/cli/src/experiment/measure.rs
@@ -289,7 +289,8 @@
     }
 }
 
-fn write_fields<S: Serializer>(fields: &[CaseField], serializer: S) -> Result<S::Ok, S::Error> {
+/// Writes figures as fields of the object that they stand in.
+pub fn write_fields<S: Serializer>(fields: &[CaseField], serializer: S) -> Result<S::Ok, S::Error> {
     serializer.collect_map(fields.iter().map(|field| (field.name, field.value)))
 }
 
--- /dev/null
+++ b/cli/src/experiment/spread.rs
@@ -0,0 +1,255 @@
+//! `config-spread`: how long an accepted change takes until it is in force everywhere, and what
+//! control costs each daemon.
+//!
+//! The control planes of many daemons run in this process, each with a listener of its own; there
+//! is no load of callers beside them.
+
+use std::fmt;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use yuccalift_daemon::control::{FleetProbe, ProbeDaemon};
+use yuccalift_standins::{PlatformOptions, PlatformStandin};
+use yuccalift_wire::platform::{ACCOUNTS_KEY, FLEET_KEY, FleetBounds};
+
+use crate::error::CommandError;
+use crate::experiment::measure::{CaseField, write_fields};
+use crate::processor::DaemonTime;
+
+/// The name on the command line.
+pub const NAME: &str = "config-spread";
+/// What it shows, in one line.
+pub const ABOUT: &str = "changes spread over the control planes of many daemons, without callers";
+/// How many daemons there are where the command line does not say.
+pub const DEFAULT_DAEMONS: usize = 30;
+/// For how long changes are made where the command line does not say.
+pub const DEFAULT_DURATION: Duration = Duration::from_secs(20);
+/// How many data centres they stand in.
+const DATA_CENTRES: usize = 3;
+/// The time from one change to the next.
+const CHANGE_PERIOD: Duration = Duration::from_secs(2);
+/// How long a fleet may take until all are ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a change may take before it counts as not in force.
+const SPREAD_TIMEOUT: Duration = Duration::from_secs(14);
+/// How long the fleet runs before it is measured, so that its members know each other.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// How often readiness is looked at.
+const POLL_PERIOD: Duration = Duration::from_millis(20);
+/// The longest spread that is told apart, in microseconds.
+const MAX_SPREAD_US: u64 = 60_000_000;
+/// Significant digits of times.
+const SPREAD_DIGITS: u8 = 3;
+
+/// What a run measured.
+#[derive(Clone, Debug, Serialize)]
+pub struct SpreadReport {
+    /// The case.
+    pub experiment: &'static str,
+    /// The seed that the run was given; the times of a spread have no random part of the runner.
+    pub seed: u64,
+    /// The figures.
+    #[serde(flatten, serialize_with = "write_fields")]
+    pub fields: Vec<CaseField>,
+    /// What was broken.
+    pub violations: Vec<Box<str>>,
+}
+
+impl fmt::Display for SpreadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}", self.experiment)?;
+        for CaseField { name, value } in &self.fields {
+            writeln!(f, "  {name:28} {value:12.3}")?;
+        }
+        for violation in &self.violations {
+            writeln!(f, "  {violation}")?;
+        }
+        Ok(())
+    }
+}
+
+/// What control had cost all daemons at a moment.
+#[derive(Clone, Copy, Debug, Default)]
+struct ControlCost {
+    messages: u64,
+    bytes: u64,
+    platform_calls: u64,
+}
+
+/// Runs a fleet of control planes, changes the configuration again and again, and measures.
+pub fn run_spread(
+    daemons: usize,
+    seed: u64,
+    duration: Duration,
+) -> Result<SpreadReport, CommandError> {
+    let platform = PlatformStandin::start(PlatformOptions::default())
+        .map_err(|error| CommandError::failed("start platform", &error))?;
+    put_bounds(&platform, daemons)?;
+    platform.put_value(ACCOUNTS_KEY, &accounts(0));
+    let probe = start_probe(daemons, platform.address())?;
+    wait_ready(&probe)?;
+    std::thread::sleep(SETTLE_TIME);
+    let cost_before = read_cost(&probe, platform.calls().total);
+    let processor = DaemonTime::start();
+    let start = Instant::now();
+    let mut spreads = Histogram::new_with_bounds(1, MAX_SPREAD_US, SPREAD_DIGITS)
+        .expect("the bounds of the histogram are constant and valid");
+    let mut violations = Vec::new();
+    let mut change = 0;
+    while start.elapsed() < duration {
+        change += 1;
+        let changed = Instant::now();
+        let version = platform.put_value(ACCOUNTS_KEY, &accounts(change));
+        if !probe.wait_for(version, SPREAD_TIMEOUT) {
+            violations.push(format!("version {version} is not in force everywhere").into());
+        }
+        record_spread(&probe, version, changed, &mut spreads);
+        std::thread::sleep((changed + CHANGE_PERIOD).saturating_duration_since(Instant::now()));
+    }
+    let elapsed = start.elapsed();
+    let processor_time = processor.elapsed();
+    let cost = read_cost(&probe, platform.calls().total);
+    violations.extend(check_end(&probe, &platform));
+    let cost = cost.since(cost_before);
+    let mut fields = spread_fields(&spreads);
+    fields.extend(cost.fields(daemons, elapsed, processor_time));
+    Ok(SpreadReport {
+        experiment: NAME,
+        seed,
+        fields,
+        violations,
+    })
+}
+
+fn accounts(change: u32) -> String {
+    format!(
+        "templates:\n  race:\n    collections: [tags]\n    urgency: urgent\n    deadline: 2s\n    \
+         patience: 1s\n    repeat: hedge\naccounts:\n  vets-{change}:\n    template: race\n"
+    )
+}
+
+fn put_bounds(platform: &PlatformStandin, daemons: usize) -> Result<(), CommandError> {
+    let per_data_centre = daemons.div_ceil(DATA_CENTRES) as u32 + 1;
+    let bounds = FleetBounds {
+        daemons: per_data_centre * DATA_CENTRES as u32,
+        daemons_per_data_centre: per_data_centre,
+    };
+    let value = serde_json::to_string(&bounds)
+        .map_err(|error| CommandError::failed("write fleet bounds", &error))?;
+    platform.put_value(FLEET_KEY, &value);
+    Ok(())
+}
+
+fn start_probe(daemons: usize, platform: SocketAddr) -> Result<FleetProbe, CommandError> {
+    let failed = |error| CommandError::failed("start control planes", &error);
+    let ips = vec![IpAddr::V4(Ipv4Addr::LOCALHOST); daemons];
+    let listeners = FleetProbe::bind(&ips).map_err(failed)?;
+    let mut listens = Vec::with_capacity(daemons);
+    for listener in &listeners {
+        let listen = listener
+            .local_addr()
+            .map_err(|error| CommandError::failed("read listener's address", &error))?;
+        listens.push(listen);
+    }
+    let seeds: Vec<SocketAddr> = listens.iter().copied().take(2 * DATA_CENTRES).collect();
+    let planes = listens.iter().enumerate();
+    let planes = planes.map(|(position, &listen)| ProbeDaemon {
+        data_centre: position % DATA_CENTRES,
+        listen,
+        reached_at: None,
+        platform,
+        seeds: seeds.clone(),
+        calls_from: None,
+    });
+    FleetProbe::start(planes.collect(), listeners).map_err(failed)
+}
+
+fn wait_ready(probe: &FleetProbe) -> Result<(), CommandError> {
+    let until = Instant::now() + READY_TIMEOUT;
+    for position in 0..probe.len() {
+        while !probe.is_ready(position) {
+            if Instant::now() > until {
+                let step = format!("wait until ready, control plane {position}");
+                return Err(CommandError::failed(step, &"it takes too long"));
+            }
+            std::thread::sleep(POLL_PERIOD);
+        }
+    }
+    Ok(())
+}
+
+fn record_spread(probe: &FleetProbe, version: u64, changed: Instant, spreads: &mut Histogram<u64>) {
+    for position in 0..probe.len() {
+        let reached = probe.reached_at(position, version);
+        let spread = reached.map_or(SPREAD_TIMEOUT, |reached| reached.duration_since(changed));
+        spreads.saturating_record((spread.as_micros() as u64).max(1));
+    }
+}
+
+fn spread_fields(spreads: &Histogram<u64>) -> Vec<CaseField> {
+    let ms = |value: u64| value as f64 / 1_000.0;
+    vec![
+        CaseField::new("spread_p50_ms", ms(spreads.value_at_quantile(0.5))),
+        CaseField::new("spread_p99_ms", ms(spreads.value_at_quantile(0.99))),
+        CaseField::new("spread_max_ms", ms(spreads.max())),
+    ]
+}
+
+/// What must hold at the end: one state everywhere, and the platform's limit kept.
+fn check_end(probe: &FleetProbe, platform: &PlatformStandin) -> Vec<Box<str>> {
+    let mut violations = Vec::new();
+    let snapshots = probe.snapshots();
+    let newest = platform.version();
+    for snapshot in &snapshots {
+        if snapshot.version != newest || snapshot.hash != snapshots[0].hash {
+            let host = &snapshot.own.host;
+            let version = snapshot.version;
+            violations.push(format!("{host} has version {version}, not {newest}").into());
+        }
+    }
+    let refused = platform.calls().refused;
+    if refused > 0 {
+        violations.push(format!("{refused} calls were over the platform's limit").into());
+    }
+    violations
+}
+
+fn read_cost(probe: &FleetProbe, platform_calls: u64) -> ControlCost {
+    let mut cost = ControlCost {
+        platform_calls,
+        ..ControlCost::default()
+    };
+    for snapshot in probe.snapshots() {
+        cost.messages += snapshot.traffic.messages_sent;
+        cost.bytes += snapshot.traffic.bytes;
+    }
+    cost
+}
+
+impl ControlCost {
+    fn since(self, before: Self) -> Self {
+        Self {
+            messages: self.messages - before.messages,
+            bytes: self.bytes - before.bytes,
+            platform_calls: self.platform_calls - before.platform_calls,
+        }
+    }
+
+    fn fields(self, daemons: usize, elapsed: Duration, processor_time: Duration) -> Vec<CaseField> {
+        let seconds = elapsed.as_secs_f64();
+        let daemon_seconds = seconds * daemons as f64;
+        let core_share = processor_time.as_secs_f64() / daemon_seconds;
+        vec![
+            CaseField::new("daemons", daemons as f64),
+            CaseField::new("platform_calls_per_s", self.platform_calls as f64 / seconds),
+            CaseField::new(
+                "messages_per_daemon_s",
+                self.messages as f64 / daemon_seconds,
+            ),
+            CaseField::new("bytes_per_daemon_s", self.bytes as f64 / daemon_seconds),
+            CaseField::new("core_percent_per_daemon", 100.0 * core_share),
+        ]
+    }
+}
