--- /dev/null
+++ b/cli/tests/process/daemon_faults.rs
@@ -0,0 +1,253 @@
+//! Daemons as processes that are frozen and killed under a load of searches and orders. What
+//! callers got is held against what the leafs ran.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::spawned::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
+use serde_json::json;
+use yuccalift_core::{ShardEntry, ShardMap, TargetEntry};
+use yuccalift_standins::{
+    CallKind, CallRecord, CallResult, CallerLoad, CheckKind, CheckViolation, DaemonList,
+    EpochShards, LeafFleet, LeafOptions, LeafRecord, LoadStream, PlatformOptions, PlatformStandin,
+    RateStep, RunEvidence, StreamText,
+};
+
+const ACCOUNTS: &str = "\
+templates:
+  race:
+    collections: [tags]
+    urgency: urgent
+    deadline: 4s
+    patience: 2s
+    repeat: hedge
+  order:
+    collections: [tags]
+    urgency: urgent
+    deadline: 4s
+    patience: 2s
+    repeat: never
+accounts:
+  vets:
+    template: race
+  farms:
+    template: order
+";
+
+/// How many shards the collection has, and how many leafs hold each.
+const SHARDS: u32 = 3;
+const REPLICAS: u32 = 2;
+/// How many connections a leaf accepts.
+const CONNECTIONS: u32 = 30;
+/// For how long requests are due.
+const DURATION: Duration = Duration::from_secs(5);
+/// When the fault acts.
+const FAULT_AT: Duration = Duration::from_secs(1);
+/// How long a frozen daemon stands still; longer than a daemon's beliefs may be old.
+const FREEZE: Duration = Duration::from_millis(2_500);
+/// How long a caller waits.
+const WAIT: Duration = Duration::from_secs(4);
+
+/// What happens to the first of the daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DaemonFault {
+    /// It stands still for a while and wakes up late.
+    Frozen,
+    /// It ends without a word.
+    Killed,
+    /// It stands still, and ends as soon as it has woken up.
+    FrozenThenKilled,
+}
+
+struct Site {
+    leafs: LeafFleet,
+    daemons: Vec<TestProcess>,
+    addresses: Vec<SocketAddr>,
+    _platform: PlatformStandin,
+    _folder: TestFolder,
+}
+
+impl Site {
+    fn start(name: &str) -> Self {
+        let options = (0..SHARDS * REPLICAS).map(|position| LeafOptions {
+            shards: vec![position / REPLICAS],
+            connections: CONNECTIONS,
+            seed: u64::from(position),
+            ..LeafOptions::default()
+        });
+        let leafs = LeafFleet::start(options.collect(), 1).expect("the leafs start");
+        let platform = PlatformStandin::start(PlatformOptions::default()).expect("it starts");
+        let map = serde_json::to_string(&shard_map(&leafs)).expect("a map has a JSON form");
+        let fleet = json!({"daemons": 3, "daemons_per_data_centre": 3});
+        platform.put_value("map/tags", &map);
+        platform.put_value("accounts", ACCOUNTS);
+        platform.put_value("fleet", &fleet.to_string());
+        let folder = TestFolder::new(name);
+        let daemons: Vec<TestProcess> = ["entry-1", "entry-2"]
+            .iter()
+            .map(|host| {
+                let file = format!("{host}.yaml");
+                TestProcess::yuccaliftd(&folder.write(&file, &settings(host, platform.address())))
+            })
+            .collect();
+        let addresses = daemons.iter().map(read_caller_address).collect();
+        let site = Self {
+            leafs,
+            daemons,
+            addresses,
+            _platform: platform,
+            _folder: folder,
+        };
+        site.wait_ready();
+        site
+    }
+
+    fn wait_ready(&self) {
+        let until = Instant::now() + STEP_LIMIT;
+        actix_rt::System::new().block_on(async {
+            let client = awc::Client::default();
+            for address in &self.addresses {
+                let url = format!("http://{address}/ready");
+                loop {
+                    let asked = client.get(&url).send().await;
+                    if asked.is_ok_and(|response| response.status().is_success()) {
+                        break;
+                    }
+                    assert!(Instant::now() < until, "the daemon gets ready");
+                    actix_rt::time::sleep(POLL_PERIOD).await;
+                }
+            }
+        });
+    }
+
+    fn act(&self, fault: DaemonFault) {
+        match fault {
+            DaemonFault::Frozen => self.freeze(),
+            DaemonFault::Killed => self.daemons[0].signal("-KILL"),
+            DaemonFault::FrozenThenKilled => {
+                self.freeze();
+                self.daemons[0].signal("-KILL");
+            }
+        }
+    }
+
+    fn freeze(&self) {
+        self.daemons[0].signal("-STOP");
+        std::thread::sleep(FREEZE);
+        self.daemons[0].signal("-CONT");
+    }
+
+    fn evidence(&self, calls: Vec<CallRecord>) -> RunEvidence {
+        let leafs = self.leafs.leafs().iter().enumerate();
+        RunEvidence {
+            calls,
+            leafs: leafs
+                .map(|(position, leaf)| LeafRecord {
+                    name: format!("leaf-{position}").into(),
+                    connections_limit: CONNECTIONS,
+                    runs: leaf.runs(),
+                    counts: leaf.counts(),
+                    connections: leaf.connections(),
+                })
+                .collect(),
+            epochs: vec![EpochShards {
+                epoch: 1,
+                shards: (0..SHARDS).collect(),
+            }],
+            excuses_refusals: true,
+        }
+    }
+}
+
+fn read_caller_address(daemon: &TestProcess) -> SocketAddr {
+    daemon.wait_line(|line| {
+        let event: serde_json::Value = serde_json::from_str(line).ok()?;
+        event.get("callers")?.as_str()?.parse().ok()
+    })
+}
+
+fn settings(host: &str, platform: SocketAddr) -> String {
+    format!(
+        "host: {host}\n\
+         data_centre: dc-1\n\
+         listen:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n\
+         platform: [\"{platform}\"]\n\
+         shared_key: test-key-test-key\n\
+         log:\n  format: json\n  level: info\n"
+    )
+}
+
+fn shard_map(leafs: &LeafFleet) -> ShardMap {
+    let targets = leafs.leafs().iter().zip(0..);
+    let targets = targets.map(|(leaf, target)| TargetEntry {
+        target,
+        address: leaf.address(),
+        data_centre: "dc-1".into(),
+        host: format!("leaf-{target}").into(),
+        slots: 3,
+        connections: CONNECTIONS,
+        connect_ms: 6,
+    });
+    let shards = (0..SHARDS).map(|shard| ShardEntry {
+        shard,
+        replicas: (shard * REPLICAS..(shard + 1) * REPLICAS).collect(),
+    });
+    ShardMap {
+        collection: "tags".into(),
+        epoch: 1,
+        shards: shards.collect(),
+        targets: targets.collect(),
+    }
+}
+
+fn stream(account: &str, kind: CallKind, per_second: f64) -> LoadStream {
+    LoadStream {
+        account: account.into(),
+        collection: "tags".into(),
+        kind,
+        text: StreamText::Unique,
+        rates: vec![RateStep {
+            from: Duration::ZERO,
+            per_second,
+        }],
+        wait: WAIT,
+        resends: 3,
+    }
+}
+
+/// Runs the load with the fault; the violations but for losses, which a killed daemon excuses.
+fn violations_under(fault: DaemonFault) -> Vec<CheckViolation> {
+    let site = Site::start(&format!("{fault:?}"));
+    let shards: Vec<u32> = (0..SHARDS).collect();
+    let orders = CallKind::Execute { shards, copies: 2 };
+    let load = CallerLoad {
+        daemons: DaemonList::new(&site.addresses),
+        streams: vec![
+            stream("vets", CallKind::Search, 30.0),
+            stream("farms", orders, 60.0),
+        ],
+        seed: 11,
+        duration: DURATION,
+    };
+    let running = load.start().expect("the load starts");
+    std::thread::sleep(FAULT_AT);
+    site.act(fault);
+    let calls = running.join();
+    let ran = |call: &&CallRecord| matches!(call.result, CallResult::Executed { .. });
+    assert!(calls.iter().filter(ran).count() > 50, "most orders run");
+    let mut violations = site.evidence(calls).check();
+    violations.retain(|violation| violation.kind != CheckKind::Dropped);
+    violations
+}
+
+fn breaks_no_promise(fault: DaemonFault) {
+    let violations = violations_under(fault);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+yuccalift_testkit::cases! {
+    a_frozen_daemon_breaks_no_promise: breaks_no_promise(DaemonFault::Frozen);
+    a_killed_daemon_breaks_no_promise: breaks_no_promise(DaemonFault::Killed);
+    a_daemon_killed_as_it_wakes_breaks_no_promise:
+        breaks_no_promise(DaemonFault::FrozenThenKilled);
+}
--- a/cli/tests/search_processes.rs
+++ b/cli/tests/process/search.rs
@@ -1,13 +1,11 @@
 //! The whole path as separate processes: platform, leafs, daemons and callers, over TCP.
 
-mod spawned;
-
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use crate::spawned::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
 use awc::Client;
 use serde_json::json;
-use spawned::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
 use yuccalift_core::{SearchAnswer, ShardEntry, ShardMap, TargetEntry};
 use yuccalift_standins::LeafRun;
 
