--- a/cli/src/experiment.rs
+++ b/cli/src/experiment.rs
@@ -5,6 +5,7 @@
 //! - [`runner`]: runs a case.
 //! - [`measure`]: the figures and violations of a run.
 //! - [`spread`]: how a change of the configuration spreads over many control planes.
+//! - [`partition`]: the same while a data centre is cut off.
 //! - [`report`]: several runs of many cases, as tables and plots.
 
 use std::io::IsTerminal;
@@ -17,12 +18,14 @@
 use crate::error::CommandError;
 use crate::experiment::case::{ExperimentCase, find_case};
 use crate::experiment::measure::RunReport;
+use crate::experiment::partition::run_partition;
 use crate::experiment::runner::{RunOptions, run_case};
-use crate::experiment::spread::run_spread;
+use crate::experiment::spread::{SpreadReport, run_spread};
 
 mod case;
 mod cases;
 mod measure;
+mod partition;
 mod plot;
 mod report;
 mod runner;
@@ -33,6 +36,7 @@
        yuccalift experiment report --out DIR [--seeds N] [--seconds S] [NAME]...
        yuccalift experiment NAME [--seed N] [--policy full|baseline|both] [--seconds S] [--json]
        yuccalift experiment config-spread [--daemons N] [--seconds S] [--json]
+       yuccalift experiment partition [--daemons N] [--json]
 
 NAME is a case of the list, or a pair such as crest+straggler: the fleet and the load of the
 first, with the faults of both. With --json each run prints one JSON object on one line.
@@ -129,11 +133,17 @@
         println!("{:18} {}", case.name, case.about);
     }
     println!("{:18} {}", spread::NAME, spread::ABOUT);
+    println!("{:18} {}", partition::NAME, partition::ABOUT);
 }
 
 fn run_experiment(args: &ExperimentArgs) -> Result<(), CommandError> {
-    if args.name.as_ref() == spread::NAME {
-        return run_config_spread(args);
+    let duration = args.duration.unwrap_or(spread::DEFAULT_DURATION);
+    match args.name.as_ref() {
+        spread::NAME => {
+            return print_spread(args, &run_spread(args.daemons, args.seed, duration)?);
+        }
+        partition::NAME => return print_spread(args, &run_partition(args.daemons, args.seed)?),
+        _ => {}
     }
     let case = find_case(&args.name)?;
     let mut broken = 0;
@@ -145,11 +155,9 @@
     check_unbroken(&args.name, broken)
 }
 
-fn run_config_spread(args: &ExperimentArgs) -> Result<(), CommandError> {
-    let duration = args.duration.unwrap_or(spread::DEFAULT_DURATION);
-    let report = run_spread(args.daemons, args.seed, duration)?;
+fn print_spread(args: &ExperimentArgs, report: &SpreadReport) -> Result<(), CommandError> {
     if args.json {
-        print_json(&report)?;
+        print_json(report)?;
     } else {
         print!("{report}");
     }
--- a/cli/src/experiment/report.rs
+++ b/cli/src/experiment/report.rs
@@ -11,11 +11,14 @@
 use crate::experiment::case::{ExperimentCase, find_case};
 use crate::experiment::cases;
 use crate::experiment::measure::{CaseField, RunReport, policy_name};
-use crate::experiment::plot::{PlotLine, PlotSpec, draw_plot};
+use crate::experiment::plot::{PlotLine, PlotPoint, PlotSpec, draw_plot};
 use crate::experiment::runner::{RunOptions, RunOutcome, run_case};
+use crate::experiment::spread::{self, SpreadReport, run_spread};
 
 /// How many seeds a report runs where the command line does not say.
 const DEFAULT_SEEDS: u64 = 5;
+/// The numbers of daemons over which a change spreads.
+const SPREAD_DAEMONS: [usize; 4] = [9, 30, 100, 300];
 
 /// What the command line asks for.
 struct ReportArgs {
@@ -23,6 +26,7 @@
     seeds: u64,
     duration: Option<Duration>,
     cases: Vec<ExperimentCase>,
+    spread: bool,
 }
 
 /// All runs of one case with one policy.
@@ -48,6 +52,10 @@
         draw_case(&args.out, &mut text, case, &all_runs)?;
         write_file(&args.out.join("report.md"), &text)?;
     }
+    if args.spread {
+        broken += report_spread(&args.out, &mut text)?;
+        write_file(&args.out.join("report.md"), &text)?;
+    }
     println!("{}", args.out.join("report.md").display());
     if broken > 0 {
         return Err(CommandError::failed(
@@ -74,13 +82,18 @@
     }
     if names.is_empty() {
         names = cases::ALL.iter().map(|spec| spec.name.to_owned()).collect();
+        names.push(spread::NAME.to_owned());
     }
+    let count = names.len();
+    names.retain(|name| name != spread::NAME);
+    let spread = names.len() < count;
     let cases = names.iter().map(|name| find_case(name));
     Ok(ReportArgs {
         out: out.ok_or_else(|| lexopt::Error::from("--out is missing"))?,
         seeds,
         duration,
         cases: cases.collect::<Result<_, _>>()?,
+        spread,
     })
 }
 
@@ -229,6 +242,59 @@
     Ok(())
 }
 
+/// Runs the spread of changes over several numbers of daemons, and returns how many promises were
+/// broken.
+fn report_spread(out: &Path, text: &mut String) -> Result<usize, CommandError> {
+    let mut reports = Vec::new();
+    for daemons in SPREAD_DAEMONS {
+        eprintln!("{} {daemons} daemons", spread::NAME);
+        reports.push(run_spread(daemons, 1, spread::DEFAULT_DURATION)?);
+    }
+    let _strings_take_all = write!(text, "\n## {}\n\n{}.\n\n", spread::NAME, spread::ABOUT);
+    let figures = |report: &SpreadReport| report.fields.clone();
+    let names = reports.first().map(figures).unwrap_or_default();
+    let names: Vec<&str> = names.iter().map(|figure| figure.name).collect();
+    let _strings_take_all = writeln!(text, "| {} |", names.join(" | "));
+    let _strings_take_all = writeln!(text, "|{}", "---:|".repeat(names.len()));
+    for report in &reports {
+        let values = report
+            .fields
+            .iter()
+            .map(|figure| format!("{:.3}", figure.value));
+        let values: Vec<String> = values.collect();
+        let _strings_take_all = writeln!(text, "| {} |", values.join(" | "));
+    }
+    for violation in reports.iter().flat_map(|report| &report.violations) {
+        let _strings_take_all = write!(text, "\nViolation: {violation}\n");
+    }
+    let plot = spread_plot(&reports);
+    draw_plot(&out.join("config-spread.svg"), &plot)?;
+    let _strings_take_all = write!(text, "\n![{}](config-spread.svg)\n", plot.title);
+    Ok(reports.iter().map(|report| report.violations.len()).sum())
+}
+
+fn spread_plot(reports: &[SpreadReport]) -> PlotSpec {
+    let line = |name: &str| PlotLine {
+        label: name.into(),
+        points: reports
+            .iter()
+            .map(|report| PlotPoint {
+                x: report.figure("daemons"),
+                y: report.figure(name),
+            })
+            .collect(),
+    };
+    PlotSpec {
+        name: spread::NAME.into(),
+        title: "time to spread a change".into(),
+        x_label: "daemons",
+        y_label: "time until in force, ms",
+        lines: ["spread_p50_ms", "spread_p99_ms", "spread_max_ms"]
+            .map(line)
+            .into(),
+    }
+}
+
 /// Latency against the share of searches that took longer, on the scale of nines.
 fn latency_plot(case: &ExperimentCase, all_runs: &[CaseRuns]) -> PlotSpec {
     let lines = all_runs.iter().map(|runs| {
--- a/cli/src/experiment/spread.rs
+++ b/cli/src/experiment/spread.rs
@@ -27,15 +27,15 @@
 /// For how long changes are made where the command line does not say.
 pub const DEFAULT_DURATION: Duration = Duration::from_secs(20);
 /// How many data centres they stand in.
-const DATA_CENTRES: usize = 3;
+pub(super) const DATA_CENTRES: usize = 3;
 /// The time from one change to the next.
 const CHANGE_PERIOD: Duration = Duration::from_secs(2);
 /// How long a fleet may take until all are ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 /// How long a change may take before it counts as not in force.
-const SPREAD_TIMEOUT: Duration = Duration::from_secs(14);
+pub(super) const SPREAD_TIMEOUT: Duration = Duration::from_secs(14);
 /// How long the fleet runs before it is measured, so that its members know each other.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
+pub(super) const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// How often readiness is looked at.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 /// The longest spread that is told apart, in microseconds.
@@ -57,6 +57,14 @@
     pub violations: Vec<Box<str>>,
 }
 
+impl SpreadReport {
+    /// A figure by its name; not a number if there is none.
+    pub fn figure(&self, name: &str) -> f64 {
+        let figure = self.fields.iter().find(|figure| figure.name == name);
+        figure.map_or(f64::NAN, |figure| figure.value)
+    }
+}
+
 impl fmt::Display for SpreadReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{}", self.experiment)?;
@@ -123,14 +131,14 @@
     })
 }
 
-fn accounts(change: u32) -> String {
+pub(super) fn accounts(change: u32) -> String {
     format!(
         "templates:\n  race:\n    collections: [tags]\n    urgency: urgent\n    deadline: 2s\n    \
          patience: 1s\n    repeat: hedge\naccounts:\n  vets-{change}:\n    template: race\n"
     )
 }
 
-fn put_bounds(platform: &PlatformStandin, daemons: usize) -> Result<(), CommandError> {
+pub(super) fn put_bounds(platform: &PlatformStandin, daemons: usize) -> Result<(), CommandError> {
     let per_data_centre = daemons.div_ceil(DATA_CENTRES) as u32 + 1;
     let bounds = FleetBounds {
         daemons: per_data_centre * DATA_CENTRES as u32,
@@ -166,7 +174,7 @@
     FleetProbe::start(planes.collect(), listeners).map_err(failed)
 }
 
-fn wait_ready(probe: &FleetProbe) -> Result<(), CommandError> {
+pub(super) fn wait_ready(probe: &FleetProbe) -> Result<(), CommandError> {
     let until = Instant::now() + READY_TIMEOUT;
     for position in 0..probe.len() {
         while !probe.is_ready(position) {
@@ -198,7 +206,7 @@
 }
 
 /// What must hold at the end: one state everywhere, and the platform's limit kept.
-fn check_end(probe: &FleetProbe, platform: &PlatformStandin) -> Vec<Box<str>> {
+pub(super) fn check_end(probe: &FleetProbe, platform: &PlatformStandin) -> Vec<Box<str>> {
     let mut violations = Vec::new();
     let snapshots = probe.snapshots();
     let newest = platform.version();
