Hedge again soon where no replica was free, and judge saturation by shard

Cause: with one target in twenty slowed tenfold, a shard request that was due for a hedge while its other replicas were busy was looked at again only one whole delay later, and any request parked anywhere in the collection stopped all hedges. Ruled out: the hedge budgets (tokens were left in every refused case), the hedge delay (about 50 ms at a service time of 20 ms). Change: a look that could not hedge is repeated after an eighth of the delay; saturation is judged by the requests that wait for that shard's own targets.

--- a/core/src/engine/hedge.rs
+++ b/core/src/engine/hedge.rs
@@ -24,6 +24,8 @@
 const LEAST_DELAY: Duration = Duration::from_millis(1);
 /// A look that comes this much later than it was due follows a pause, and acts on nothing.
 const STALE_WAKE: Duration = Duration::from_millis(20);
+/// How often in one hedge delay a slow shard request that could not be hedged is looked at again.
+const LOOKS_A_DELAY: u32 = 8;
 /// The shortest time between two looks at a query.
 const LEAST_LOOK: Duration = Duration::from_micros(500);
 
@@ -80,10 +82,14 @@
             return;
         }
         let (slow, next) = self.slow_shards(now, state, delay);
+        let mut again = next;
         for shard in slow {
-            self.take_slow_shard(now, query, shard, delay, actions);
+            if !self.take_slow_shard(now, query, shard, delay, actions) {
+                // No replica was free to hedge with: one may be well before the delay is over.
+                again = again.min(now + delay / LOOKS_A_DELAY);
+            }
         }
-        self.look_at(query, next.max(now + LEAST_LOOK));
+        self.look_at(query, again.max(now + LEAST_LOOK));
     }
 
     /// How long a shard request of a collection may take before it is hedged.
@@ -140,6 +146,7 @@
             .map_or(attempt.sent_at, |resumed| resumed.max(attempt.sent_at))
     }
 
+    /// Hedges a slow shard request; false if it could not be hedged now.
     fn take_slow_shard(
         &mut self,
         now: Instant,
@@ -147,18 +154,18 @@
         shard: SlowShard,
         delay: Duration,
         actions: &mut Vec<EngineAction>,
-    ) {
+    ) -> bool {
         if shard.age >= delay * 2 {
             self.note_stuck(now, shard.target, actions);
         }
         if !self.may_hedge(now, query, shard.place) {
-            return;
+            return false;
         }
         let Some(target) = self.choose_spare(now, query, shard.place) else {
-            return;
+            return false;
         };
         let Some(state) = self.queries.get(query) else {
-            return;
+            return false;
         };
         let account = state.account;
         actions.push(EngineAction::Decided(EngineDecision::Hedged {
@@ -179,6 +186,7 @@
             AttemptCause::Hedge,
             actions,
         );
+        true
     }
 
     fn may_hedge(&mut self, now: Instant, query: QueryRef, place: u32) -> bool {
@@ -194,7 +202,8 @@
             && !state.quarantined
             && state.shards[place as usize].tries < MOST_TRIES
             && now < state.deadline;
-        if !allowed || self.is_group_saturated(plan, state.collection) {
+        let position = state.shards[place as usize].position;
+        if !allowed || self.is_group_saturated(plan, position) {
             return false;
         }
         let account = state.account;
@@ -205,17 +214,12 @@
         account_pays && self.hedges.has_token(now)
     }
 
-    /// Whether requests wait for connections: a hedge would then only make the others wait.
-    fn is_group_saturated(&self, plan: Slot, collection: Slot) -> bool {
-        let parked = self
-            .plans
+    /// Whether requests wait for connections to a shard's targets: a hedge would then only make
+    /// the others wait. A wait at other shards' targets says nothing of these.
+    fn is_group_saturated(&self, plan: Slot, position: u32) -> bool {
+        self.plans
             .get(plan)
-            .is_some_and(|plan| plan.parked_total() > 0);
-        let waiting = self
-            .collections
-            .get(collection)
-            .is_some_and(|state| !state.queue.is_empty());
-        parked || waiting
+            .is_some_and(|plan| !plan.parked(position).is_empty())
     }
 
     fn choose_spare(&mut self, now: Instant, query: QueryRef, place: u32) -> Option<TargetRef> {
