Hold back crashing requests in the daemon, and tell peers

Cause: nothing asked the quarantine table; a request that crashes its targets went on through hedges, retries and its caller's resends. Change: the lane asks the quarantine desk before each send and after each end; suspicions and quarantines spread as news, and show in the log, the metrics and the status.

--- a/core/src/control/news.rs
+++ b/core/src/control/news.rs
@@ -1,4 +1,5 @@
-//! News that spreads for a limited time: quarantined fingerprints and draining targets.
+//! News that spreads for a limited time: suspected and quarantined fingerprints, and draining
+//! targets.
 //!
 //! An item's life is told as the time left, so that no clocks are compared. The first copy that a
 //! daemon hears sets the item's end; later copies can only bring it nearer, so an item that is
@@ -8,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Fingerprint, TargetId};
+use crate::ids::{Fingerprint, ShardId, TargetId};
 
 /// How many items of each kind are held.
 pub const MAX_ITEMS_PER_KIND: usize = 256;
@@ -26,6 +27,21 @@
 pub enum NewsKind {
     /// Requests of this fingerprint are held back.
     Quarantine(Fingerprint),
+    /// A target was lost that ran requests of this fingerprint.
+    Suspect {
+        /// The fingerprint.
+        #[serde(rename = "f")]
+        fingerprint: Fingerprint,
+        /// The shard at which the target was lost.
+        #[serde(rename = "s")]
+        shard: ShardId,
+        /// Whether targets were lost at several shards.
+        #[serde(rename = "w")]
+        wide: bool,
+        /// The blame, in thousandths of a target.
+        #[serde(rename = "b")]
+        blame: u32,
+    },
     /// This target is leaving and gets no new work.
     Draining(TargetId),
 }
--- a/core/src/quarantine/suspect.rs
+++ b/core/src/quarantine/suspect.rs
@@ -9,13 +9,14 @@
 /// The blame at which a request is held back, in thousandths.
 pub(super) const HOLD_BLAME: u32 = 2 * WHOLE_BLAME;
 /// How long suspicion lasts after the last loss.
-pub(super) const SUSPICION_LIFE: Duration = Duration::from_secs(60);
+pub const SUSPICION_LIFE: Duration = Duration::from_secs(60);
 /// How long a request is held back for the first time; each further time is twice as long.
 const FIRST_HOLD: Duration = Duration::from_secs(60);
 /// The longest that a request is held back at once.
 pub(super) const LONGEST_HOLD: Duration = Duration::from_secs(600);
-/// How many shards at which targets were lost are kept for one request.
-const MAX_LOST_SHARDS: usize = 8;
+/// How many shards at which targets were lost are kept for one request; the widest searches ask a
+/// few hundred.
+const MAX_LOST_SHARDS: usize = 512;
 
 /// The one attempt by which a suspected request is tried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,8 +40,8 @@
     pub(super) fingerprint: Fingerprint,
     /// The blame so far, in thousandths.
     pub(super) blame: u32,
-    /// Shards at which targets were lost, the oldest first.
-    pub(super) lost: Vec<ShardId>,
+    /// Shards at which targets were lost, sorted.
+    lost: Vec<ShardId>,
     /// Whether targets were lost at several shards, so that no shard is safe.
     pub(super) wide: bool,
     pub(super) trial: Option<RunningTrial>,
@@ -67,7 +68,7 @@
 
     /// Whether attempts at a shard go one at a time.
     pub(super) fn is_gated(&self, shard: ShardId) -> bool {
-        self.wide || self.lost.contains(&shard)
+        self.wide || self.has_lost(shard)
     }
 
     /// Adds the share of a target that was lost in a trial; other losses count together, as the
@@ -90,14 +91,18 @@
         self.ends = self.ends.max(now + SUSPICION_LIFE);
     }
 
+    /// Whether a target of that shard was lost.
+    pub(super) fn has_lost(&self, shard: ShardId) -> bool {
+        self.lost.binary_search(&shard).is_ok()
+    }
+
     fn add_shard(&mut self, shard: ShardId) {
-        if self.lost.contains(&shard) {
+        let Err(position) = self.lost.binary_search(&shard) else {
             return;
+        };
+        if self.lost.len() < MAX_LOST_SHARDS {
+            self.lost.insert(position, shard);
         }
-        if self.lost.len() == MAX_LOST_SHARDS {
-            self.lost.remove(0);
-        }
-        self.lost.push(shard);
         self.wide |= self.lost.len() > 1;
     }
 
--- a/core/src/quarantine/table.rs
+++ b/core/src/quarantine/table.rs
@@ -127,7 +127,7 @@
     /// that shard had been lost to it.
     pub fn succeeded(&mut self, fingerprint: Fingerprint, shard: ShardId) {
         if let Ok(position) = self.position(fingerprint)
-            && self.suspects[position].lost.contains(&shard)
+            && self.suspects[position].has_lost(shard)
             && self.suspects[position].held_until.is_none()
         {
             self.suspects.remove(position);
@@ -149,7 +149,7 @@
         if !suspect.is_gated(shard) {
             return TrialVerdict::Send;
         }
-        if !suspect.lost.contains(&shard) {
+        if !suspect.has_lost(shard) {
             return wait_a_moment(now, attempt.asked);
         }
         if suspect.trial.is_some() || self.has_suspect(attempt.beside) {
@@ -284,7 +284,7 @@
             .any(|&fingerprint| self.position(fingerprint).is_ok())
     }
 
-    /// Adds a share to a request; the notice is none where it was held back before.
+    /// Adds a share to a request; the notice is none where it would tell nothing new.
     fn add_loss(
         &mut self,
         now: Instant,
@@ -293,17 +293,20 @@
     ) -> Option<QuarantineNotice> {
         let suspect = self.entry(now, run.fingerprint);
         let was_held = suspect.is_held(now);
+        let before = (suspect.blame, suspect.wide);
         suspect.add_loss(now, run.shard, share);
-        let kind = match (was_held, suspect.blame >= HOLD_BLAME) {
-            (true, _) => return None,
-            (false, true) => NoticeKind::Held {
-                left: suspect.hold(now),
-            },
-            (false, false) => NoticeKind::Suspected {
+        if was_held || before == (suspect.blame, suspect.wide) {
+            return None;
+        }
+        let kind = if suspect.blame >= HOLD_BLAME {
+            let left = suspect.hold(now);
+            NoticeKind::Held { left }
+        } else {
+            NoticeKind::Suspected {
                 shard: run.shard,
                 wide: suspect.wide,
                 blame: suspect.blame,
-            },
+            }
         };
         Some(QuarantineNotice {
             fingerprint: run.fingerprint,
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -129,6 +129,30 @@
     assert!(!table.held(now, 5), "the search beside it is not");
 }
 
+#[test]
+fn every_shard_of_a_wide_fan_out_waits_for_the_trial() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    for target in 0..300 {
+        table.target_lost(now, target, &[run(POISON, target)]);
+    }
+    let sent = (0..300).filter(|&shard| {
+        let attempt = TrialRequest {
+            fingerprint: POISON,
+            shard,
+            target: 1_000 + shard,
+            asked: now,
+            beside: &[],
+        };
+        table.admit(now + TRIAL_WAIT, &attempt) == TrialVerdict::Send
+    });
+    assert_eq!(
+        sent.count(),
+        1,
+        "one attempt is sent, however long the others have waited"
+    );
+}
+
 #[test]
 fn only_one_trial_runs_at_a_time() {
     let now = Instant::now();
--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -10,6 +10,7 @@
 use yuccalift_core::control::{ConfigValue, DaemonPlace, FleetBounds, NewsKind, connection_shares};
 use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::HostName;
+use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
 use yuccalift_core::{ShardMap, TargetEntry};
 use yuccalift_kernel::ServiceGuard;
 use yuccalift_wire::platform::{ACCOUNTS_KEY, FLEET_KEY, MAP_PREFIX};
@@ -17,7 +18,7 @@
 use super::control_lane::{AnnounceNews, ControlLane, ControlOutput, SetBounds};
 use super::notice_log::report_notice;
 use crate::events::LogEvent;
-use crate::lane::{EngineLane, FeedEngine};
+use crate::lane::{EngineLane, FeedEngine, TakeNotice};
 use crate::metrics::MetricsClient;
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::StatusBoard;
@@ -62,7 +63,7 @@
     fn take(&mut self, output: ControlOutput) {
         match output {
             ControlOutput::InForce(value) => self.put_in_force(&value),
-            ControlOutput::News { kind, active } => self.feed(news_event(kind, active)),
+            ControlOutput::News { kind, active } => self.pass_news(kind, active),
             ControlOutput::LeavingHosts(hosts) => self.announce_draining(&hosts),
             ControlOutput::Ready(ready) => self.ready.set_confirmed(ready),
             ControlOutput::Replaced => {
@@ -153,24 +154,36 @@
         }
     }
 
-    fn feed(&self, event: EngineEvent) {
-        self.lane.do_send(FeedEngine(event));
+    fn pass_news(&self, kind: NewsKind, active: bool) {
+        match kind {
+            NewsKind::Quarantine(fingerprint) => self.feed(EngineEvent::Quarantine {
+                fingerprint,
+                held: active,
+            }),
+            NewsKind::Suspect {
+                fingerprint,
+                shard,
+                wide,
+                blame,
+            } if active => {
+                let kind = NoticeKind::Suspected { shard, wide, blame };
+                let notice = QuarantineNotice { fingerprint, kind };
+                self.lane.do_send(TakeNotice(notice));
+            }
+            // A suspicion ends by itself wherever it was taken.
+            NewsKind::Suspect { .. } => {}
+            NewsKind::Draining(target) => self.feed(EngineEvent::TargetNews(TargetNews {
+                target,
+                kind: if active {
+                    TargetNewsKind::Draining
+                } else {
+                    TargetNewsKind::Live
+                },
+            })),
+        }
     }
-}
 
-fn news_event(kind: NewsKind, active: bool) -> EngineEvent {
-    match kind {
-        NewsKind::Quarantine(fingerprint) => EngineEvent::Quarantine {
-            fingerprint,
-            held: active,
-        },
-        NewsKind::Draining(target) => EngineEvent::TargetNews(TargetNews {
-            target,
-            kind: if active {
-                TargetNewsKind::Draining
-            } else {
-                TargetNewsKind::Live
-            },
-        }),
+    fn feed(&self, event: EngineEvent) {
+        self.lane.do_send(FeedEngine(event));
     }
 }
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -20,7 +20,7 @@
 use crate::error::{BindSnafu, DaemonError, EndedSnafu, MetricsSnafu, ThreadSnafu};
 use crate::events::LogEvent;
 use crate::execute::{OwnerCaller, PeerExecuteState, TicketDesk};
-use crate::lane::{EngineLane, LANE_SERVICE};
+use crate::lane::{EngineLane, LANE_SERVICE, UseNews};
 use crate::listener::{ListenerSpec, serve};
 use crate::metrics::{METRICS_SERVICE, MetricsClient};
 use crate::operator::{self, OperatorState};
@@ -197,6 +197,7 @@
         metrics: metrics.clone(),
     };
     let control = start_control(kernel, settings, parts)?;
+    lane.do_send(UseNews(control.clone().recipient()));
     let directory: PeerDirectory = kernel.registry().find(PEER_DIRECTORY_SERVICE)?;
     let keeper = DirectoryKeeper::new(control.clone(), directory);
     actix::spawn(keeper.clone().run(kernel.start(PEER_DIRECTORY_SERVICE)));
@@ -252,11 +253,12 @@
     let guard = kernel.start(LANE_SERVICE);
     let metrics: MetricsClient = kernel.registry().find(METRICS_SERVICE)?;
     let sender = format!("{}/{incarnation}", settings.host).into_boxed_str();
+    let board: StatusBoard = kernel.registry().find(STATUS_SERVICE)?;
     let policy = settings.policy;
     let arbiter = Arbiter::new();
     let handle = arbiter.handle();
     let lane = EngineLane::start_in_arbiter(&handle, move |_| {
-        EngineLane::new(policy, incarnation, sender, metrics)
+        EngineLane::new(policy, incarnation, sender, board, metrics)
     });
     kernel.registry().publish(LANE_SERVICE, lane.clone())?;
     actix::spawn(async move {
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -143,6 +143,12 @@
     504 WARN "connections_retired" ConnectionsRetired {
         target: &'a str, retired: u64, answered: bool,
     }
+    #[doc = "A target was lost while it ran a request; `blame` is its part of the blame so far, in thousandths of a target."]
+    701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
+    #[doc = "A request is held back, since targets were lost whenever they ran it."]
+    702 WARN "request_quarantined" RequestQuarantined { fingerprint: &'a str, left_ms: u64 }
+    #[doc = "A request is held back no longer."]
+    703 INFO "quarantine_ended" QuarantineEnded { fingerprint: &'a str }
     #[doc = "A call to a listener was refused before it was read."]
     801 WARN "call_refused" CallRefused { listener: &'a str, peer: &'a str, reason: &'a str }
     #[doc = "An operator asked for a graceful stop."]
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -3,22 +3,27 @@
 //! It decides nothing: it feeds the engine and carries out its actions. Every
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
 
+use std::collections::VecDeque;
 use std::time::Instant;
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, SpawnHandle};
+use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
 use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
 use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::{QueryId, TargetId};
+use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::stall_clock::StallClock;
 use yuccalift_core::{
     EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
 };
 
+use crate::control::control_lane::AnnounceNews;
 use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::events::LogEvent;
 use crate::metrics::{DaemonMetric, MetricsClient};
+use crate::quarantine_desk::{DeskStep, QuarantineDesk};
+use crate::status_board::StatusBoard;
 use crate::target_links::TargetLinks;
 
 /// The name under which the lane's address is published.
@@ -42,6 +47,16 @@
 #[rtype(result = "()")]
 pub struct FeedEngine(pub EngineEvent);
 
+/// Sets who passes the lane's news on to the peers.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct UseNews(pub Recipient<AnnounceNews>);
+
+/// A peer's suspicion of a request.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct TakeNotice(pub QuarantineNotice);
+
 /// Asks what the engine holds.
 #[derive(Debug, Message)]
 #[rtype(result = "StatusAnswer")]
@@ -80,6 +95,9 @@
     callers: Vec<WaitingCaller>,
     links: TargetLinks,
     stall: StallClock,
+    desk: QuarantineDesk,
+    /// Events that wait until the one in work is done.
+    events: VecDeque<EngineEvent>,
     actions: Vec<EngineAction>,
     wake: Option<ScheduledWake>,
 }
@@ -102,9 +120,17 @@
 
 impl EngineLane {
     /// Makes a lane; `sender` names the process to targets.
-    pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>, metrics: MetricsClient) -> Self {
+    pub fn new(
+        policy: PolicyKind,
+        seed: u64,
+        sender: Box<str>,
+        board: StatusBoard,
+        metrics: MetricsClient,
+    ) -> Self {
         Self {
             engine: SearchEngine::new(policy, seed),
+            desk: QuarantineDesk::new(board, metrics.clone()),
+            events: VecDeque::new(),
             metrics,
             callers: Vec::new(),
             links: TargetLinks::new(sender),
@@ -134,24 +160,64 @@
     }
 
     fn handle_event(&mut self, now: Instant, event: EngineEvent, context: &mut Context<Self>) {
-        let mut actions = std::mem::take(&mut self.actions);
-        self.engine.handle(now, event, &mut actions);
-        for action in actions.drain(..) {
-            self.carry_out(action, context);
+        self.events.push_back(event);
+        self.handle_waiting(now, context);
+    }
+
+    fn handle_waiting(&mut self, now: Instant, context: &mut Context<Self>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.engine.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, context);
+            }
+            self.actions = actions;
         }
-        self.actions = actions;
     }
 
-    fn carry_out(&mut self, action: EngineAction, context: &mut Context<Self>) {
+    fn carry_out(&mut self, now: Instant, action: EngineAction, context: &mut Context<Self>) {
         match action {
-            EngineAction::Send(plan) => self.send(plan, context),
-            EngineAction::Cancel { attempt, target } => self.links.cancel(attempt, target),
+            EngineAction::Send(plan) => {
+                self.ask_desk(context, |desk, steps| desk.offer(now, plan, steps));
+            }
+            EngineAction::Cancel { attempt, target } => {
+                let cancel = |desk: &mut QuarantineDesk, steps: &mut Vec<DeskStep>| {
+                    desk.cancel(now, attempt, steps)
+                };
+                if !self.ask_desk(context, cancel) {
+                    self.links.cancel(attempt, target);
+                }
+            }
             EngineAction::Answer { query, answer } => self.reply(query, Ok(answer)),
             EngineAction::Refuse { query, refusal } => self.reply(query, Err(refusal)),
             EngineAction::Decided(decision) => self.note_decision(&decision),
         }
     }
 
+    /// Asks the quarantine desk, and takes the steps that it wants; its events wait for their turn.
+    fn ask_desk<T>(
+        &mut self,
+        context: &mut Context<Self>,
+        question: impl FnOnce(&mut QuarantineDesk, &mut Vec<DeskStep>) -> T,
+    ) -> T {
+        let mut steps = Vec::new();
+        let answer = question(&mut self.desk, &mut steps);
+        for step in steps {
+            match step {
+                DeskStep::Send(plan) => self.send(plan, context),
+                DeskStep::Feed(event) => self.events.push_back(event),
+            }
+        }
+        answer
+    }
+
+    /// Lets the desk do what is due.
+    fn tick_desk(&mut self, context: &mut Context<Self>) {
+        let now = Instant::now();
+        self.ask_desk(context, |desk, steps| desk.tick(now, steps));
+        self.handle_waiting(now, context);
+    }
+
     /// Starts a call as a task of its own. The actor's own futures are all polled whenever one of
     /// them wakes, which a fan-out of hundreds would pay for with each reply.
     fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
@@ -214,7 +280,8 @@
     /// Keeps one wake-up pending, no later than the engine asks for. One that comes too early does
     /// no harm, and costs less than to be moved with each reply.
     fn schedule_wake(&mut self, context: &mut Context<Self>) {
-        let Some(due) = self.engine.next_wake() else {
+        let wakes = [self.engine.next_wake(), self.desk.next_wake(Instant::now())];
+        let Some(due) = wakes.into_iter().flatten().min() else {
             return;
         };
         if let Some(wake) = self.wake {
@@ -226,6 +293,7 @@
         let delay = due.saturating_duration_since(Instant::now());
         let handle = context.run_later(delay, |lane, context| {
             lane.wake = None;
+            lane.tick_desk(context);
             lane.feed(EngineEvent::Tick, context);
         });
         self.wake = Some(ScheduledWake { due, handle });
@@ -254,13 +322,18 @@
             EngineEvent::MapChanged(map) => self.links.put_map(map, &context.address()),
             EngineEvent::MapRemoved(name) => self.links.remove_map(name, &context.address()),
             EngineEvent::Paused(_) => self.links.suspect_all(),
+            EngineEvent::Quarantine { fingerprint, held } => {
+                let now = Instant::now();
+                self.ask_desk(context, |desk, steps| {
+                    desk.set_held(now, *fingerprint, *held, steps);
+                });
+            }
             EngineEvent::Submit(_)
             | EngineEvent::Reply(_)
             | EngineEvent::Failed { .. }
             | EngineEvent::Tick
             | EngineEvent::AccountsChanged(_)
             | EngineEvent::TargetNews(_)
-            | EngineEvent::Quarantine { .. }
             | EngineEvent::Stopping => {}
         }
     }
@@ -279,10 +352,31 @@
     type Result = ();
 
     fn handle(&mut self, msg: CallEnded, ctx: &mut Self::Context) {
+        let now = Instant::now();
+        self.ask_desk(ctx, |desk, steps| desk.follow(now, &msg.0, steps));
         self.feed(msg.0, ctx);
     }
 }
 
+impl Handler<UseNews> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: UseNews, _ctx: &mut Self::Context) {
+        self.desk.use_news(msg.0);
+    }
+}
+
+impl Handler<TakeNotice> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: TakeNotice, ctx: &mut Self::Context) {
+        let now = Instant::now();
+        self.ask_desk(ctx, |desk, steps| desk.learn(now, &msg.0, steps));
+        self.handle_waiting(now, ctx);
+        self.schedule_wake(ctx);
+    }
+}
+
 impl Handler<TargetTold> for EngineLane {
     type Result = ();
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `target_links`, [`leaf`]: the connections to targets, and the calls over them.
 //! - `caller`: the callers' listener.
 //! - `execute`, [`peer_directory`], `directory_keeper`: non-idempotent requests, and the way to a ticket's owner.
+//! - `quarantine_desk`: holds back requests that crash their targets.
 //! - `operator`, [`status_board`]: the operators' listener and what it tells.
 //! - `listener`, [`rate_limit`]: the key, the limits and the typed errors of all listeners.
 //! - [`control`]: configuration, membership and news.
@@ -28,6 +29,7 @@
 pub mod metrics;
 mod operator;
 pub mod peer_directory;
+mod quarantine_desk;
 pub mod rate_limit;
 mod ready_flag;
 pub mod status_board;
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -103,6 +103,8 @@
     LeafRetries "leaf.retries" Counter "requests"
     #[doc = "Ejections of slow or failing targets."]
     TargetsEjected "targets.ejected" Counter "ejections"
+    #[doc = "Requests that were quarantined, here or by a peer."]
+    RequestsQuarantined "requests.quarantined" Counter "requests"
     #[doc = "Calls that a listener refused before reading them."]
     CallsRefused "listeners.refused" Counter "calls"
     #[doc = "The configuration version in force."]
