--- a/core/tests/engine/main.rs
+++ b/core/tests/engine/main.rs
@@ -3,8 +3,11 @@
 mod answers;
 mod crest;
 mod fleet;
+mod happenings;
 mod interruptions;
+mod random_runs;
 mod stragglers;
 mod support;
 mod targets;
 mod versions;
+mod witness;
--- a/daemon/src/control/start.rs
+++ b/daemon/src/control/start.rs
@@ -25,7 +25,7 @@
 use crate::error::{DaemonError, ThreadSnafu};
 use crate::events::LogEvent;
 use crate::execute::{PeerExecuteState, configure_peer};
-use crate::lane::{EngineLane, FeedEngine};
+use crate::lane::{EngineLane, FeedEngine, SetNewsRoute};
 use crate::listener::{ListenerSpec, serve};
 use crate::metrics::{METRICS_SERVICE, MetricsClient};
 use crate::ready_flag::ReadyFlag;
@@ -64,6 +64,8 @@
         host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
     };
+    let news = control.clone().recipient();
+    parts.lane.do_send(SetNewsRoute(news));
     let guard = kernel.start("force");
     let force = ForceService {
         place,
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -10,7 +10,8 @@
 use tokio::sync::oneshot;
 use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
-use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
+use yuccalift_core::control::NewsKind;
+use yuccalift_core::event::{AttemptFailure, EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::{QueryId, TargetId};
 use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::stall_clock::StallClock;
@@ -18,12 +19,12 @@
     EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
 };
 
-use crate::control::control_lane::AnnounceNews;
+use crate::control::AnnounceNews;
+use crate::control::force_service::DRAINING_LIFE;
 use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::events::LogEvent;
 use crate::metrics::{DaemonMetric, MetricsClient};
 use crate::quarantine_desk::{DeskStep, QuarantineDesk};
-use crate::status_board::StatusBoard;
 use crate::target_links::TargetLinks;
 
 /// The name under which the lane's address is published.
@@ -47,11 +48,6 @@
 #[rtype(result = "()")]
 pub struct FeedEngine(pub EngineEvent);
 
-/// Sets who passes the lane's news on to the peers.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct UseNews(pub Recipient<AnnounceNews>);
-
 /// A peer's suspicion of a request.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "()")]
@@ -76,7 +72,15 @@
 /// What became of an attempt, from the task that made the call.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-struct CallEnded(EngineEvent);
+struct CallEnded {
+    target: TargetId,
+    event: EngineEvent,
+}
+
+/// Tells the lane where its news for other daemons goes.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetNewsRoute(pub Recipient<AnnounceNews>);
 
 /// What a task learnt of a target beside its calls.
 #[derive(Debug, Message)]
@@ -95,6 +99,7 @@
     callers: Vec<WaitingCaller>,
     links: TargetLinks,
     stall: StallClock,
+    news: Option<Recipient<AnnounceNews>>,
     desk: QuarantineDesk,
     /// Events that wait until the one in work is done.
     events: VecDeque<EngineEvent>,
@@ -120,21 +125,16 @@
 
 impl EngineLane {
     /// Makes a lane; `sender` names the process to targets.
-    pub fn new(
-        policy: PolicyKind,
-        seed: u64,
-        sender: Box<str>,
-        board: StatusBoard,
-        metrics: MetricsClient,
-    ) -> Self {
+    pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>, metrics: MetricsClient) -> Self {
         Self {
             engine: SearchEngine::new(policy, seed),
-            desk: QuarantineDesk::new(board, metrics.clone()),
+            desk: QuarantineDesk::new(metrics.clone()),
             events: VecDeque::new(),
             metrics,
             callers: Vec::new(),
             links: TargetLinks::new(sender),
             stall: StallClock::new(Instant::now()),
+            news: None,
             actions: Vec::new(),
             wake: None,
         }
@@ -222,9 +222,23 @@
     /// them wakes, which a fan-out of hundreds would pay for with each reply.
     fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
         self.note_attempt(plan.cause);
-        let client = self.links.client(plan.target, plan.address);
+        let target = plan.target;
+        let client = self.links.client(target, plan.address);
         let lane = context.address();
-        actix::spawn(async move { lane.do_send(CallEnded(client.call(plan).await)) });
+        actix::spawn(async move {
+            let event = client.call(plan).await;
+            lane.do_send(CallEnded { target, event });
+        });
+    }
+
+    /// Tells the other daemons that a target itself says that it drains.
+    fn announce_drain(&self, target: TargetId) {
+        if let Some(news) = &self.news {
+            news.do_send(AnnounceNews {
+                kind: NewsKind::Draining(target),
+                life: DRAINING_LIFE,
+            });
+        }
     }
 
     fn reply(&mut self, query: QueryId, result: Result<SearchAnswer, Refusal>) {
@@ -352,17 +366,25 @@
     type Result = ();
 
     fn handle(&mut self, msg: CallEnded, ctx: &mut Self::Context) {
+        if let EngineEvent::Failed {
+            failure: AttemptFailure::Draining,
+            ..
+        } = &msg.event
+        {
+            self.announce_drain(msg.target);
+        }
         let now = Instant::now();
-        self.ask_desk(ctx, |desk, steps| desk.follow(now, &msg.0, steps));
-        self.feed(msg.0, ctx);
+        self.ask_desk(ctx, |desk, steps| desk.follow(now, &msg.event, steps));
+        self.feed(msg.event, ctx);
     }
 }
 
-impl Handler<UseNews> for EngineLane {
+impl Handler<SetNewsRoute> for EngineLane {
     type Result = ();
 
-    fn handle(&mut self, msg: UseNews, _ctx: &mut Self::Context) {
-        self.desk.use_news(msg.0);
+    fn handle(&mut self, msg: SetNewsRoute, _ctx: &mut Self::Context) {
+        self.desk.use_news(msg.0.clone());
+        self.news = Some(msg.0);
     }
 }
 
@@ -384,6 +406,9 @@
         let target = msg.target;
         self.links.note_met(target);
         for kind in msg.news {
+            if kind == TargetNewsKind::Draining {
+                self.announce_drain(target);
+            }
             self.feed(EngineEvent::TargetNews(TargetNews { target, kind }), ctx);
         }
     }
--- a/daemon/src/quarantine_desk.rs
+++ b/daemon/src/quarantine_desk.rs
@@ -1,5 +1,5 @@
-//! Carries out what the gate of attempts decides: lines in the log, news to the peers, the
-//! operators' view. What is left for the lane are attempts to send and events for the engine.
+//! Carries out what the gate of attempts decides: lines in the log and news to the peers.
+//! What is left for the lane are attempts to send and events for the engine.
 
 use std::time::Instant;
 
@@ -11,13 +11,11 @@
 use yuccalift_core::quarantine::{
     AttemptGate, GateAction, NoticeKind, QuarantineNotice, SUSPICION_LIFE,
 };
-use yuccalift_wire::operator::QuarantineReport;
 
-use crate::control::control_lane::AnnounceNews;
+use crate::control::AnnounceNews;
 use crate::decision_log::millis;
 use crate::events::LogEvent;
 use crate::metrics::{DaemonMetric, MetricsClient};
-use crate::status_board::StatusBoard;
 
 /// What the lane does for the gate, in this order.
 #[derive(Debug)]
@@ -31,7 +29,6 @@
 /// The gate with what stands around it.
 pub(crate) struct QuarantineDesk {
     gate: AttemptGate,
-    board: StatusBoard,
     metrics: MetricsClient,
     news: Option<Recipient<AnnounceNews>>,
     actions: Vec<GateAction>,
@@ -39,10 +36,9 @@
 
 impl QuarantineDesk {
     /// A desk that knows no suspects, and nobody to tell.
-    pub(crate) fn new(board: StatusBoard, metrics: MetricsClient) -> Self {
+    pub(crate) fn new(metrics: MetricsClient) -> Self {
         Self {
             gate: AttemptGate::new(),
-            board,
             metrics,
             news: None,
             actions: Vec::new(),
@@ -191,11 +187,6 @@
         } else {
             LogEvent::QuarantineEnded { fingerprint: &text }.emit();
         }
-        let reports = entries.iter().map(|entry| QuarantineReport {
-            fingerprint: hexadecimal(entry.fingerprint).into(),
-            left_ms: millis(entry.left),
-        });
-        self.board.set_quarantines(reports.collect());
     }
 }
 
