Say not_ready while no configuration is known

Cause: found by going through docs/OPERATIONS.md by hand: a daemon that had neither platform nor peer answered a search with 403 unknown_account, which a caller takes for final. Change: searches, tickets and executes are refused as not_ready, 503, not_run, until a configuration is known.

--- a/daemon/src/caller.rs
+++ b/daemon/src/caller.rs
@@ -30,6 +30,17 @@
     pub(crate) desk: Arc<TicketDesk>,
 }
 
+impl CallerState {
+    /// A daemon that knows no configuration says so, and not that it has never heard of the account.
+    fn check_configured(&self) -> Result<(), Refusal> {
+        if self.ready.is_configured() {
+            return Ok(());
+        }
+        let message = "the daemon knows no configuration yet";
+        Err(Refusal::not_run(RefusalCode::NotReady, "admit", message))
+    }
+}
+
 /// Adds the callers' routes to a listener.
 pub(crate) fn configure(config: &mut web::ServiceConfig) {
     config.route("/v1/search", web::post().to(search));
@@ -54,6 +65,7 @@
 }
 
 async fn run_search(state: &CallerState, body: &[u8]) -> Result<SearchAnswer, Refusal> {
+    state.check_configured()?;
     let body: SearchBody = read_body("read search", body)?;
     let request = search_request(body);
     let mut watch = CallerWatch {
@@ -67,7 +79,9 @@
 }
 
 async fn grant_ticket(state: web::Data<CallerState>, body: web::Bytes) -> HttpResponse {
-    let granted = read_body::<TicketBody>("read ticket request", &body)
+    let granted = state
+        .check_configured()
+        .and_then(|()| read_body::<TicketBody>("read ticket request", &body))
         .and_then(|body| state.desk.grant(&body.account));
     match granted {
         Ok(grant) => HttpResponse::Ok().json(grant),
@@ -91,6 +105,7 @@
     owners: &OwnerCaller,
     body: &[u8],
 ) -> Result<ExecuteAnswer, Refusal> {
+    state.check_configured()?;
     let body: ExecuteBody = read_body("read execute", body)?;
     match &body.ticket {
         None => run_without_ticket(&state.lane, &body).await,
--- a/daemon/src/ready_flag.rs
+++ b/daemon/src/ready_flag.rs
@@ -22,6 +22,12 @@
         self.bounded.store(true, Ordering::Release);
     }
 
+    /// Whether the daemon has a configuration to go by. It may have one and not be ready: while it
+    /// stops, and while what it has is not confirmed.
+    pub(crate) fn is_configured(&self) -> bool {
+        self.bounded.load(Ordering::Acquire)
+    }
+
     /// Notes that the daemon stops; it is never ready again.
     pub(crate) fn set_stopping(&self) {
         self.stopping.store(true, Ordering::Release);
--- a/daemon/tests/listeners.rs
+++ b/daemon/tests/listeners.rs
@@ -206,3 +206,27 @@
     }
     daemon.stop();
 }
+
+/// The platform is down and there is no peer: the daemon says that it knows nothing yet.
+fn unconfigured_daemon_refuses(path: &'static str) {
+    let mut site = TestSite::start(1, 1);
+    site.platform.stop();
+    let daemon = Daemon::start(site.settings("entry-1")).expect("the daemon starts");
+    let request = call(Listener::Caller, path, None);
+    let (found, body) = send(daemon.addresses().caller, request);
+    assert_eq!(found, 503, "the caller may try another daemon");
+    let refusal: Refusal = serde_json::from_slice(&body).expect("the refusal is typed");
+    assert_eq!(refusal.code, RefusalCode::NotReady, "the code tells why");
+    assert_eq!(refusal.outcome, Outcome::NotRun, "nothing ran");
+    assert!(
+        !status(&daemon).ready,
+        "the daemon says that it is not ready"
+    );
+    daemon.stop();
+}
+
+cases! {
+    search_without_configuration: unconfigured_daemon_refuses("/v1/search");
+    ticket_without_configuration: unconfigured_daemon_refuses("/v1/tickets");
+    execute_without_configuration: unconfigured_daemon_refuses("/v1/execute");
+}
