Put the tests over processes into one test program

Cause: three parts had each their support for processes; two of them now share one program. Ruled out: a shared file included by path, which the linter cannot see whole. Change: the fleet's test over processes moves into the program that starts processes. Conclusion: cli/tests/processes.rs still has a support of its own, to be made one with it.

--- a/cli/tests/fleet_processes.rs
+++ b/cli/tests/process/fleet.rs
@@ -1,13 +1,10 @@
 //! Nine daemons as processes in three data centres: kills, pauses and replacements at the moment
 //! of a change.
 
-#[allow(dead_code, reason = "each test file uses its own part of the support")]
-mod spawned;
-
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
-use spawned::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
+use crate::spawned::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
 use yuccalift_core::ids::ConfigVersion;
 use yuccalift_standins::{PlatformOptions, PlatformStandin};
 use yuccalift_wire::operator::{KEY_HEADER, StatusReport};
