Keep what others say of a leaving target apart from its own word

Ruled out: the period of reading the list, which is 2 s. Change: the word of others has an event and a sign of its own, which a target's own report does not lift; it ends when the news of it ends. The new test fails without the sign of its own.

--- a/core/src/engine/news.rs
+++ b/core/src/engine/news.rs
@@ -57,6 +57,7 @@
             TargetNewsKind::Held(held) => self.take_held_report(now, target, held),
             TargetNewsKind::Draining => self.set_draining(now, target),
             TargetNewsKind::Live => self.set_live(now, target),
+            TargetNewsKind::Leaving(leaving) => self.set_leaving(target, *leaving),
             TargetNewsKind::Reachable => self.end_loss(now, target, actions),
         }
     }
@@ -75,8 +76,8 @@
             return;
         };
         state.drained_at = Some(now);
-        if !state.draining {
-            state.draining = true;
+        if !state.departure.own {
+            state.departure.own = true;
             self.note_changed(target);
         }
     }
@@ -90,15 +91,30 @@
         let left_just_now = state
             .drained_at
             .is_some_and(|at| now.saturating_duration_since(at) < OWN_NEWS_LIFE);
-        if !state.draining || left_just_now {
+        if !state.departure.own || left_just_now {
             return;
         }
-        state.draining = false;
+        state.departure.own = false;
         // It has been away, so its first requests will be slow.
         state.begin_cold();
         self.note_changed(target);
     }
 
+    /// Notes whether others say that a target is leaving.
+    fn set_leaving(&mut self, target: TargetRef, leaving: bool) {
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        if state.departure.others == leaving {
+            return;
+        }
+        state.departure.others = leaving;
+        if !leaving {
+            state.begin_cold();
+        }
+        self.note_changed(target);
+    }
+
     fn end_loss(&mut self, now: Instant, target: TargetRef, actions: &mut Vec<EngineAction>) {
         if let Some(state) = self.targets.get_mut(target)
             && state.lost_until.is_some()
--- a/core/src/engine/target.rs
+++ b/core/src/engine/target.rs
@@ -49,6 +49,15 @@
     pub(crate) sent_at: Instant,
 }
 
+/// Who says that a target is leaving; it gets no new work as long as anyone does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct DepartureSigns {
+    /// It says so itself.
+    pub(crate) own: bool,
+    /// The platform's list or a peer says so.
+    pub(crate) others: bool,
+}
+
 /// What the engine knows of one target.
 #[derive(Debug)]
 pub(crate) struct TargetState {
@@ -68,8 +77,8 @@
     pub(crate) has_told: bool,
     /// When it last told of its versions in a reply of its own, beside which reports are old.
     pub(crate) held_at: Option<Instant>,
-    /// Whether it is leaving.
-    pub(crate) draining: bool,
+    /// Who says that it is leaving.
+    pub(crate) departure: DepartureSigns,
     /// When it was last seen to be leaving.
     pub(crate) drained_at: Option<Instant>,
     /// Until when it counts as lost.
@@ -106,7 +115,7 @@
             held: Vec::new(),
             has_told: false,
             held_at: None,
-            draining: false,
+            departure: DepartureSigns::default(),
             drained_at: None,
             lost_until: None,
             ejected_until: None,
@@ -122,9 +131,14 @@
         }
     }
 
+    /// Whether it is leaving, by its own word or by that of others, or no map lists it.
+    fn is_going(&self) -> bool {
+        self.listed == 0 || self.departure.own || self.departure.others
+    }
+
     /// Whether it may get new work at all, whatever its version and its free connections.
     pub(crate) fn is_usable(&self) -> bool {
-        self.listed > 0 && !self.draining && self.lost_until.is_none() && self.limit.share() > 0
+        !self.is_going() && self.lost_until.is_none() && self.limit.share() > 0
     }
 
     /// Whether it holds an index version.
@@ -201,8 +215,7 @@
     pub(crate) fn is_briefly_lost(&self, most_losses: u32) -> bool {
         self.lost_until.is_some()
             && self.losses <= most_losses
-            && self.listed > 0
-            && !self.draining
+            && !self.is_going()
             && self.limit.share() > 0
     }
 
@@ -244,7 +257,7 @@
 
     /// Its state as operators read it.
     pub(crate) fn state_name(&self) -> &'static str {
-        if self.draining || self.listed == 0 {
+        if self.is_going() {
             "draining"
         } else if self.lost_until.is_some() {
             "lost"
--- a/core/src/event.rs
+++ b/core/src/event.rs
@@ -146,10 +146,13 @@
     },
     /// The index versions that it holds, sorted.
     Held(Vec<IndexVersion>),
-    /// It is leaving and must get no new work.
+    /// It says itself that it is leaving and must get no new work.
     Draining,
-    /// It has come back from draining, or is new.
+    /// It says itself that it takes work, be it back from draining or new.
     Live,
+    /// Others say that it is leaving: the platform's list or a peer. Its own word, which may lag or
+    /// mislead, does not lift that; only `false` does, when nobody says so any more.
+    Leaving(bool),
     /// It can be connected to again after it was lost.
     Reachable,
 }
--- a/core/tests/engine/targets.rs
+++ b/core/tests/engine/targets.rs
@@ -234,6 +234,23 @@
     assert!(count_of(&asked, 0) > 0, "until it is back");
 }
 
+#[test]
+fn own_live_report_does_not_lift_what_others_say() {
+    let mut driver = driver(PolicyKind::Full, 2);
+    driver.news(0, TargetNewsKind::Leaving(true));
+    driver.pass(Duration::from_secs(6));
+    driver.news(0, TargetNewsKind::Live);
+    let asked = run_queries(&mut driver, 1, 20, |_| USUAL);
+    assert_eq!(
+        count_of(&asked, 0),
+        0,
+        "its own report lags, so it gets no work"
+    );
+    driver.news(0, TargetNewsKind::Leaving(false));
+    let asked = run_queries(&mut driver, 100, 40, |_| USUAL);
+    assert!(count_of(&asked, 0) > 0, "until nobody says so any more");
+}
+
 #[test]
 fn new_target_starts_gently() {
     let mut driver = driver(PolicyKind::Full, 2);
--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -193,11 +193,7 @@
             NewsKind::Suspect { .. } => {}
             NewsKind::Draining(target) => self.feed(EngineEvent::TargetNews(TargetNews {
                 target,
-                kind: if active {
-                    TargetNewsKind::Draining
-                } else {
-                    TargetNewsKind::Live
-                },
+                kind: TargetNewsKind::Leaving(active),
             })),
         }
     }
