--- a/core/src/engine/choice.rs
+++ b/core/src/engine/choice.rs
@@ -1,8 +1,8 @@
 //! Which of a shard's replicas is asked: [`TargetChoice`].
 //!
 //! The better of two random replicas, by what this daemon has in flight to each and how fast each
-//! has lately answered it; a replica in the daemon's own data centre is preferred as long as it is
-//! no slower. See `docs/DESIGN.md`, "Target choice".
+//! has lately answered it; near equals take turns. A replica in the daemon's own data centre is
+//! preferred as long as it is not much slower. See `docs/DESIGN.md`, "Target choice".
 
 use std::time::Instant;
 
@@ -15,16 +15,19 @@
 
 /// The latency that a target without samples is taken for, where its collection has none either.
 const UNKNOWN_LATENCY_SECONDS: f64 = 0.001;
-/// How much worse a target in another data centre is taken for.
-const REMOTE_FACTOR: f64 = 1.25;
 /// How much worse a wholly cold target is taken for, beyond its latency.
 const COLD_FACTOR: f64 = 3.0;
-/// What a target's score must be under, as a share of another's, to be better.
-const NEAR_EQUAL: f64 = 0.85;
+/// What a target's score must be at the most, as a share of another's, to be better: half as many
+/// requests in flight, or half the latency. What differs by less is mostly noise.
+const NEAR_EQUAL: f64 = 0.5;
+/// What a remote target's score must be under, as a share of a local one's, to be preferred to it.
+const MUCH_FASTER: f64 = 0.7;
+/// Up to so many replicas are all compared; of more, two random ones are.
+const COMPARED_WHOLE: usize = 3;
 /// One choice in so many takes a cold target for a warm one.
 const COLD_TURNS: u64 = 8;
 /// How much worse a target is taken for that reports to be fully loaded just now.
-const REPORT_FACTOR: f64 = 0.5;
+const REPORT_FACTOR: f64 = 1.5;
 /// For how many losses in a row a shard request waits for a lost target.
 const HOPEFUL_LOSSES: u32 = 3;
 
@@ -122,12 +125,15 @@
         TargetChoice::Unavailable(self.missing_reason(scratch))
     }
 
-    /// Chooses a target for a hedge: one that is warm, not slow and at most half loaded.
+    /// Chooses a target for a hedge: one that is warm, not slow, and has a slot free or at most
+    /// half of its limit in use.
     pub(crate) fn choose_spare(&self, scratch: &mut ChoiceScratch, dice: u64) -> Option<TargetRef> {
         self.sort_replicas(scratch);
         scratch.ready.free.retain(|candidate| {
             self.targets.get(*candidate).is_some_and(|state| {
-                state.cold_replies == 0 && state.in_flight() * 2 <= state.limit.current()
+                let in_flight = state.in_flight();
+                let spare = in_flight * 2 <= state.limit.current() || in_flight < state.entry.slots;
+                state.cold_replies == 0 && spare
             })
         });
         (!scratch.ready.free.is_empty()).then(|| self.pick(&scratch.ready.free, dice))
@@ -178,36 +184,62 @@
         if !self.two_choices {
             return candidates[(dice % candidates.len() as u64) as usize];
         }
-        if candidates.len() == 1 {
-            return candidates[0];
+        let best = if candidates.len() <= COMPARED_WHOLE {
+            self.best_of(candidates.iter().copied(), dice)
+        } else {
+            self.better_of_two(candidates, dice)
+        };
+        let best = best.unwrap_or(candidates[0]);
+        let local = candidates
+            .iter()
+            .copied()
+            .filter(|candidate| self.is_local(*candidate));
+        match self.best_of(local, dice) {
+            Some(local) => self.local_unless_slower(local, best, dice),
+            None => best,
         }
+    }
+
+    fn better_of_two(&self, candidates: &[TargetRef], dice: u64) -> Option<TargetRef> {
         let first = scaled(dice as u32, candidates.len());
         let mut second = scaled((dice >> 32) as u32, candidates.len() - 1);
         if second >= first {
             second += 1;
         }
-        let pair = self.better(candidates[first], candidates[second], dice);
-        match self.local_candidate(candidates) {
-            Some(local) => self.better(local, pair, dice),
-            None => pair,
-        }
+        let pair = [candidates[first], candidates[second]];
+        self.best_of(pair.into_iter(), dice)
+    }
+
+    fn best_of(&self, candidates: impl Iterator<Item = TargetRef>, dice: u64) -> Option<TargetRef> {
+        candidates.reduce(|left, right| self.better(left, right, dice))
     }
 
-    fn local_candidate(&self, candidates: &[TargetRef]) -> Option<TargetRef> {
-        candidates.iter().copied().find(|candidate| {
-            self.targets
-                .get(*candidate)
-                .is_some_and(|state| state.local)
-        })
+    fn is_local(&self, candidate: TargetRef) -> bool {
+        self.targets.get(candidate).is_some_and(|state| state.local)
     }
 
+    /// The better of two; of near equals the one whose last request is longer ago, which spreads
+    /// the load as evenly as taking turns does.
     fn better(&self, left: TargetRef, right: TargetRef, dice: u64) -> TargetRef {
-        // Near equals are taken in random order, so that each is asked often enough to be known.
-        if self.score(right, dice) < self.score(left, dice) * NEAR_EQUAL {
-            right
-        } else {
-            left
+        let (ours, theirs) = (self.score(left, dice), self.score(right, dice));
+        if theirs <= ours * NEAR_EQUAL {
+            return right;
+        }
+        if ours <= theirs * NEAR_EQUAL || self.last_sent(left) <= self.last_sent(right) {
+            return left;
         }
+        right
+    }
+
+    fn local_unless_slower(&self, local: TargetRef, best: TargetRef, dice: u64) -> TargetRef {
+        if self.is_local(best) || self.score(best, dice) >= self.score(local, dice) * MUCH_FASTER {
+            return local;
+        }
+        best
+    }
+
+    fn last_sent(&self, candidate: TargetRef) -> Option<Instant> {
+        self.targets.get(candidate).and_then(|state| state.sent_at)
     }
 
     /// The expected time to a reply; less is better.
@@ -219,14 +251,13 @@
         let usual = self.usual_seconds.unwrap_or(UNKNOWN_LATENCY_SECONDS);
         let seconds = state.latency.careful_seconds(self.now, usual);
         let seconds = seconds.max(self.oldest_flight_seconds(state));
-        let remote = if state.local { 1.0 } else { REMOTE_FACTOR };
         let cold = if tries_cold(dice) {
             1.0
         } else {
             1.0 + COLD_FACTOR * state.coldness()
         };
         let hint = 1.0 + REPORT_FACTOR * state.hinted_load(self.now);
-        load * seconds * remote * cold * hint
+        load * seconds * cold * hint
     }
 
     /// How long the oldest attempt in flight has taken: a stuck target shows here first.
--- a/core/src/engine/ejection.rs
+++ b/core/src/engine/ejection.rs
@@ -176,6 +176,7 @@
             collection.ejected += 1;
         }
         self.timers.add(now + period, TimerKind::Target(target));
+        self.look_at_flights(now, target);
         let target = target.target;
         actions.push(EngineAction::Decided(EngineDecision::Ejected {
             target,
@@ -201,10 +202,26 @@
         if collection.ejected + 1 > (group / GROUP_PART).max(1) {
             return false;
         }
-        state
-            .hosted
+        let mean = state.latency.mean().unwrap_or_default();
+        state.hosted.iter().all(|hosted| {
+            self.can_spare(target, hosted.plan, hosted.position)
+                && self.is_slowest(target, mean, hosted.plan, hosted.position)
+        })
+    }
+
+    /// Whether a target is far slower than each other replica of a shard that has work. Where they
+    /// are slow too the shard is overloaded, and one replica less would make that worse.
+    fn is_slowest(&self, target: TargetRef, mean: Duration, plan: u32, position: u32) -> bool {
+        let Some(plan) = self.plans.get(plan) else {
+            return true;
+        };
+        plan.replicas(position)
             .iter()
-            .all(|hosted| self.can_spare(target, hosted.plan, hosted.position))
+            .filter(|replica| **replica != target)
+            .filter_map(|replica| self.targets.get(*replica))
+            .filter(|state| state.is_usable() && !state.is_ejected())
+            .filter_map(|state| state.latency.mean())
+            .all(|other| mean > other * SLOW_RATIO)
     }
 
     /// Whether at least half of a shard's usable replicas would still get work.
--- a/core/src/engine/hedge.rs
+++ b/core/src/engine/hedge.rs
@@ -24,6 +24,8 @@
 const LEAST_DELAY: Duration = Duration::from_millis(1);
 /// A look that comes this much later than it was due follows a pause, and acts on nothing.
 const STALE_WAKE: Duration = Duration::from_millis(20);
+/// How often a request that could not be hedged is looked at in the time that one usually takes.
+const LOOKS_PER_DELAY: u32 = 4;
 /// The shortest time between two looks at a query.
 const LEAST_LOOK: Duration = Duration::from_micros(500);
 
@@ -32,6 +34,15 @@
     TokenBudget::new(FLEET_HEDGE_BURST, 0.0)
 }
 
+/// After how long a shard request is hedged.
+#[derive(Clone, Copy, Debug)]
+struct HedgeDelays {
+    /// Where nothing is known against its target.
+    usual: Duration,
+    /// Where its target is known to be slow, or was until just now.
+    suspect: Duration,
+}
+
 /// A shard request that has taken long.
 #[derive(Clone, Copy, Debug)]
 struct SlowShard {
@@ -50,9 +61,19 @@
         let Some(state) = self.queries.get(query) else {
             return;
         };
-        if let Some(delay) = self.hedge_delay(state.collection) {
-            self.look_at(query, now + delay);
-        }
+        let Some(delays) = self.hedge_delays(state.collection) else {
+            return;
+        };
+        let suspect = state.shards.iter().any(|progress| {
+            let attempt = progress.live[0].and_then(|attempt| self.attempts.get(attempt));
+            attempt.is_some_and(|attempt| self.is_suspect(attempt.target))
+        });
+        let delay = if suspect {
+            delays.suspect
+        } else {
+            delays.usual
+        };
+        self.look_at(query, now + delay);
     }
 
     /// Looks at a query's outstanding shard requests and hedges those that have taken long.
@@ -70,26 +91,49 @@
         if !running || state.hedge_at != Some(due) {
             return;
         }
-        let Some(delay) = self.hedge_delay(state.collection) else {
+        let Some(delays) = self.hedge_delays(state.collection) else {
             return;
         };
         let overdue = now.saturating_duration_since(due) > STALE_WAKE;
         if overdue && self.options.protections.pause_checks {
             // What looks slow may have been answered long since; replies come first.
-            self.look_at(query, now + delay);
+            self.look_at(query, now + delays.usual);
             return;
         }
-        let (slow, next) = self.slow_shards(now, state, delay);
+        let (slow, mut next) = self.slow_shards(now, state, delays);
         for shard in slow {
-            self.take_slow_shard(now, query, shard, delay, actions);
+            if !self.take_slow_shard(now, query, shard, delays, actions) {
+                // Room for a hedge may come up soon.
+                next = next.min(now + delays.suspect / LOOKS_PER_DELAY);
+            }
         }
         self.look_at(query, next.max(now + LEAST_LOOK));
     }
 
     /// How long a shard request of a collection may take before it is hedged.
-    pub(super) fn hedge_delay(&self, collection: Slot) -> Option<Duration> {
+    fn hedge_delays(&self, collection: Slot) -> Option<HedgeDelays> {
         let quantiles = self.collections.get(collection)?.latencies.quantiles()?;
-        Some(quantiles.hedge.max(LEAST_DELAY))
+        Some(HedgeDelays {
+            usual: quantiles.hedge.max(LEAST_DELAY),
+            suspect: quantiles.median.max(LEAST_DELAY),
+        })
+    }
+
+    /// Looks at once at the queries that a target holds, since it has turned out to be slow.
+    pub(super) fn look_at_flights(&mut self, now: Instant, target: TargetRef) {
+        let Some(state) = self.targets.get(target) else {
+            return;
+        };
+        let queries: Vec<QueryRef> = state
+            .flights
+            .iter()
+            .filter_map(|flight| self.attempts.get(flight.attempt))
+            .filter(|attempt| !attempt.cancelled)
+            .map(|attempt| attempt.query)
+            .collect();
+        for query in queries {
+            self.look_at(query, now);
+        }
     }
 
     fn look_at(&mut self, query: QueryRef, at: Instant) {
@@ -104,10 +148,10 @@
         &self,
         now: Instant,
         state: &QueryState,
-        delay: Duration,
+        delays: HedgeDelays,
     ) -> (Vec<SlowShard>, Instant) {
         let mut slow = Vec::new();
-        let mut next = now + delay;
+        let mut next = now + delays.usual;
         for (place, progress) in state.shards.iter().enumerate() {
             if progress.stage != ShardStage::Asked {
                 continue;
@@ -119,6 +163,11 @@
             let Some(attempt) = self.attempts.get(only) else {
                 continue;
             };
+            let delay = if self.is_suspect(attempt.target) {
+                delays.suspect
+            } else {
+                delays.usual
+            };
             let since = self.counted_since(attempt);
             let age = now.saturating_duration_since(since);
             if age >= delay {
@@ -134,31 +183,39 @@
         (slow, next)
     }
 
+    /// Whether a target is known to be slow, or has yet to show that it no longer is.
+    fn is_suspect(&self, target: TargetRef) -> bool {
+        self.targets.get(target).is_some_and(|state| {
+            state.is_ejected() || (state.readmitted_at.is_some() && state.latency.samples() == 0)
+        })
+    }
+
     /// Since when an attempt counts as outstanding: a pause of the process is not the target's.
     fn counted_since(&self, attempt: &LiveAttempt) -> Instant {
         self.resumed_at
             .map_or(attempt.sent_at, |resumed| resumed.max(attempt.sent_at))
     }
 
+    /// Hedges a slow shard request if it may be; false if it was not.
     fn take_slow_shard(
         &mut self,
         now: Instant,
         query: QueryRef,
         shard: SlowShard,
-        delay: Duration,
+        delays: HedgeDelays,
         actions: &mut Vec<EngineAction>,
-    ) {
-        if shard.age >= delay * 2 {
+    ) -> bool {
+        if shard.age >= delays.usual * 2 {
             self.note_stuck(now, shard.target, actions);
         }
         if !self.may_hedge(now, query, shard.place) {
-            return;
+            return false;
         }
         let Some(target) = self.choose_spare(now, query, shard.place) else {
-            return;
+            return false;
         };
         let Some(state) = self.queries.get(query) else {
-            return;
+            return false;
         };
         let account = state.account;
         actions.push(EngineAction::Decided(EngineDecision::Hedged {
@@ -179,6 +236,7 @@
             AttemptCause::Hedge,
             actions,
         );
+        true
     }
 
     fn may_hedge(&mut self, now: Instant, query: QueryRef, place: u32) -> bool {
@@ -194,7 +252,8 @@
             && !state.quarantined
             && state.shards[place as usize].tries < MOST_TRIES
             && now < state.deadline;
-        if !allowed || self.is_group_saturated(plan, state.collection) {
+        let position = state.shards[place as usize].position;
+        if !allowed || self.is_saturated(plan, position, state.collection) {
             return false;
         }
         let account = state.account;
@@ -205,12 +264,13 @@
         account_pays && self.hedges.has_token(now)
     }
 
-    /// Whether requests wait for connections: a hedge would then only make the others wait.
-    fn is_group_saturated(&self, plan: Slot, collection: Slot) -> bool {
+    /// Whether requests wait for the targets of a shard: a hedge would then only make the others
+    /// wait.
+    fn is_saturated(&self, plan: Slot, position: u32, collection: Slot) -> bool {
         let parked = self
             .plans
             .get(plan)
-            .is_some_and(|plan| plan.parked_total() > 0);
+            .is_some_and(|plan| !plan.parked(position).is_empty());
         let waiting = self
             .collections
             .get(collection)
--- a/core/src/engine/latency.rs
+++ b/core/src/engine/latency.rs
@@ -87,8 +87,12 @@
     pub(crate) hedge: Duration,
 }
 
-/// The share of samples above [`LatencyQuantiles::hedge`].
+/// The share of samples above [`LatencyQuantiles::hedge`], where no target is slow.
 const HEDGED_SHARE: f64 = 0.015;
+/// A share of samples that slow targets do not reach, since they are few and get little work.
+const CLEAN_SHARE: f64 = 0.95;
+/// What the hedge quantile is of the clean one at the most; as much as in an exponential tail.
+const TAIL_RATIO: f64 = 1.4;
 
 /// A fading histogram of latency with buckets of equal ratio.
 #[derive(Clone, Debug)]
@@ -148,10 +152,17 @@
         }
         self.quantiles = Some(LatencyQuantiles {
             median: self.quantile(0.5),
-            hedge: self.quantile(1.0 - HEDGED_SHARE),
+            hedge: self.hedge_quantile(),
         });
     }
 
+    /// The quantile above which a request is hedged. Slow targets stretch the far tail, and would
+    /// put off the very hedges that are for them, so the tail is measured from a nearer quantile.
+    fn hedge_quantile(&self) -> Duration {
+        let clean = self.quantile(CLEAN_SHARE).mul_f64(TAIL_RATIO);
+        self.quantile(1.0 - HEDGED_SHARE).min(clean)
+    }
+
     fn quantile(&self, share: f64) -> Duration {
         let wanted = (f64::from(self.total) * share).ceil() as u32;
         let mut seen = 0;
--- a/core/src/engine/limit.rs
+++ b/core/src/engine/limit.rs
@@ -12,7 +12,7 @@
 /// The greatest limit in multiples of a target's slots: one to run, one on its way.
 const SLOTS_MULTIPLE: u32 = 2;
 /// Replies are late when their recent average is this many times the unloaded one.
-const LATE_RATIO: f64 = 2.0;
+const LATE_RATIO: f64 = 3.0;
 /// What late replies leave of the limit.
 const LATE_FACTOR: f64 = 0.9;
 /// What a shed request leaves of the limit.
--- a/core/src/engine/target.rs
+++ b/core/src/engine/target.rs
@@ -82,6 +82,8 @@
     pub(crate) ejections: u32,
     /// Attempts in flight, cancelled ones included, in the order of sending.
     pub(crate) flights: Vec<FlightEntry>,
+    /// When a request was last sent to it.
+    pub(crate) sent_at: Option<Instant>,
     /// How many may be in flight.
     pub(crate) limit: ConcurrencyLimit,
     /// Its recent latency as seen from here.
@@ -113,6 +115,7 @@
             readmitted_at: None,
             ejections: 0,
             flights: Vec::new(),
+            sent_at: None,
             limit,
             latency: LatencyAverage::default(),
             report: None,
@@ -149,6 +152,7 @@
 
     /// Adds an attempt in flight.
     pub(crate) fn start_flight(&mut self, attempt: AttemptId, sent_at: Instant) {
+        self.sent_at = Some(sent_at);
         self.flights.push(FlightEntry { attempt, sent_at });
     }
 
