--- a/core/src/engine/maps.rs
+++ b/core/src/engine/maps.rs
@@ -14,6 +14,7 @@
 use crate::engine::slots::Slot;
 use crate::engine::target::HostedShard;
 use crate::engine::timers::{QueryRef, TargetRef, TimerKind};
+use crate::event::TargetShare;
 use crate::ids::{MapEpoch, TargetId};
 use crate::outcome::{Refusal, RefusalCode};
 use crate::shard_map::ShardMap;
@@ -23,6 +24,14 @@
 /// How long queries of a new map wait for targets that have not told their versions.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
+/// The connections that were told for a target before any map listed it.
+fn told_share(shares: &[TargetShare], target: TargetId) -> Option<u32> {
+    let place = shares
+        .binary_search_by_key(&target, |share| share.target)
+        .ok()?;
+    Some(shares[place].connections)
+}
+
 impl SearchEngine {
     /// Takes a map; one that is older than the newest known is ignored.
     pub(super) fn put_map(&mut self, now: Instant, map: &Arc<ShardMap>) {
@@ -82,6 +91,9 @@
             targets.push(target);
             if let Some(state) = self.targets.get_mut(target) {
                 state.listed += 1;
+                if fresh && let Some(share) = told_share(&self.shares, entry.target) {
+                    state.limit.set_share(share);
+                }
                 if fresh && replaces {
                     // It came up while others ran, so it is probably just starting.
                     state.begin_cold();
--- a/core/src/engine/mod.rs
+++ b/core/src/engine/mod.rs
@@ -40,6 +40,7 @@
 mod verifier;
 mod wakes;
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use rand::SeedableRng;
@@ -55,7 +56,7 @@
 use crate::engine::slots::{KeyIndex, Slot, SlotTable};
 use crate::engine::target::{HostedShard, TargetTable};
 use crate::engine::timers::{QueryRef, TargetRef, TimerQueue};
-use crate::event::EngineEvent;
+use crate::event::{EngineEvent, TargetShare};
 use crate::ids::{CollectionName, Fingerprint};
 
 pub use options::{EngineOptions, PolicyKind, ProtectionSet};
@@ -82,6 +83,7 @@
     resumed_at: Option<Instant>,
     accounts: AccountLedger,
     targets: TargetTable,
+    shares: Arc<[TargetShare]>,
     collections: SlotTable<CollectionState>,
     names: KeyIndex<CollectionName>,
     plans: SlotTable<ShardPlan>,
@@ -110,6 +112,7 @@
             resumed_at: None,
             accounts: AccountLedger::default(),
             targets: TargetTable::default(),
+            shares: Arc::from([]),
             collections: SlotTable::default(),
             names: KeyIndex::default(),
             plans: SlotTable::default(),
@@ -153,7 +156,7 @@
             EngineEvent::MapChanged(map) => self.put_map(now, &map),
             EngineEvent::MapRemoved(name) => self.remove_map(&name, actions),
             EngineEvent::AccountsChanged(accounts) => self.accounts.put(&accounts),
-            EngineEvent::SharesChanged(shares) => self.put_shares(&shares),
+            EngineEvent::SharesChanged(shares) => self.put_shares(shares),
             EngineEvent::TargetNews(news) => self.take_news(now, &news, actions),
             EngineEvent::Quarantine { fingerprint, held } => {
                 self.put_quarantine(fingerprint, held, actions);
--- a/core/src/engine/news.rs
+++ b/core/src/engine/news.rs
@@ -1,5 +1,6 @@
 //! News of targets, connection shares, quarantines and pauses.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::action::EngineAction;
@@ -17,8 +18,10 @@
 
 impl SearchEngine {
     /// Puts connection shares in force; a target that is not listed keeps the one it has.
-    pub(super) fn put_shares(&mut self, shares: &[TargetShare]) {
-        for share in shares {
+    pub(super) fn put_shares(&mut self, shares: Arc<[TargetShare]>) {
+        // Targets that come with a later map find their shares in the list.
+        self.shares = shares;
+        for share in Arc::clone(&self.shares).iter() {
             let Some(target) = self.targets.find(share.target) else {
                 continue;
             };
--- a/core/tests/engine/targets.rs
+++ b/core/tests/engine/targets.rs
@@ -72,6 +72,20 @@
     baseline_keeps_the_share: share_is_kept(PolicyKind::Baseline);
 }
 
+#[test]
+fn share_told_before_the_map_is_kept() {
+    let mut driver = EngineDriver::new(EngineOptions::new(PolicyKind::Full, 7));
+    let share = TargetShare {
+        target: 0,
+        connections: 7,
+    };
+    driver.tell(EngineEvent::SharesChanged([share].into()));
+    driver.tell(EngineEvent::MapChanged(std::sync::Arc::new(map(1, 1, 2))));
+    let connections = |target: usize| driver.engine.status().targets[target].connections;
+    assert_eq!(connections(0), 7, "it was told");
+    assert_eq!(connections(1), 1, "the least while nothing is told");
+}
+
 #[test]
 fn target_without_a_share_is_not_used() {
     let mut driver = driver(PolicyKind::Full, 2);
@@ -196,7 +210,6 @@
     let mut driver = driver(PolicyKind::Full, 3);
     let mut lost = 0;
     for query in 1..=60 {
-        driver.now += Duration::from_millis(1);
         driver.submit(query);
         let mut sends = driver.take_sends();
         while let Some(plan) = sends.pop() {
@@ -204,6 +217,7 @@
                 lost += 1;
                 driver.fail(&plan, AttemptFailure::NotSent);
             } else {
+                driver.now += Duration::from_millis(1);
                 driver.reply(&plan);
             }
             sends.extend(driver.take_sends());
