--- a/core/src/engine/hedge.rs
+++ b/core/src/engine/hedge.rs
@@ -253,7 +253,7 @@
             && state.shards[place as usize].tries < MOST_TRIES
             && now < state.deadline;
         let position = state.shards[place as usize].position;
-        if !allowed || self.is_saturated(plan, position, state.collection) {
+        if !allowed || self.is_group_saturated(plan, position) {
             return false;
         }
         let account = state.account;
@@ -264,18 +264,12 @@
         account_pays && self.hedges.has_token(now)
     }
 
-    /// Whether requests wait for the targets of a shard: a hedge would then only make the others
-    /// wait.
-    fn is_saturated(&self, plan: Slot, position: u32, collection: Slot) -> bool {
-        let parked = self
-            .plans
+    /// Whether requests wait for connections to a shard's targets: a hedge would then only make
+    /// the others wait. A wait at other shards' targets says nothing of these.
+    fn is_group_saturated(&self, plan: Slot, position: u32) -> bool {
+        self.plans
             .get(plan)
-            .is_some_and(|plan| !plan.parked(position).is_empty());
-        let waiting = self
-            .collections
-            .get(collection)
-            .is_some_and(|state| !state.queue.is_empty());
-        parked || waiting
+            .is_some_and(|plan| !plan.parked(position).is_empty())
     }
 
     fn choose_spare(&mut self, now: Instant, query: QueryRef, place: u32) -> Option<TargetRef> {
--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -10,20 +10,26 @@
 use yuccalift_core::control::{ConfigValue, DaemonPlace, FleetBounds, NewsKind, connection_shares};
 use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::HostName;
+use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
 use yuccalift_core::{ShardMap, TargetEntry};
 use yuccalift_kernel::ServiceGuard;
+use yuccalift_wire::operator::QuarantineReport;
 use yuccalift_wire::platform::{ACCOUNTS_KEY, FLEET_KEY, MAP_PREFIX};
 
-use super::control_lane::{AnnounceNews, ControlLane, ControlOutput, SetBounds};
+use super::control_lane::{AnnounceNews, ControlLane, ControlOutput, GetControl, SetBounds};
 use super::notice_log::report_notice;
 use crate::events::LogEvent;
-use crate::lane::{EngineLane, FeedEngine};
+use crate::lane::{EngineLane, FeedEngine, TakeNotice};
 use crate::metrics::MetricsClient;
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::StatusBoard;
 
 /// How long a target is taken to drain after the platform's list said so last.
-const DRAINING_LIFE: Duration = Duration::from_secs(60);
+pub(crate) const DRAINING_LIFE: Duration = Duration::from_secs(60);
+/// How often operators' view of the control plane is brought up to date.
+const BOARD_PERIOD: Duration = Duration::from_secs(1);
+/// What is in force where the accounts' document was removed.
+const NO_ACCOUNTS: &str = "templates: {}\naccounts: {}\n";
 
 /// Takes the control plane's output until the daemon stops.
 pub(crate) struct ForceService {
@@ -45,9 +51,14 @@
         mut output: UnboundedReceiver<ControlOutput>,
         guard: ServiceGuard,
     ) {
+        let mut board_due = tokio::time::interval(BOARD_PERIOD);
         loop {
             let next = tokio::select! {
                 () = guard.token.cancelled() => return,
+                _ = board_due.tick() => {
+                    self.update_board().await;
+                    continue;
+                }
                 next = output.recv() => next,
             };
             match next {
@@ -57,10 +68,21 @@
         }
     }
 
+    /// Tells the board what the control plane knows.
+    async fn update_board(&self) {
+        let Ok(known) = self.control.send(GetControl).await else {
+            return;
+        };
+        self.board.set_peers(known.reports);
+        self.board.set_control(known.traffic);
+        let quarantines = known.news.iter().filter_map(quarantine_report);
+        self.board.set_quarantines(quarantines.collect());
+    }
+
     fn take(&mut self, output: ControlOutput) {
         match output {
             ControlOutput::InForce(value) => self.put_in_force(&value),
-            ControlOutput::News { kind, active } => self.feed(news_event(kind, active)),
+            ControlOutput::News { kind, active } => self.pass_news(kind, active),
             ControlOutput::LeavingHosts(hosts) => self.announce_draining(&hosts),
             ControlOutput::Ready(ready) => self.ready.set_confirmed(ready),
             ControlOutput::Replaced => {
@@ -93,7 +115,7 @@
     }
 
     fn put_accounts(&self, value: &ConfigValue) {
-        let text = value.value.as_deref().unwrap_or("accounts: []");
+        let text = value.value.as_deref().unwrap_or(NO_ACCOUNTS);
         if let Ok(table) = yuccalift_settings::parse_accounts(ACCOUNTS_KEY, text, value.version) {
             self.feed(EngineEvent::AccountsChanged(Arc::new(table)));
         }
@@ -151,24 +173,45 @@
         }
     }
 
+    fn pass_news(&self, kind: NewsKind, active: bool) {
+        match kind {
+            NewsKind::Quarantine(fingerprint) => self.feed(EngineEvent::Quarantine {
+                fingerprint,
+                held: active,
+            }),
+            NewsKind::Suspect {
+                fingerprint,
+                shard,
+                wide,
+                blame,
+            } if active => {
+                let kind = NoticeKind::Suspected { shard, wide, blame };
+                let notice = QuarantineNotice { fingerprint, kind };
+                self.lane.do_send(TakeNotice(notice));
+            }
+            // A suspicion ends by itself wherever it was taken.
+            NewsKind::Suspect { .. } => {}
+            NewsKind::Draining(target) => self.feed(EngineEvent::TargetNews(TargetNews {
+                target,
+                kind: if active {
+                    TargetNewsKind::Draining
+                } else {
+                    TargetNewsKind::Live
+                },
+            })),
+        }
+    }
+
     fn feed(&self, event: EngineEvent) {
         self.lane.do_send(FeedEngine(event));
     }
 }
-
-fn news_event(kind: NewsKind, active: bool) -> EngineEvent {
-    match kind {
-        NewsKind::Quarantine(fingerprint) => EngineEvent::Quarantine {
-            fingerprint,
-            held: active,
-        },
-        NewsKind::Draining(target) => EngineEvent::TargetNews(TargetNews {
-            target,
-            kind: if active {
-                TargetNewsKind::Draining
-            } else {
-                TargetNewsKind::Live
-            },
+fn quarantine_report(news: &(NewsKind, Duration)) -> Option<QuarantineReport> {
+    match *news {
+        (NewsKind::Quarantine(fingerprint), left) => Some(QuarantineReport {
+            fingerprint: format!("{fingerprint:016x}").into(),
+            left_ms: left.as_millis() as u64,
         }),
+        (NewsKind::Suspect { .. } | NewsKind::Draining(_), _) => None,
     }
 }
