Read exchanges of newer daemons, and make room for news of suspects

Cause: an exchange with an unknown field failed, and suspects of crashes had no news. Ruled out: nothing was tried beside it. Change: as the title says. Conclusion: it stands as it is.

--- a/core/src/control/config_delta.rs
+++ b/core/src/control/config_delta.rs
@@ -12,7 +12,6 @@
 
 /// One key with the version of its last change; no value where the key was removed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ConfigValue {
     /// The key.
     pub key: ValueKey,
@@ -24,7 +23,6 @@
 
 /// The part of a value that a change replaced, between a kept prefix and a kept suffix.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ValuePatch {
     /// The version of the value that the patch applies to.
     pub base: ConfigVersion,
@@ -102,7 +100,6 @@
 
 /// One changed key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct DeltaEntry {
     /// The key.
     pub key: ValueKey,
@@ -126,7 +123,6 @@
 
 /// All changes after one version and through another, in the order of their versions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ConfigDelta {
     /// The version that the receiver must have reached.
     pub base: ConfigVersion,
--- a/core/src/control/event.rs
+++ b/core/src/control/event.rs
@@ -94,8 +94,8 @@
     News {
         /// What.
         kind: NewsKind,
-        /// Whether it is said from now on.
-        active: bool,
+        /// For how long from now it is said; zero if it no longer is.
+        left: Duration,
     },
     /// Whether the configuration is known well enough to take requests.
     Ready(bool),
--- a/core/src/control/exchange.rs
+++ b/core/src/control/exchange.rs
@@ -1,4 +1,7 @@
 //! The message that daemons exchange; a request and its reply have the same form.
+//!
+//! Fields that a daemon does not know are passed over, since a newer one may send them while the
+//! fleet is being replaced.
 
 use serde::{Deserialize, Serialize};
 
@@ -19,7 +22,6 @@
 
 /// How far the sender's configuration has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ConfigDigest {
     /// The version through which it knows every change.
     #[serde(rename = "v")]
@@ -31,7 +33,6 @@
 
 /// What the sender asks for.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ExchangeWants {
     /// Every member of the data centre, some contacts of others, and all news.
     #[serde(rename = "m")]
@@ -46,7 +47,6 @@
 
 /// What one daemon tells another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ExchangeMessage {
     /// The sender, as it knows itself.
     #[serde(rename = "f")]
--- a/core/src/control/member_record.rs
+++ b/core/src/control/member_record.rs
@@ -34,7 +34,6 @@
 
 /// A belief about one daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct MemberRecord {
     /// Its host.
     #[serde(rename = "h")]
--- a/core/src/control/mod.rs
+++ b/core/src/control/mod.rs
@@ -36,6 +36,6 @@
 pub use fleet_bounds::FleetBounds;
 pub use member_record::{MemberRecord, MemberState};
 pub use member_table::MemberTable;
-pub use news::{NewsBoard, NewsItem, NewsKind};
+pub use news::{NewsBoard, NewsItem, NewsKind, SuspicionNews};
 pub use node::{ControlNode, ControlSettings};
 pub use reader_beat::{BeatBoard, ReaderBeat};
--- a/core/src/control/news.rs
+++ b/core/src/control/news.rs
@@ -1,4 +1,4 @@
-//! News that spreads for a limited time: quarantined fingerprints and draining targets.
+//! News that spreads for a limited time: requests that crash targets, and draining targets.
 //!
 //! An item's life is told as the time left, so that no clocks are compared. The first copy that a
 //! daemon hears sets the item's end; later copies can only bring it nearer, so an item that is
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Fingerprint, TargetId};
+use crate::ids::{Fingerprint, ShardId, TargetId};
 
 /// How many items of each kind are held.
 pub const MAX_ITEMS_PER_KIND: usize = 256;
@@ -28,11 +28,25 @@
     Quarantine(Fingerprint),
     /// This target is leaving and gets no new work.
     Draining(TargetId),
+    /// Targets were lost under a request of this fingerprint, too few to hold it back yet.
+    Suspected(SuspicionNews),
+}
+
+/// What a daemon has seen of a request under which targets were lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SuspicionNews {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The shard at which a target was lost last.
+    pub shard: ShardId,
+    /// Whether targets were lost at several shards.
+    pub wide: bool,
+    /// The blame, in thousandths of a target.
+    pub blame: u32,
 }
 
 /// An item as it is sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct NewsItem {
     /// What it says.
     #[serde(rename = "k")]
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -27,7 +27,7 @@
 use super::fleet_bounds::FleetBounds;
 use super::member_record::MemberRecord;
 use super::member_table::MemberTable;
-use super::news::{NewsBoard, NewsItem, NewsKind};
+use super::news::{MAX_LIFE, NewsBoard, NewsItem, NewsKind};
 use super::reader_beat::{BeatBoard, ReaderBeat};
 use crate::ids::{ConfigVersion, HostName};
 
@@ -241,8 +241,8 @@
             actions.push(ControlAction::Noticed(notice));
         }
         for kind in self.news.expire(self.handled, now) {
-            let active = false;
-            actions.push(ControlAction::News { kind, active });
+            let left = Duration::ZERO;
+            actions.push(ControlAction::News { kind, left });
         }
     }
 
@@ -272,8 +272,8 @@
         let kind = item.kind;
         if self.news.merge(now, item) {
             self.exchange_plan.push_now();
-            let active = true;
-            actions.push(ControlAction::News { kind, active });
+            let left = Duration::from_millis(item.left_ms).min(MAX_LIFE);
+            actions.push(ControlAction::News { kind, left });
         }
     }
 
--- a/core/src/control/reader_beat.rs
+++ b/core/src/control/reader_beat.rs
@@ -18,7 +18,6 @@
 
 /// How often a reader has been answered by the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ReaderBeat {
     /// The reader.
     #[serde(rename = "h")]
--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -47,8 +47,8 @@
     News {
         /// What.
         kind: NewsKind,
-        /// Whether it is said from now on.
-        active: bool,
+        /// For how long from now it is said; zero if it no longer is.
+        left: Duration,
     },
     /// Hosts of targets that the platform lists as leaving, sorted.
     LeavingHosts(Vec<HostName>),
@@ -192,9 +192,7 @@
             ControlAction::ReadValues { after, wait } => self.read_values(after, wait, context),
             ControlAction::ReadHosts => self.read_hosts(context),
             ControlAction::PutInForce(value) => self.tell(ControlOutput::InForce(value)),
-            ControlAction::News { kind, active } => {
-                self.tell(ControlOutput::News { kind, active });
-            }
+            ControlAction::News { kind, left } => self.tell(ControlOutput::News { kind, left }),
             ControlAction::Ready(ready) => self.tell(ControlOutput::Ready(ready)),
             ControlAction::Replaced => self.tell(ControlOutput::Replaced),
             ControlAction::Noticed(notice) => self.tell(ControlOutput::Noticed(notice)),
--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::control::{ConfigValue, DaemonPlace, FleetBounds, NewsKind, connection_shares};
-use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
+use yuccalift_core::event::EngineEvent;
 use yuccalift_core::ids::HostName;
 use yuccalift_core::{ShardMap, TargetEntry};
 use yuccalift_kernel::ServiceGuard;
@@ -18,7 +18,7 @@
 use super::control_lane::{AnnounceNews, ControlLane, ControlOutput, GetControl, SetBounds};
 use super::notice_log::report_notice;
 use crate::events::LogEvent;
-use crate::lane::{EngineLane, FeedEngine};
+use crate::lane::{EngineLane, FeedEngine, TakeNews};
 use crate::metrics::MetricsClient;
 use crate::ready_flag::ReadyFlag;
 use crate::status_board::StatusBoard;
@@ -81,7 +81,9 @@
     fn take(&mut self, output: ControlOutput) {
         match output {
             ControlOutput::InForce(value) => self.put_in_force(&value),
-            ControlOutput::News { kind, active } => self.feed(news_event(kind, active)),
+            ControlOutput::News { kind, left } => {
+                self.lane.do_send(TakeNews { kind, left });
+            }
             ControlOutput::LeavingHosts(hosts) => self.announce_draining(&hosts),
             ControlOutput::Ready(ready) => self.ready.set_confirmed(ready),
             ControlOutput::Replaced => {
@@ -183,23 +185,6 @@
             fingerprint: format!("{fingerprint:016x}").into(),
             left_ms: left.as_millis() as u64,
         }),
-        (NewsKind::Draining(_), _) => None,
-    }
-}
-
-fn news_event(kind: NewsKind, active: bool) -> EngineEvent {
-    match kind {
-        NewsKind::Quarantine(fingerprint) => EngineEvent::Quarantine {
-            fingerprint,
-            held: active,
-        },
-        NewsKind::Draining(target) => EngineEvent::TargetNews(TargetNews {
-            target,
-            kind: if active {
-                TargetNewsKind::Draining
-            } else {
-                TargetNewsKind::Live
-            },
-        }),
+        (NewsKind::Draining(_) | NewsKind::Suspected(_), _) => None,
     }
 }
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -3,7 +3,7 @@
 //! It decides nothing: it feeds the engine and carries out its actions. Every
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
@@ -69,6 +69,16 @@
     event: EngineEvent,
 }
 
+/// What other daemons say, or this one said to them.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct TakeNews {
+    /// What is said.
+    pub kind: NewsKind,
+    /// For how long from now it is said; zero if it no longer is.
+    pub left: Duration,
+}
+
 /// Tells the lane where its news for other daemons goes.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -317,6 +327,35 @@
     }
 }
 
+impl Handler<TakeNews> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: TakeNews, ctx: &mut Self::Context) {
+        if let Some(event) = news_event(msg.kind, !msg.left.is_zero()) {
+            self.feed(event, ctx);
+        }
+    }
+}
+
+/// What news means for the engine.
+fn news_event(kind: NewsKind, active: bool) -> Option<EngineEvent> {
+    match kind {
+        NewsKind::Quarantine(fingerprint) => Some(EngineEvent::Quarantine {
+            fingerprint,
+            held: active,
+        }),
+        NewsKind::Draining(target) => {
+            let kind = if active {
+                TargetNewsKind::Draining
+            } else {
+                TargetNewsKind::Live
+            };
+            Some(EngineEvent::TargetNews(TargetNews { target, kind }))
+        }
+        NewsKind::Suspected(_) => None,
+    }
+}
+
 impl Handler<SetNewsRoute> for EngineLane {
     type Result = ();
 
