--- a/cli/src/experiment.rs
+++ b/cli/src/experiment.rs
@@ -4,30 +4,39 @@
 //! - [`cases`]: the cases, one module each.
 //! - [`runner`]: runs a case.
 //! - [`measure`]: the figures and violations of a run.
+//! - [`spread`]: how a change of the configuration spreads over many control planes.
+//! - [`partition`]: the same while a data centre is cut off.
 //! - [`report`]: several runs of many cases, as tables and plots.
 
 use std::io::IsTerminal;
 use std::time::Duration;
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
+use serde::Serialize;
 use yuccalift_core::PolicyKind;
 
 use crate::error::CommandError;
 use crate::experiment::case::{ExperimentCase, find_case};
 use crate::experiment::measure::RunReport;
+use crate::experiment::partition::run_partition;
 use crate::experiment::runner::{RunOptions, run_case};
+use crate::experiment::spread::{SpreadReport, run_spread};
 
 mod case;
 mod cases;
 mod measure;
+mod partition;
 mod plot;
 mod report;
 mod runner;
+mod spread;
 
 const HELP: &str = "\
 Usage: yuccalift experiment --list
        yuccalift experiment report --out DIR [--seeds N] [--seconds S] [NAME]...
        yuccalift experiment NAME [--seed N] [--policy full|baseline|both] [--seconds S] [--json]
+       yuccalift experiment config-spread [--daemons N] [--seconds S] [--json]
+       yuccalift experiment partition [--daemons N] [--json]
 
 NAME is a case of the list, or a pair such as crest+straggler: the fleet and the load of the
 first, with the faults of both. With --json each run prints one JSON object on one line.
@@ -54,6 +63,7 @@
     seed: u64,
     policies: Vec<PolicyKind>,
     duration: Option<Duration>,
+    daemons: usize,
     json: bool,
 }
 
@@ -73,6 +83,7 @@
         seed: DEFAULT_SEED,
         policies: vec![PolicyKind::Full],
         duration: None,
+        daemons: spread::DEFAULT_DAEMONS,
         json: false,
     };
     while let Some(argument) = parser.next()? {
@@ -88,6 +99,7 @@
             Long("seed") => args.seed = parser.value()?.parse()?,
             Long("policy") => args.policies = read_policies(&parser.value()?.string()?)?,
             Long("seconds") => args.duration = Some(Duration::from_secs(parser.value()?.parse()?)),
+            Long("daemons") => args.daemons = parser.value()?.parse()?,
             Long("json") => args.json = true,
             Value(value) if name.is_none() => {
                 let value = value.string()?;
@@ -120,9 +132,19 @@
     for case in cases::ALL {
         println!("{:18} {}", case.name, case.about);
     }
+    println!("{:18} {}", spread::NAME, spread::ABOUT);
+    println!("{:18} {}", partition::NAME, partition::ABOUT);
 }
 
 fn run_experiment(args: &ExperimentArgs) -> Result<(), CommandError> {
+    let duration = args.duration.unwrap_or(spread::DEFAULT_DURATION);
+    match args.name.as_ref() {
+        spread::NAME => {
+            return print_spread(args, &run_spread(args.daemons, args.seed, duration)?);
+        }
+        partition::NAME => return print_spread(args, &run_partition(args.daemons, args.seed)?),
+        _ => {}
+    }
     let case = find_case(&args.name)?;
     let mut broken = 0;
     for &policy in &args.policies {
@@ -130,13 +152,27 @@
         print_report(&report, args.json)?;
         broken += report.violations.len();
     }
-    if broken > 0 {
-        return Err(CommandError::failed(
-            format!("experiment {}", args.name),
-            &format!("{broken} violations"),
-        ));
+    check_unbroken(&args.name, broken)
+}
+
+fn print_spread(args: &ExperimentArgs, report: &SpreadReport) -> Result<(), CommandError> {
+    if args.json {
+        print_json(report)?;
+    } else {
+        print!("{report}");
     }
-    Ok(())
+    check_unbroken(&args.name, report.violations.len())
+}
+
+fn check_unbroken(name: &str, violations: usize) -> Result<(), CommandError> {
+    if violations == 0 {
+        return Ok(());
+    }
+    let step = format!("experiment {name}");
+    Err(CommandError::failed(
+        step,
+        &format!("{violations} violations"),
+    ))
 }
 
 fn run_one(
@@ -155,11 +191,16 @@
 
 fn print_report(report: &RunReport, json: bool) -> Result<(), CommandError> {
     if json {
-        let line = serde_json::to_string(report)
-            .map_err(|error| CommandError::failed("write report", &error))?;
-        println!("{line}");
+        print_json(report)?;
     } else {
         print!("{report}");
     }
     Ok(())
 }
+
+fn print_json(report: &impl Serialize) -> Result<(), CommandError> {
+    let line = serde_json::to_string(report)
+        .map_err(|error| CommandError::failed("write report", &error))?;
+    println!("{line}");
+    Ok(())
+}
--- a/core/src/control/news.rs
+++ b/core/src/control/news.rs
@@ -1,4 +1,5 @@
-//! News that spreads for a limited time: requests that crash targets, and draining targets.
+//! News that spreads for a limited time: suspected and quarantined fingerprints, and draining
+//! targets.
 //!
 //! An item's life is told as the time left, so that no clocks are compared. The first copy that a
 //! daemon hears sets the item's end; later copies can only bring it nearer, so an item that is
@@ -26,23 +27,23 @@
 pub enum NewsKind {
     /// Requests of this fingerprint are held back.
     Quarantine(Fingerprint),
+    /// A target was lost that ran requests of this fingerprint.
+    Suspect {
+        /// The fingerprint.
+        #[serde(rename = "f")]
+        fingerprint: Fingerprint,
+        /// The shard at which the target was lost.
+        #[serde(rename = "s")]
+        shard: ShardId,
+        /// Whether targets were lost at several shards.
+        #[serde(rename = "w")]
+        wide: bool,
+        /// The blame, in thousandths of a target.
+        #[serde(rename = "b")]
+        blame: u32,
+    },
     /// This target is leaving and gets no new work.
     Draining(TargetId),
-    /// Targets were lost under a request of this fingerprint, too few to hold it back yet.
-    Suspected(SuspicionNews),
-}
-
-/// What a daemon has seen of a request under which targets were lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct SuspicionNews {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// The shard at which a target was lost last.
-    pub shard: ShardId,
-    /// Whether targets were lost at several shards.
-    pub wide: bool,
-    /// The blame, in thousandths of a target.
-    pub blame: u32,
 }
 
 /// An item as it is sent.
--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -47,8 +47,8 @@
     News {
         /// What.
         kind: NewsKind,
-        /// For how long from now it is said; zero if it no longer is.
-        left: Duration,
+        /// Whether it is said from now on.
+        active: bool,
     },
     /// Hosts of targets that the platform lists as leaving, sorted.
     LeavingHosts(Vec<HostName>),
@@ -192,7 +192,9 @@
             ControlAction::ReadValues { after, wait } => self.read_values(after, wait, context),
             ControlAction::ReadHosts => self.read_hosts(context),
             ControlAction::PutInForce(value) => self.tell(ControlOutput::InForce(value)),
-            ControlAction::News { kind, left } => self.tell(ControlOutput::News { kind, left }),
+            ControlAction::News { kind, active } => {
+                self.tell(ControlOutput::News { kind, active });
+            }
             ControlAction::Ready(ready) => self.tell(ControlOutput::Ready(ready)),
             ControlAction::Replaced => self.tell(ControlOutput::Replaced),
             ControlAction::Noticed(notice) => self.tell(ControlOutput::Noticed(notice)),
