Move the lane's messages and notes into files of their own

Cause: the lane had grown too large to read. Ruled out: nothing was tried beside it. Change: as the title says. Conclusion: it stands as it is.

--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -8,60 +8,34 @@
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
-use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
+use yuccalift_core::action::{AttemptPlan, EngineAction};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
 use yuccalift_core::control::NewsKind;
 use yuccalift_core::event::{AttemptFailure, EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::{QueryId, TargetId};
-use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::stall_clock::StallClock;
-use yuccalift_core::{
-    EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
-};
+use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine};
 
 use crate::control::AnnounceNews;
 use crate::control::force_service::DRAINING_LIFE;
-use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::events::LogEvent;
-use crate::metrics::{DaemonMetric, MetricsClient};
+use crate::metrics::MetricsClient;
 use crate::quarantine_desk::{DeskStep, QuarantineDesk};
 use crate::target_links::TargetLinks;
 
+mod messages;
+mod notes;
+
+pub(crate) use messages::TargetTold;
+pub use messages::{FeedEngine, GetStatus, SetNewsRoute, StatusAnswer, SubmitRequest, TakeNotice};
+use notes::LaneNotes;
+
 /// The name under which the lane's address is published.
 pub const LANE_SERVICE: &str = "lane";
 
 /// How many messages the lane's mailbox holds before senders are refused.
 const MAILBOX_MESSAGES: usize = 4096;
 
-/// Asks the lane to run a request; the answer or refusal comes through `reply`.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct SubmitRequest {
-    /// The request.
-    pub request: SearchRequest,
-    /// Where the answer goes.
-    pub reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
-}
-
-/// Feeds the engine an event.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct FeedEngine(pub EngineEvent);
-
-/// A peer's suspicion of a request.
-#[derive(Clone, Copy, Debug, Message)]
-#[rtype(result = "()")]
-pub struct TakeNotice(pub QuarantineNotice);
-
-/// Asks what the engine holds.
-#[derive(Debug, Message)]
-#[rtype(result = "StatusAnswer")]
-pub struct GetStatus;
-
-/// The answer to [`GetStatus`].
-#[derive(Debug, actix::MessageResponse)]
-pub struct StatusAnswer(pub EngineStatus);
-
 /// A caller whose request is in the engine.
 struct WaitingCaller {
     query: QueryId,
@@ -77,25 +51,10 @@
     event: EngineEvent,
 }
 
-/// Tells the lane where its news for other daemons goes.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct SetNewsRoute(pub Recipient<AnnounceNews>);
-
-/// What a task learnt of a target beside its calls.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub(crate) struct TargetTold {
-    /// The target.
-    pub(crate) target: TargetId,
-    /// The news.
-    pub(crate) news: Vec<TargetNewsKind>,
-}
-
 /// The actor that runs the engine.
 pub struct EngineLane {
     engine: SearchEngine,
-    metrics: MetricsClient,
+    notes: LaneNotes,
     callers: Vec<WaitingCaller>,
     links: TargetLinks,
     stall: StallClock,
@@ -130,7 +89,7 @@
             engine: SearchEngine::new(policy, seed),
             desk: QuarantineDesk::new(metrics.clone()),
             events: VecDeque::new(),
-            metrics,
+            notes: LaneNotes::new(metrics),
             callers: Vec::new(),
             links: TargetLinks::new(sender),
             stall: StallClock::new(Instant::now()),
@@ -190,7 +149,7 @@
             }
             EngineAction::Answer { query, answer } => self.reply(query, Ok(answer)),
             EngineAction::Refuse { query, refusal } => self.reply(query, Err(refusal)),
-            EngineAction::Decided(decision) => self.note_decision(&decision),
+            EngineAction::Decided(decision) => self.notes.decision(&decision),
         }
     }
 
@@ -221,7 +180,7 @@
     /// Starts a call as a task of its own. The actor's own futures are all polled whenever one of
     /// them wakes, which a fan-out of hundreds would pay for with each reply.
     fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
-        self.note_attempt(plan.cause);
+        self.notes.attempt(plan.cause);
         let target = plan.target;
         let client = self.links.client(target, plan.address);
         let lane = context.address();
@@ -249,48 +208,10 @@
             return;
         };
         let caller = self.callers.remove(position);
-        self.note_end(query, caller.since, &result);
+        self.notes.end(query, caller.since, &result);
         let _caller_may_have_gone = caller.reply.send(result);
     }
 
-    fn note_decision(&self, decision: &EngineDecision) {
-        log_decision(decision);
-        match decision {
-            EngineDecision::Planned { .. } => self.metrics.count(DaemonMetric::QueriesPlanned, 1),
-            EngineDecision::Ejected { .. } => self.metrics.count(DaemonMetric::TargetsEjected, 1),
-            _ => {}
-        }
-    }
-
-    fn note_attempt(&self, cause: AttemptCause) {
-        self.metrics.count(DaemonMetric::LeafRequests, 1);
-        match cause {
-            AttemptCause::First => {}
-            AttemptCause::Hedge => self.metrics.count(DaemonMetric::LeafHedges, 1),
-            AttemptCause::Retry => self.metrics.count(DaemonMetric::LeafRetries, 1),
-        }
-    }
-
-    fn note_end(&self, query: QueryId, since: Instant, result: &Result<SearchAnswer, Refusal>) {
-        let took = since.elapsed();
-        match result {
-            Ok(answer) => {
-                log_answer(query, &answer.coverage, took);
-                let coverage = &answer.coverage;
-                self.metrics.count(DaemonMetric::QueriesAnswered, 1);
-                self.metrics.time(DaemonMetric::QueryTime, took);
-                let asked = u64::from(coverage.asked);
-                self.metrics.count(DaemonMetric::ShardsAsked, asked);
-                let missing = coverage.missing.len() as u64;
-                self.metrics.count(DaemonMetric::ShardsMissing, missing);
-            }
-            Err(refusal) => {
-                log_refusal(query, refusal);
-                self.metrics.count(DaemonMetric::QueriesRefused, 1);
-            }
-        }
-    }
-
     /// Keeps one wake-up pending, no later than the engine asks for. One that comes too early does
     /// no harm, and costs less than to be moved with each reply.
     fn schedule_wake(&mut self, context: &mut Context<Self>) {
--- /dev/null
+++ b/daemon/src/lane/notes.rs
@@ -0,0 +1,69 @@
+//! What the lane tells of its work: log lines and metrics.
+
+use std::time::Instant;
+
+use yuccalift_core::action::AttemptCause;
+use yuccalift_core::ids::QueryId;
+use yuccalift_core::{EngineDecision, Refusal, SearchAnswer};
+
+use crate::decision_log::{log_answer, log_decision, log_refusal};
+use crate::metrics::{DaemonMetric, MetricsClient};
+
+/// Writes the lane's log lines and counts for its metrics.
+#[derive(Clone, Debug)]
+pub(super) struct LaneNotes {
+    metrics: MetricsClient,
+}
+
+impl LaneNotes {
+    /// Notes that go to this client.
+    pub(super) fn new(metrics: MetricsClient) -> Self {
+        Self { metrics }
+    }
+
+    /// Notes a decision.
+    pub(super) fn decision(&self, decision: &EngineDecision) {
+        log_decision(decision);
+        match decision {
+            EngineDecision::Planned { .. } => self.metrics.count(DaemonMetric::QueriesPlanned, 1),
+            EngineDecision::Ejected { .. } => self.metrics.count(DaemonMetric::TargetsEjected, 1),
+            _ => {}
+        }
+    }
+
+    /// Notes an attempt that is sent.
+    pub(super) fn attempt(&self, cause: AttemptCause) {
+        self.metrics.count(DaemonMetric::LeafRequests, 1);
+        match cause {
+            AttemptCause::First => {}
+            AttemptCause::Hedge => self.metrics.count(DaemonMetric::LeafHedges, 1),
+            AttemptCause::Retry => self.metrics.count(DaemonMetric::LeafRetries, 1),
+        }
+    }
+
+    /// Notes the end of a request.
+    pub(super) fn end(
+        &self,
+        query: QueryId,
+        since: Instant,
+        result: &Result<SearchAnswer, Refusal>,
+    ) {
+        let took = since.elapsed();
+        match result {
+            Ok(answer) => {
+                log_answer(query, &answer.coverage, took);
+                let coverage = &answer.coverage;
+                self.metrics.count(DaemonMetric::QueriesAnswered, 1);
+                self.metrics.time(DaemonMetric::QueryTime, took);
+                let asked = u64::from(coverage.asked);
+                self.metrics.count(DaemonMetric::ShardsAsked, asked);
+                let missing = coverage.missing.len() as u64;
+                self.metrics.count(DaemonMetric::ShardsMissing, missing);
+            }
+            Err(refusal) => {
+                log_refusal(query, refusal);
+                self.metrics.count(DaemonMetric::QueriesRefused, 1);
+            }
+        }
+    }
+}
