Let a target's own word that it drains be news for 5 s only

Ruled out: dropping the news at its origin alone, which would leave the peers waiting. Change: news from a target's own word lives 5 s; each refusal and status report makes it anew.

--- a/daemon/src/control/force_service.rs
+++ b/daemon/src/control/force_service.rs
@@ -25,7 +25,7 @@
 use crate::status_board::StatusBoard;
 
 /// How long a target is taken to drain after the platform's list said so last.
-pub(crate) const DRAINING_LIFE: Duration = Duration::from_secs(60);
+const DRAINING_LIFE: Duration = Duration::from_secs(60);
 /// How often operators' view of the control plane is brought up to date.
 const BOARD_PERIOD: Duration = Duration::from_secs(1);
 /// What is in force where the accounts' document was removed.
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -4,7 +4,7 @@
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
 
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
@@ -17,7 +17,6 @@
 use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine};
 
 use crate::control::AnnounceNews;
-use crate::control::force_service::DRAINING_LIFE;
 use crate::events::LogEvent;
 use crate::metrics::MetricsClient;
 use crate::quarantine_desk::{DeskStep, QuarantineDesk};
@@ -30,6 +29,10 @@
 pub use messages::{FeedEngine, GetStatus, SetNewsRoute, StatusAnswer, SubmitRequest, TakeNotice};
 use notes::LaneNotes;
 
+/// How long a target's own word that it is draining is news for others. It is short, since a target
+/// that is back says so only to those that ask it, and each refusal is news again.
+const DRAIN_WORD_LIFE: Duration = Duration::from_secs(5);
+
 /// The name under which the lane's address is published.
 pub const LANE_SERVICE: &str = "lane";
 
@@ -195,7 +198,7 @@
         if let Some(news) = &self.news {
             news.do_send(AnnounceNews {
                 kind: NewsKind::Draining(target),
-                life: DRAINING_LIFE,
+                life: DRAIN_WORD_LIFE,
             });
         }
     }
