--- a/core/src/engine/news.rs
+++ b/core/src/engine/news.rs
@@ -1,5 +1,6 @@
 //! News of targets, connection shares, quarantines and pauses.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::action::EngineAction;
@@ -17,8 +18,10 @@
 
 impl SearchEngine {
     /// Puts connection shares in force; a target that is not listed keeps the one it has.
-    pub(super) fn put_shares(&mut self, shares: &[TargetShare]) {
-        for share in shares {
+    pub(super) fn put_shares(&mut self, shares: Arc<[TargetShare]>) {
+        // Targets that come with a later map find their shares in the list.
+        self.shares = shares;
+        for share in Arc::clone(&self.shares).iter() {
             let Some(target) = self.targets.find(share.target) else {
                 continue;
             };
@@ -57,6 +60,7 @@
             TargetNewsKind::Held(held) => self.take_held_report(now, target, held),
             TargetNewsKind::Draining => self.set_draining(now, target),
             TargetNewsKind::Live => self.set_live(now, target),
+            TargetNewsKind::Leaving(leaving) => self.set_leaving(target, *leaving),
             TargetNewsKind::Reachable => self.end_loss(now, target, actions),
         }
     }
@@ -75,8 +79,8 @@
             return;
         };
         state.drained_at = Some(now);
-        if !state.draining {
-            state.draining = true;
+        if !state.departure.own {
+            state.departure.own = true;
             self.note_changed(target);
         }
     }
@@ -90,15 +94,30 @@
         let left_just_now = state
             .drained_at
             .is_some_and(|at| now.saturating_duration_since(at) < OWN_NEWS_LIFE);
-        if !state.draining || left_just_now {
+        if !state.departure.own || left_just_now {
             return;
         }
-        state.draining = false;
+        state.departure.own = false;
         // It has been away, so its first requests will be slow.
         state.begin_cold();
         self.note_changed(target);
     }
 
+    /// Notes whether others say that a target is leaving.
+    fn set_leaving(&mut self, target: TargetRef, leaving: bool) {
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        if state.departure.others == leaving {
+            return;
+        }
+        state.departure.others = leaving;
+        if !leaving {
+            state.begin_cold();
+        }
+        self.note_changed(target);
+    }
+
     fn end_loss(&mut self, now: Instant, target: TargetRef, actions: &mut Vec<EngineAction>) {
         if let Some(state) = self.targets.get_mut(target)
             && state.lost_until.is_some()
