--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`engine`]: the data path of one daemon.
 //! - [`connection_watch`], [`stall_clock`]: dead connections and pauses, found out.
 //! - [`ticket_ledger`]: what a daemon remembers of non-idempotent requests.
+//! - [`quarantine`]: holding back a request that crashes its targets.
 //! - [`control`]: the control plane of one daemon.
 
 pub mod account;
@@ -23,6 +24,7 @@
 pub mod event;
 pub mod ids;
 pub mod outcome;
+pub mod quarantine;
 pub mod search;
 pub mod shard_map;
 pub mod stall_clock;
--- a/daemon/src/leaf/client.rs
+++ b/daemon/src/leaf/client.rs
@@ -157,8 +157,9 @@
         }
     }
 
-    /// Gives up an attempt: the target is asked to cancel it on an idle connection, so that its
-    /// own stays usable; if none is idle, its connection is closed.
+    /// Gives up an attempt: the target is asked to cancel it on another connection, so that its own
+    /// stays usable. A new one is opened for that where the share allows, since closing the
+    /// attempt's would cost a new one as well; if the share is used up, its connection is closed.
     pub async fn cancel(&self, attempt: AttemptId) {
         if self.stop_waiting(attempt) {
             return;
@@ -166,7 +167,7 @@
         let Some(wrote) = self.cancellable(attempt) else {
             return;
         };
-        let Some(out) = wrote.then(|| self.pool.take_idle()).flatten() else {
+        let Some(out) = wrote.then(|| self.pool.try_check_out()).flatten() else {
             self.stop_attempt(attempt, StopCause::Cancelled);
             return;
         };
--- a/daemon/src/leaf/pool.rs
+++ b/daemon/src/leaf/pool.rs
@@ -79,9 +79,7 @@
     pub(super) async fn check_out(&self, until: Instant) -> Option<CheckedOut<'_>> {
         let until = until.min(Instant::now() + PLACE_WAIT);
         loop {
-            let found = self
-                .take_idle()
-                .or_else(|| (!self.reserved.get()).then(|| self.open_new()).flatten());
+            let found = self.try_check_out();
             if found.is_some() {
                 return found;
             }
@@ -90,8 +88,14 @@
         }
     }
 
+    /// Takes an idle connection or opens a new one, if the share allows it now.
+    pub(super) fn try_check_out(&self) -> Option<CheckedOut<'_>> {
+        self.take_idle()
+            .or_else(|| (!self.reserved.get()).then(|| self.open_new()).flatten())
+    }
+
     /// Takes an idle connection, if there is one.
-    pub(super) fn take_idle(&self) -> Option<CheckedOut<'_>> {
+    fn take_idle(&self) -> Option<CheckedOut<'_>> {
         let connection = self.idle.borrow_mut().pop()?;
         Some(self.checked_out(connection))
     }
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -21,7 +21,18 @@
 pub struct ServiceGuard {
     /// Cancelled when the service must stop; it then finishes what it has and drops the guard.
     pub token: CancellationToken,
-    _stopped: oneshot::Sender<()>,
+    stopped: Option<oneshot::Sender<()>>,
+}
+
+/// The guard tells of the stop in its own drop, not only by that of its fields: a task that uses
+/// nothing but the token would otherwise take the token out of the guard and leave the rest behind,
+/// and the service would count as stopped from its start.
+impl Drop for ServiceGuard {
+    fn drop(&mut self) {
+        if let Some(stopped) = self.stopped.take() {
+            let _kernel_may_have_gone = stopped.send(());
+        }
+    }
 }
 
 /// How a stop went.
@@ -62,7 +73,7 @@
         });
         ServiceGuard {
             token,
-            _stopped: sender,
+            stopped: Some(sender),
         }
     }
 
--- a/kernel/tests/kernel.rs
+++ b/kernel/tests/kernel.rs
@@ -1,5 +1,7 @@
 //! Services are found by name and stop in the reverse order of their start.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use yuccalift_kernel::{Kernel, RegistryError, ServiceRegistry};
@@ -28,6 +30,28 @@
     });
 }
 
+/// Starts a service that uses only its guard's token, as most do, and takes a while to finish.
+fn start_busy(kernel: &mut Kernel, done: &Rc<Cell<bool>>) {
+    let guard = kernel.start("busy");
+    let finished = Rc::clone(done);
+    actix_rt::spawn(async move {
+        guard.token.cancelled().await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        finished.set(true);
+    });
+}
+
+fn waits_for_what_a_service_has_left() {
+    run(async {
+        let mut kernel = Kernel::new();
+        let done = Rc::new(Cell::new(false));
+        start_busy(&mut kernel, &done);
+        let report = kernel.stop(LIMIT).await;
+        assert!(done.get(), "the stop waits until the service has finished");
+        assert_eq!(report.stopped, ["busy"], "and names it as stopped");
+    });
+}
+
 fn names_the_overdue() {
     run(async {
         let mut kernel = Kernel::new();
@@ -62,6 +86,7 @@
 
 cases! {
     the_last_started_stops_first: stops_last_first();
+    a_busy_service_is_waited_for: waits_for_what_a_service_has_left();
     an_overdue_service_is_named: names_the_overdue();
     services_are_found_by_name_and_type: finds_by_name_and_type();
 }
