--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -254,10 +254,11 @@
     let metrics: MetricsClient = kernel.registry().find(METRICS_SERVICE)?;
     let sender = format!("{}/{incarnation}", settings.host).into_boxed_str();
     let policy = settings.policy;
+    let registry = kernel.registry().clone();
     let arbiter = Arbiter::new();
     let handle = arbiter.handle();
     let lane = EngineLane::start_in_arbiter(&handle, move |_| {
-        EngineLane::new(policy, incarnation, sender, metrics)
+        EngineLane::new(policy, incarnation, sender, metrics, registry)
     });
     kernel.registry().publish(LANE_SERVICE, lane.clone())?;
     actix::spawn(async move {
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -133,6 +133,8 @@
     409 INFO "ticket_checked" TicketChecked { ticket: u64, request: &'a str, verdict: &'a str }
     #[doc = "A request was passed on to the daemon that owns its ticket."]
     410 INFO "request_passed_on" RequestPassedOn { ticket: u64, request: &'a str, owner: &'a str }
+    #[doc = "A request that crashed its targets is held back; peers are told."]
+    411 WARN "request_held_back" RequestHeldBack { fingerprint: &'a str, left_ms: u64 }
     #[doc = "A slow or failing target gets no work for a moment."]
     501 WARN "target_ejected" TargetEjected { target: u32, period_ms: u64 }
     #[doc = "An ejected target gets work again."]
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -5,20 +5,27 @@
 
 use std::time::Instant;
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, SpawnHandle};
+use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, SpawnHandle};
 use tokio::sync::oneshot;
 use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
-use yuccalift_core::event::{EngineEvent, TargetNews, TargetNewsKind};
-use yuccalift_core::ids::{QueryId, TargetId};
+use yuccalift_core::control::NewsKind;
+use yuccalift_core::event::{AttemptFailure, EngineEvent, TargetNews, TargetNewsKind};
+use yuccalift_core::ids::{AttemptId, QueryId, TargetId};
+use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
 use yuccalift_core::stall_clock::StallClock;
 use yuccalift_core::{
     EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
 };
+use yuccalift_kernel::ServiceRegistry;
+use yuccalift_wire::operator::QuarantineReport;
 
+use crate::control::control_lane::{AnnounceNews, CONTROL_SERVICE, ControlLane};
 use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::events::LogEvent;
 use crate::metrics::{DaemonMetric, MetricsClient};
+use crate::quarantine_desk::{AttemptVerdict, QuarantineDesk};
+use crate::status_board::{STATUS_SERVICE, StatusBoard};
 use crate::target_links::TargetLinks;
 
 /// The name under which the lane's address is published.
@@ -61,7 +68,10 @@
 /// What became of an attempt, from the task that made the call.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-struct CallEnded(EngineEvent);
+struct CallEnded {
+    target: TargetId,
+    event: EngineEvent,
+}
 
 /// What a task learnt of a target beside its calls.
 #[derive(Debug, Message)]
@@ -79,6 +89,8 @@
     metrics: MetricsClient,
     callers: Vec<WaitingCaller>,
     links: TargetLinks,
+    quarantine: QuarantineDesk,
+    registry: ServiceRegistry,
     stall: StallClock,
     actions: Vec<EngineAction>,
     wake: Option<ScheduledWake>,
@@ -101,13 +113,22 @@
 }
 
 impl EngineLane {
-    /// Makes a lane; `sender` names the process to targets.
-    pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>, metrics: MetricsClient) -> Self {
+    /// Makes a lane; `sender` names the process to targets, and in `registry` the lane finds the
+    /// services that it tells of requests held back.
+    pub fn new(
+        policy: PolicyKind,
+        seed: u64,
+        sender: Box<str>,
+        metrics: MetricsClient,
+        registry: ServiceRegistry,
+    ) -> Self {
         Self {
             engine: SearchEngine::new(policy, seed),
             metrics,
             callers: Vec::new(),
             links: TargetLinks::new(sender),
+            quarantine: QuarantineDesk::default(),
+            registry,
             stall: StallClock::new(Instant::now()),
             actions: Vec::new(),
             wake: None,
@@ -145,20 +166,107 @@
     fn carry_out(&mut self, action: EngineAction, context: &mut Context<Self>) {
         match action {
             EngineAction::Send(plan) => self.send(plan, context),
-            EngineAction::Cancel { attempt, target } => self.links.cancel(attempt, target),
+            EngineAction::Cancel { attempt, target } => self.cancel(attempt, target, context),
             EngineAction::Answer { query, answer } => self.reply(query, Ok(answer)),
             EngineAction::Refuse { query, refusal } => self.reply(query, Err(refusal)),
             EngineAction::Decided(decision) => self.note_decision(&decision),
         }
     }
 
+    fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
+        let target = plan.target;
+        let verdict = self.quarantine.admit(Instant::now(), plan);
+        self.follow_verdict(target, verdict, context);
+    }
+
+    fn follow_verdict(
+        &mut self,
+        target: TargetId,
+        verdict: AttemptVerdict,
+        context: &mut Context<Self>,
+    ) {
+        match verdict {
+            AttemptVerdict::Send(plan) => self.call(plan, context),
+            AttemptVerdict::Wait => {}
+            AttemptVerdict::Refuse(attempt) => end_unsent(attempt, target, context),
+        }
+    }
+
     /// Starts a call as a task of its own. The actor's own futures are all polled whenever one of
     /// them wakes, which a fan-out of hundreds would pay for with each reply.
-    fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
+    fn call(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
         self.note_attempt(plan.cause);
-        let client = self.links.client(plan.target, plan.address);
+        let target = plan.target;
+        let client = self.links.client(target, plan.address);
         let lane = context.address();
-        actix::spawn(async move { lane.do_send(CallEnded(client.call(plan).await)) });
+        actix::spawn(async move {
+            let event = client.call(plan).await;
+            lane.do_send(CallEnded { target, event });
+        });
+    }
+
+    fn cancel(&mut self, attempt: AttemptId, target: TargetId, context: &mut Context<Self>) {
+        if self.quarantine.cancel(attempt) {
+            end_unsent(attempt, target, context);
+        } else {
+            self.links.cancel(attempt, target);
+        }
+    }
+
+    /// Sends the attempts that waited for a trial which has ended.
+    fn send_waiting(&mut self, now: Instant, context: &mut Context<Self>) {
+        for (target, verdict) in self.quarantine.admit_waiting(now) {
+            self.follow_verdict(target, verdict, context);
+        }
+    }
+
+    /// Tells the engine, the operators and the peers of requests that are held back from now on.
+    fn hold_back(
+        &mut self,
+        now: Instant,
+        notices: &[QuarantineNotice],
+        context: &mut Context<Self>,
+    ) {
+        for notice in notices {
+            let NoticeKind::Held { left } = notice.kind else {
+                continue;
+            };
+            let fingerprint = notice.fingerprint;
+            LogEvent::RequestHeldBack {
+                fingerprint: &format!("{fingerprint:016x}"),
+                left_ms: left.as_millis() as u64,
+            }
+            .emit();
+            if let Ok(control) = self.registry.find::<Addr<ControlLane>>(CONTROL_SERVICE) {
+                let kind = NewsKind::Quarantine(fingerprint);
+                control.do_send(AnnounceNews { kind, life: left });
+            }
+            let held = true;
+            let event = EngineEvent::Quarantine { fingerprint, held };
+            self.handle_event(now, event, context);
+            self.show_quarantines(now);
+        }
+    }
+
+    fn release_quarantines(&mut self, now: Instant, context: &mut Context<Self>) {
+        for fingerprint in self.quarantine.expire(now) {
+            let held = false;
+            let event = EngineEvent::Quarantine { fingerprint, held };
+            self.handle_event(now, event, context);
+            self.show_quarantines(now);
+        }
+    }
+
+    fn show_quarantines(&self, now: Instant) {
+        let Ok(board) = self.registry.find::<StatusBoard>(STATUS_SERVICE) else {
+            return;
+        };
+        let held = self.quarantine.list(now).into_iter();
+        let reports = held.map(|entry| QuarantineReport {
+            fingerprint: format!("{:016x}", entry.fingerprint).into(),
+            left_ms: entry.left.as_millis() as u64,
+        });
+        board.set_quarantines(reports.collect());
     }
 
     fn reply(&mut self, query: QueryId, result: Result<SearchAnswer, Refusal>) {
@@ -236,6 +344,8 @@
         let now = Instant::now();
         self.notice_pause(now, context);
         self.links.check(now, &context.address());
+        self.release_quarantines(now, context);
+        self.send_waiting(now, context);
         self.schedule_wake(context);
     }
 
@@ -278,11 +388,24 @@
 impl Handler<CallEnded> for EngineLane {
     type Result = ();
 
+    /// The loss of a target is weighed before the engine hears of it, and so before it retries.
     fn handle(&mut self, msg: CallEnded, ctx: &mut Self::Context) {
-        self.feed(msg.0, ctx);
+        let now = Instant::now();
+        let notices = self.quarantine.ended(now, msg.target, &msg.event);
+        self.hold_back(now, &notices, ctx);
+        self.feed(msg.event, ctx);
+        self.send_waiting(now, ctx);
     }
 }
 
+/// Tells the lane of an attempt that ended before it was sent; by a message, since the engine must
+/// not be called while its actions are carried out.
+fn end_unsent(attempt: AttemptId, target: TargetId, context: &mut Context<EngineLane>) {
+    let failure = AttemptFailure::NotSent;
+    let event = EngineEvent::Failed { attempt, failure };
+    context.notify(CallEnded { target, event });
+}
+
 impl Handler<TargetTold> for EngineLane {
     type Result = ();
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`daemon`]: one daemon, its threads and the order of its services.
 //! - [`lane`]: the engine and the calls to targets, on a thread of their own.
 //! - `target_links`, [`leaf`]: the connections to targets, and the calls over them.
+//! - `quarantine_desk`: what the loss of a target says of the requests that it ran.
 //! - `caller`: the callers' listener.
 //! - `execute`, [`peer_directory`], `directory_keeper`: non-idempotent requests, and the way to a ticket's owner.
 //! - `operator`, [`status_board`]: the operators' listener and what it tells.
@@ -28,6 +29,7 @@
 pub mod metrics;
 mod operator;
 pub mod peer_directory;
+mod quarantine_desk;
 pub mod rate_limit;
 mod ready_flag;
 pub mod status_board;
