Stop the owner of a ticket while its request runs, and hold it to one run

Cause: a paused owner that wakes late had no test over processes. Ruled out: nothing was tried beside it. Change: as the title says. Conclusion: it stands as it is.

--- a/daemon/tests/connections.rs
+++ b/daemon/tests/connections.rs
@@ -200,9 +200,9 @@
             "it lives: {first:?}"
         );
         let sent_at = Instant::now();
-        let event = client
-            .call(plan(leaf.address, RequestKind::Search, 2))
-            .await;
+        let call = client.call(plan(leaf.address, RequestKind::Search, 2));
+        let event = tokio::time::timeout(RETIRE_BOUND * 2, call).await;
+        let event = event.expect("the call ends");
         let took = sent_at.elapsed();
         assert_eq!(failure(&event), Some(&AttemptFailure::Silent));
         assert!(took <= RETIRE_BOUND, "retired within the bound: {took:?}");
