--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,9 +10,9 @@
 //! - [`search`], [`coverage`], [`outcome`]: a request, its answer, and the truth about both.
 //! - [`event`], [`action`]: what the engine is told, and what it decides.
 //! - [`engine`]: the data path of one daemon.
+//! - [`quarantine`]: holding back a request that crashes its targets.
 //! - [`connection_watch`], [`stall_clock`]: dead connections and pauses, found out.
 //! - [`ticket_ledger`]: what a daemon remembers of non-idempotent requests.
-//! - [`quarantine`]: holding back a request that crashes its targets.
 //! - [`control`]: the control plane of one daemon.
 
 pub mod account;
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -3,9 +3,9 @@
 //! It decides nothing: it feeds the engine and carries out its actions. Every
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, SpawnHandle};
+use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
 use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
@@ -20,7 +20,8 @@
 use yuccalift_kernel::ServiceRegistry;
 use yuccalift_wire::operator::QuarantineReport;
 
-use crate::control::control_lane::{AnnounceNews, CONTROL_SERVICE, ControlLane};
+use crate::control::AnnounceNews;
+use crate::control::force_service::DRAINING_LIFE;
 use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::events::LogEvent;
 use crate::metrics::{DaemonMetric, MetricsClient};
@@ -73,6 +74,11 @@
     event: EngineEvent,
 }
 
+/// Tells the lane where its news for other daemons goes.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetNewsRoute(pub Recipient<AnnounceNews>);
+
 /// What a task learnt of a target beside its calls.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -92,6 +98,7 @@
     quarantine: QuarantineDesk,
     registry: ServiceRegistry,
     stall: StallClock,
+    news: Option<Recipient<AnnounceNews>>,
     actions: Vec<EngineAction>,
     wake: Option<ScheduledWake>,
 }
@@ -130,6 +137,7 @@
             quarantine: QuarantineDesk::default(),
             registry,
             stall: StallClock::new(Instant::now()),
+            news: None,
             actions: Vec::new(),
             wake: None,
         }
@@ -237,10 +245,7 @@
                 left_ms: left.as_millis() as u64,
             }
             .emit();
-            if let Ok(control) = self.registry.find::<Addr<ControlLane>>(CONTROL_SERVICE) {
-                let kind = NewsKind::Quarantine(fingerprint);
-                control.do_send(AnnounceNews { kind, life: left });
-            }
+            self.announce(NewsKind::Quarantine(fingerprint), left);
             let held = true;
             let event = EngineEvent::Quarantine { fingerprint, held };
             self.handle_event(now, event, context);
@@ -269,6 +274,17 @@
         board.set_quarantines(reports.collect());
     }
 
+    /// Tells the other daemons that a target itself says that it drains.
+    fn announce_drain(&self, target: TargetId) {
+        self.announce(NewsKind::Draining(target), DRAINING_LIFE);
+    }
+
+    fn announce(&self, kind: NewsKind, life: Duration) {
+        if let Some(news) = &self.news {
+            news.do_send(AnnounceNews { kind, life });
+        }
+    }
+
     fn reply(&mut self, query: QueryId, result: Result<SearchAnswer, Refusal>) {
         let Ok(position) = self
             .callers
@@ -393,11 +409,29 @@
         let now = Instant::now();
         let notices = self.quarantine.ended(now, msg.target, &msg.event);
         self.hold_back(now, &notices, ctx);
+        let drains = matches!(
+            msg.event,
+            EngineEvent::Failed {
+                failure: AttemptFailure::Draining,
+                ..
+            }
+        );
+        if drains {
+            self.announce_drain(msg.target);
+        }
         self.feed(msg.event, ctx);
         self.send_waiting(now, ctx);
     }
 }
 
+impl Handler<SetNewsRoute> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: SetNewsRoute, _ctx: &mut Self::Context) {
+        self.news = Some(msg.0);
+    }
+}
+
 /// Tells the lane of an attempt that ended before it was sent; by a message, since the engine must
 /// not be called while its actions are carried out.
 fn end_unsent(attempt: AttemptId, target: TargetId, context: &mut Context<EngineLane>) {
@@ -413,6 +447,9 @@
         let target = msg.target;
         self.links.note_met(target);
         for kind in msg.news {
+            if kind == TargetNewsKind::Draining {
+                self.announce_drain(target);
+            }
             self.feed(EngineEvent::TargetNews(TargetNews { target, kind }), ctx);
         }
     }
--- a/daemon/tests/peer_listener.rs
+++ b/daemon/tests/peer_listener.rs
@@ -1,6 +1,10 @@
 //! The peers' listener: who may exchange, and what it does with bad input.
 
-#[allow(dead_code, reason = "each test file uses its own part of the support")]
+#![allow(
+    dead_code,
+    reason = "each test binary uses its own part of the support"
+)]
+
 mod support;
 
 use support::{ACCOUNT, COLLECTION, TestSite};
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -24,9 +24,9 @@
     stopped: Option<oneshot::Sender<()>>,
 }
 
-/// The guard tells of the stop in its own drop, not only by that of its fields: a task that uses
-/// nothing but the token would otherwise take the token out of the guard and leave the rest behind,
-/// and the service would count as stopped from its start.
+/// With a drop of its own the guard moves as a whole: without one, an `async move` block that uses
+/// the token alone would take just the token, and the rest of the guard would be dropped where
+/// the block is made, so that the kernel would not wait for the service.
 impl Drop for ServiceGuard {
     fn drop(&mut self) {
         if let Some(stopped) = self.stopped.take() {
