Part the lane and the calls to targets into files with one job each

Cause: the lane and the client of targets had grown too large to read. Ruled out: nothing was tried beside it. Change: as the title says. Conclusion: it stands as it is.

--- /dev/null
+++ b/daemon/src/lane/message.rs
@@ -0,0 +1,59 @@
+//! What the lane is told and asked.
+
+use actix::{Message, Recipient};
+use tokio::sync::oneshot;
+use yuccalift_core::action::EngineStatus;
+use yuccalift_core::event::{EngineEvent, TargetNewsKind};
+use yuccalift_core::ids::TargetId;
+use yuccalift_core::{Refusal, SearchAnswer, SearchRequest};
+
+use crate::control::AnnounceNews;
+
+/// Asks the lane to run a request; the answer or refusal comes through `reply`.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SubmitRequest {
+    /// The request.
+    pub request: SearchRequest,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
+}
+
+/// Feeds the engine an event.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct FeedEngine(pub EngineEvent);
+
+/// Asks what the engine holds.
+#[derive(Debug, Message)]
+#[rtype(result = "StatusAnswer")]
+pub struct GetStatus;
+
+/// The answer to [`GetStatus`].
+#[derive(Debug, actix::MessageResponse)]
+pub struct StatusAnswer(pub EngineStatus);
+
+/// What became of an attempt, from the task that made the call.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(super) struct CallEnded {
+    /// The target.
+    pub(super) target: TargetId,
+    /// The reply or the failure.
+    pub(super) event: EngineEvent,
+}
+
+/// Tells the lane where its news for other daemons goes.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetNewsRoute(pub Recipient<AnnounceNews>);
+
+/// What a task learnt of a target beside its calls.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct TargetTold {
+    /// The target.
+    pub(crate) target: TargetId,
+    /// The news.
+    pub(crate) news: Vec<TargetNewsKind>,
+}
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane/mod.rs
@@ -2,31 +2,37 @@
 //!
 //! It decides nothing: it feeds the engine and carries out its actions. Every
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
+//!
+//! - `message`: what the lane is told and asked.
+//! - `quarantine`: what it does about requests that crash targets.
+//! - `notes`: what it logs and counts.
+
+mod message;
+mod notes;
+mod quarantine;
+
+pub(crate) use message::TargetTold;
+pub use message::{FeedEngine, GetStatus, SetNewsRoute, StatusAnswer, SubmitRequest};
 
 use std::time::{Duration, Instant};
 
-use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
+use actix::{Actor, AsyncContext, Context, Handler, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
-use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
+use yuccalift_core::action::{AttemptPlan, EngineAction};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
 use yuccalift_core::control::NewsKind;
 use yuccalift_core::event::{AttemptFailure, EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::{AttemptId, QueryId, TargetId};
-use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
 use yuccalift_core::stall_clock::StallClock;
-use yuccalift_core::{
-    EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
-};
+use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine};
 use yuccalift_kernel::ServiceRegistry;
-use yuccalift_wire::operator::QuarantineReport;
 
+use self::message::CallEnded;
 use crate::control::AnnounceNews;
 use crate::control::force_service::DRAINING_LIFE;
-use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::events::LogEvent;
-use crate::metrics::{DaemonMetric, MetricsClient};
+use crate::metrics::MetricsClient;
 use crate::quarantine_desk::{AttemptVerdict, QuarantineDesk};
-use crate::status_board::{STATUS_SERVICE, StatusBoard};
 use crate::target_links::TargetLinks;
 
 /// The name under which the lane's address is published.
@@ -35,30 +41,6 @@
 /// How many messages the lane's mailbox holds before senders are refused.
 const MAILBOX_MESSAGES: usize = 4096;
 
-/// Asks the lane to run a request; the answer or refusal comes through `reply`.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct SubmitRequest {
-    /// The request.
-    pub request: SearchRequest,
-    /// Where the answer goes.
-    pub reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
-}
-
-/// Feeds the engine an event.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct FeedEngine(pub EngineEvent);
-
-/// Asks what the engine holds.
-#[derive(Debug, Message)]
-#[rtype(result = "StatusAnswer")]
-pub struct GetStatus;
-
-/// The answer to [`GetStatus`].
-#[derive(Debug, actix::MessageResponse)]
-pub struct StatusAnswer(pub EngineStatus);
-
 /// A caller whose request is in the engine.
 struct WaitingCaller {
     query: QueryId,
@@ -66,29 +48,6 @@
     reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
 }
 
-/// What became of an attempt, from the task that made the call.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-struct CallEnded {
-    target: TargetId,
-    event: EngineEvent,
-}
-
-/// Tells the lane where its news for other daemons goes.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct SetNewsRoute(pub Recipient<AnnounceNews>);
-
-/// What a task learnt of a target beside its calls.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub(crate) struct TargetTold {
-    /// The target.
-    pub(crate) target: TargetId,
-    /// The news.
-    pub(crate) news: Vec<TargetNewsKind>,
-}
-
 /// The actor that runs the engine.
 pub struct EngineLane {
     engine: SearchEngine,
@@ -221,59 +180,6 @@
         }
     }
 
-    /// Sends the attempts that waited for a trial which has ended.
-    fn send_waiting(&mut self, now: Instant, context: &mut Context<Self>) {
-        for (target, verdict) in self.quarantine.admit_waiting(now) {
-            self.follow_verdict(target, verdict, context);
-        }
-    }
-
-    /// Tells the engine, the operators and the peers of requests that are held back from now on.
-    fn hold_back(
-        &mut self,
-        now: Instant,
-        notices: &[QuarantineNotice],
-        context: &mut Context<Self>,
-    ) {
-        for notice in notices {
-            let NoticeKind::Held { left } = notice.kind else {
-                continue;
-            };
-            let fingerprint = notice.fingerprint;
-            LogEvent::RequestHeldBack {
-                fingerprint: &format!("{fingerprint:016x}"),
-                left_ms: left.as_millis() as u64,
-            }
-            .emit();
-            self.announce(NewsKind::Quarantine(fingerprint), left);
-            let held = true;
-            let event = EngineEvent::Quarantine { fingerprint, held };
-            self.handle_event(now, event, context);
-            self.show_quarantines(now);
-        }
-    }
-
-    fn release_quarantines(&mut self, now: Instant, context: &mut Context<Self>) {
-        for fingerprint in self.quarantine.expire(now) {
-            let held = false;
-            let event = EngineEvent::Quarantine { fingerprint, held };
-            self.handle_event(now, event, context);
-            self.show_quarantines(now);
-        }
-    }
-
-    fn show_quarantines(&self, now: Instant) {
-        let Ok(board) = self.registry.find::<StatusBoard>(STATUS_SERVICE) else {
-            return;
-        };
-        let held = self.quarantine.list(now).into_iter();
-        let reports = held.map(|entry| QuarantineReport {
-            fingerprint: format!("{:016x}", entry.fingerprint).into(),
-            left_ms: entry.left.as_millis() as u64,
-        });
-        board.set_quarantines(reports.collect());
-    }
-
     /// Tells the other daemons that a target itself says that it drains.
     fn announce_drain(&self, target: TargetId) {
         self.announce(NewsKind::Draining(target), DRAINING_LIFE);
@@ -297,44 +203,6 @@
         let _caller_may_have_gone = caller.reply.send(result);
     }
 
-    fn note_decision(&self, decision: &EngineDecision) {
-        log_decision(decision);
-        match decision {
-            EngineDecision::Planned { .. } => self.metrics.count(DaemonMetric::QueriesPlanned, 1),
-            EngineDecision::Ejected { .. } => self.metrics.count(DaemonMetric::TargetsEjected, 1),
-            _ => {}
-        }
-    }
-
-    fn note_attempt(&self, cause: AttemptCause) {
-        self.metrics.count(DaemonMetric::LeafRequests, 1);
-        match cause {
-            AttemptCause::First => {}
-            AttemptCause::Hedge => self.metrics.count(DaemonMetric::LeafHedges, 1),
-            AttemptCause::Retry => self.metrics.count(DaemonMetric::LeafRetries, 1),
-        }
-    }
-
-    fn note_end(&self, query: QueryId, since: Instant, result: &Result<SearchAnswer, Refusal>) {
-        let took = since.elapsed();
-        match result {
-            Ok(answer) => {
-                log_answer(query, &answer.coverage, took);
-                let coverage = &answer.coverage;
-                self.metrics.count(DaemonMetric::QueriesAnswered, 1);
-                self.metrics.time(DaemonMetric::QueryTime, took);
-                let asked = u64::from(coverage.asked);
-                self.metrics.count(DaemonMetric::ShardsAsked, asked);
-                let missing = coverage.missing.len() as u64;
-                self.metrics.count(DaemonMetric::ShardsMissing, missing);
-            }
-            Err(refusal) => {
-                log_refusal(query, refusal);
-                self.metrics.count(DaemonMetric::QueriesRefused, 1);
-            }
-        }
-    }
-
     /// Keeps one wake-up pending, no later than the engine asks for. One that comes too early does
     /// no harm, and costs less than to be moved with each reply.
     fn schedule_wake(&mut self, context: &mut Context<Self>) {
--- /dev/null
+++ b/daemon/src/lane/notes.rs
@@ -0,0 +1,56 @@
+//! What the lane logs and counts of its work.
+
+use std::time::Instant;
+
+use yuccalift_core::action::AttemptCause;
+use yuccalift_core::ids::QueryId;
+use yuccalift_core::{EngineDecision, Refusal, SearchAnswer};
+
+use super::EngineLane;
+use crate::decision_log::{log_answer, log_decision, log_refusal};
+use crate::metrics::DaemonMetric;
+
+impl EngineLane {
+    pub(super) fn note_decision(&self, decision: &EngineDecision) {
+        log_decision(decision);
+        match decision {
+            EngineDecision::Planned { .. } => self.metrics.count(DaemonMetric::QueriesPlanned, 1),
+            EngineDecision::Ejected { .. } => self.metrics.count(DaemonMetric::TargetsEjected, 1),
+            _ => {}
+        }
+    }
+
+    pub(super) fn note_attempt(&self, cause: AttemptCause) {
+        self.metrics.count(DaemonMetric::LeafRequests, 1);
+        match cause {
+            AttemptCause::First => {}
+            AttemptCause::Hedge => self.metrics.count(DaemonMetric::LeafHedges, 1),
+            AttemptCause::Retry => self.metrics.count(DaemonMetric::LeafRetries, 1),
+        }
+    }
+
+    pub(super) fn note_end(
+        &self,
+        query: QueryId,
+        since: Instant,
+        result: &Result<SearchAnswer, Refusal>,
+    ) {
+        let took = since.elapsed();
+        match result {
+            Ok(answer) => {
+                log_answer(query, &answer.coverage, took);
+                let coverage = &answer.coverage;
+                self.metrics.count(DaemonMetric::QueriesAnswered, 1);
+                self.metrics.time(DaemonMetric::QueryTime, took);
+                let asked = u64::from(coverage.asked);
+                self.metrics.count(DaemonMetric::ShardsAsked, asked);
+                let missing = coverage.missing.len() as u64;
+                self.metrics.count(DaemonMetric::ShardsMissing, missing);
+            }
+            Err(refusal) => {
+                log_refusal(query, refusal);
+                self.metrics.count(DaemonMetric::QueriesRefused, 1);
+            }
+        }
+    }
+}
--- a/daemon/src/leaf/client.rs
+++ b/daemon/src/leaf/client.rs
@@ -1,4 +1,4 @@
-//! The calls to one target: attempts, cancellations, and what keeps its connections honest.
+//! The calls to one target: attempts and cancellations.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -8,102 +8,39 @@
 use awc::http::StatusCode;
 use tokio::sync::oneshot;
 use yuccalift_core::action::AttemptPlan;
-use yuccalift_core::connection_watch::{ASK_TIMEOUT, ConnectionId};
-use yuccalift_core::event::{AttemptFailure, AttemptReply, EngineEvent, TargetNewsKind};
+use yuccalift_core::connection_watch::ConnectionId;
+use yuccalift_core::event::{AttemptFailure, AttemptReply, EngineEvent};
 use yuccalift_core::ids::AttemptId;
 use yuccalift_core::search::RequestKind;
 use yuccalift_wire::codec::to_json;
 use yuccalift_wire::leaf::{LeafCancel, LeafRequest};
 
-use crate::events::LogEvent;
-
 use super::connection::{LeafAnswer, LeafCall};
+use super::failure::{CallFailure, StopCause, failure};
 use super::pool::{CheckedOut, ConnectionPool};
-use super::reply::{read_answer, read_status};
+use super::reply::read_answer;
 use super::stream::StreamRecord;
+use super::upkeep::{FIRST_RECONNECT, ReconnectPlan};
 
 /// How long a connection has to prove itself alive.
-const PROOF_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long a status report may take.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long an idle connection is left without a probe.
-const KEEP_ALIVE_PERIOD: Duration = Duration::from_secs(5);
-/// How long after a target was lost it is tried again for the first time.
-const FIRST_RECONNECT: Duration = Duration::from_millis(50);
-/// The longest time between two tries.
-const LONGEST_RECONNECT: Duration = Duration::from_secs(2);
-
-/// Why a call ends before its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StopCause {
-    /// Its reply is no longer wanted, and there was no connection to say so on.
-    Cancelled,
-    /// Its connection is dead.
-    Silent,
-}
-
-/// How a call failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CallFailure {
-    /// The connection had been closed since its last use; no byte was written.
-    Stale,
-    /// No connection could be made.
-    NotConnected,
-    /// Its time had passed before the first byte was written.
-    TooLate,
-    /// The connection was lost after the first byte was written.
-    Lost,
-    /// It was stopped from here.
-    Stopped(StopCause),
-}
-
-impl CallFailure {
-    fn attempt_failure(self, record: &StreamRecord) -> AttemptFailure {
-        match self {
-            Self::Stale | Self::NotConnected => AttemptFailure::NotSent,
-            Self::TooLate => AttemptFailure::Expired,
-            Self::Lost => AttemptFailure::Lost,
-            Self::Stopped(_) if !record.wrote() => AttemptFailure::NotSent,
-            Self::Stopped(StopCause::Cancelled) => AttemptFailure::Cancelled,
-            Self::Stopped(StopCause::Silent) => AttemptFailure::Silent,
-        }
-    }
-}
+pub(super) const PROOF_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A call whose answer is awaited.
-struct OpenCall {
-    connection: ConnectionId,
+pub(super) struct OpenCall {
+    pub(super) connection: ConnectionId,
     attempt: Option<AttemptId>,
     kind: LeafCall,
-    record: Rc<StreamRecord>,
-    stop: Option<oneshot::Sender<StopCause>>,
-}
-
-/// When a lost target is tried again.
-#[derive(Clone, Copy, Debug)]
-struct ReconnectPlan {
-    due: Instant,
-    pause: Duration,
-}
-
-/// Something a client wants done beside its calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LeafChore {
-    /// Ask the target on a fresh connection, since others are silent.
-    Ask,
-    /// Probe an idle connection.
-    KeepAlive(ConnectionId),
-    /// Try whether a lost target can be connected to again.
-    Reconnect,
+    pub(super) record: Rc<StreamRecord>,
+    pub(super) stop: Option<oneshot::Sender<StopCause>>,
 }
 
 /// The connections of this daemon to one target, and the calls over them.
 pub struct LeafClient {
     sender: Box<str>,
-    pool: ConnectionPool,
-    calls: RefCell<Vec<OpenCall>>,
+    pub(super) pool: ConnectionPool,
+    pub(super) calls: RefCell<Vec<OpenCall>>,
     waiting: RefCell<Vec<AttemptId>>,
-    lost: Cell<Option<ReconnectPlan>>,
+    pub(super) lost: Cell<Option<ReconnectPlan>>,
 }
 
 impl std::fmt::Debug for LeafClient {
@@ -182,68 +119,6 @@
         }
     }
 
-    /// What the client wants done now; to be asked every check period.
-    pub fn chores(&self, now: Instant) -> Vec<LeafChore> {
-        let mut chores = Vec::new();
-        if let Some(plan) = self.lost.get()
-            && plan.due <= now
-        {
-            self.plan_reconnect(now, plan.pause);
-            chores.push(LeafChore::Reconnect);
-        }
-        if self.pool.open() == 0 {
-            return chores;
-        }
-        self.hear_calls();
-        let mut watch = self.pool.watch.borrow_mut();
-        if !watch.overdue(now).is_empty() {
-            watch.ask(now);
-            chores.push(LeafChore::Ask);
-        }
-        if self.pool.idle_count() > 0 {
-            let quiet = watch.quiet_idle(now, KEEP_ALIVE_PERIOD);
-            chores.extend(quiet.into_iter().map(LeafChore::KeepAlive));
-        }
-        chores
-    }
-
-    /// Does a chore, and tells what was learnt.
-    pub async fn run_chore(&self, chore: LeafChore) -> Option<TargetNewsKind> {
-        match chore {
-            LeafChore::Ask => self.ask().await,
-            LeafChore::KeepAlive(id) => {
-                let out = self.pool.take_idle_id(id)?;
-                self.prove(out, PROOF_TIMEOUT).await?.put_back();
-            }
-            LeafChore::Reconnect => {
-                let until = Instant::now() + PROOF_TIMEOUT;
-                let out = self.pool.check_out(until).await?;
-                let out = self.prove(out, PROOF_TIMEOUT).await?;
-                out.put_back();
-                return Some(TargetNewsKind::Reachable);
-            }
-        }
-        None
-    }
-
-    /// Asks the target for its status; none if it could not be had.
-    pub async fn status(&self) -> Option<Vec<TargetNewsKind>> {
-        let until = Instant::now() + STATUS_TIMEOUT;
-        let out = self.pool.check_out(until).await?;
-        let call = self.run(
-            &out,
-            LeafCall::Status,
-            None,
-            Vec::new(),
-            None,
-            STATUS_TIMEOUT,
-        );
-        let answer = call.await.ok()?;
-        let news = read_status(self.pool.host(), &answer);
-        out.put_back();
-        news
-    }
-
     async fn try_call(&self, plan: &AttemptPlan) -> Result<AttemptReply, AttemptFailure> {
         let mut doubted = false;
         loop {
@@ -339,7 +214,7 @@
     }
 
     /// Has a connection prove itself alive; none if it did not, and it is then closed.
-    async fn prove<'client>(
+    pub(super) async fn prove<'client>(
         &'client self,
         out: CheckedOut<'client>,
         limit: Duration,
@@ -351,7 +226,7 @@
 
     /// One exchange over a connection, until it ends or is stopped. Probes, whose answer takes no
     /// work, end by themselves when their expectation has passed.
-    async fn run(
+    pub(super) async fn run(
         &self,
         out: &CheckedOut<'_>,
         call: LeafCall,
@@ -405,73 +280,6 @@
         }
     }
 
-    fn plan_reconnect(&self, now: Instant, pause: Duration) {
-        let jittered = pause.mul_f64(rand::random_range(0.75..1.25));
-        self.lost.set(Some(ReconnectPlan {
-            due: now + jittered,
-            pause: (pause * 2).min(LONGEST_RECONNECT),
-        }));
-    }
-
-    async fn ask(&self) {
-        let question = async {
-            let make_room = || self.stop_one_overdue();
-            let out = self.pool.check_out_fresh(make_room).await?;
-            self.prove(out, ASK_TIMEOUT).await
-        };
-        let asked = tokio::time::timeout(ASK_TIMEOUT, question).await;
-        let proven = asked.ok().flatten();
-        self.hear_calls();
-        let retired = self.pool.watch.borrow_mut().verdict(proven.is_some());
-        for &id in &retired {
-            self.retire(id);
-        }
-        LogEvent::ConnectionsRetired {
-            target: self.pool.host(),
-            retired: retired.len() as u64,
-            answered: proven.is_some(),
-        }
-        .emit();
-        if let Some(out) = proven {
-            out.put_back();
-        }
-    }
-
-    /// Where the share is used up by connections that all carry a call, the one that is silent
-    /// longest is given up for the question.
-    fn stop_one_overdue(&self) {
-        let calls = self.calls.borrow();
-        let oldest = calls.iter().map(|call| call.connection).min();
-        drop(calls);
-        let overdue = self.pool.watch.borrow().longest_quiet();
-        if let Some(id) = overdue.or(oldest) {
-            self.retire(id);
-        }
-    }
-
-    fn retire(&self, id: ConnectionId) {
-        let stop = self
-            .calls
-            .borrow_mut()
-            .iter_mut()
-            .find(|call| call.connection == id)
-            .and_then(|call| call.stop.take());
-        match stop {
-            Some(stop) => {
-                let _call_may_have_ended = stop.send(StopCause::Silent);
-            }
-            None => drop(self.pool.take_idle_id(id)),
-        }
-    }
-
-    /// Tells the watch when each connection in use was last heard.
-    fn hear_calls(&self) {
-        let mut watch = self.pool.watch.borrow_mut();
-        for call in self.calls.borrow().iter() {
-            watch.heard(call.record.last_read(), call.connection);
-        }
-    }
-
     fn open_call(
         &self,
         out: &CheckedOut<'_>,
@@ -536,19 +344,6 @@
     }
 }
 
-/// What a failed exchange means, from what the stream has recorded.
-fn failure(record: &StreamRecord, reused: bool) -> CallFailure {
-    if record.wrote() {
-        CallFailure::Lost
-    } else if record.was_too_late() {
-        CallFailure::TooLate
-    } else if reused {
-        CallFailure::Stale
-    } else {
-        CallFailure::NotConnected
-    }
-}
-
 /// Takes an open call from the list when it ends, also when it is dropped.
 struct CallGuard<'client> {
     client: &'client LeafClient,
--- a/daemon/src/leaf/mod.rs
+++ b/daemon/src/leaf/mod.rs
@@ -4,12 +4,17 @@
 //! - `connection`: an `awc` client that holds one stream for its whole life.
 //! - `pool`: how many connections there are, which are idle.
 //! - `reply`: what a target's answers mean to the engine.
-//! - `client`: attempts, cancellations, and what finds dead connections.
+//! - `failure`: how a call fails, and what that means to the engine.
+//! - `client`: attempts and cancellations.
+//! - `upkeep`: what finds dead connections, lost targets and changed ones.
 
 mod client;
 mod connection;
+mod failure;
 mod pool;
 mod reply;
 mod stream;
+mod upkeep;
 
-pub use client::{LeafChore, LeafClient};
+pub use client::LeafClient;
+pub use upkeep::LeafChore;
--- /dev/null
+++ b/daemon/src/leaf/upkeep.rs
@@ -0,0 +1,172 @@
+//! What keeps a target's connections honest beside its calls: questions about silent ones, probes
+//! of idle ones, status reports, and tries of a lost target.
+
+use std::time::{Duration, Instant};
+
+use yuccalift_core::connection_watch::{ASK_TIMEOUT, ConnectionId};
+use yuccalift_core::event::TargetNewsKind;
+
+use crate::events::LogEvent;
+
+use super::client::{LeafClient, PROOF_TIMEOUT};
+use super::connection::LeafCall;
+use super::failure::StopCause;
+use super::reply::read_status;
+
+/// How long a status report may take.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long an idle connection is left without a probe.
+const KEEP_ALIVE_PERIOD: Duration = Duration::from_secs(5);
+/// How long after a target was lost it is tried again for the first time.
+pub(super) const FIRST_RECONNECT: Duration = Duration::from_millis(50);
+/// The longest time between two tries.
+const LONGEST_RECONNECT: Duration = Duration::from_secs(2);
+
+/// When a lost target is tried again.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReconnectPlan {
+    due: Instant,
+    pause: Duration,
+}
+
+/// Something a client wants done beside its calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeafChore {
+    /// Ask the target on a fresh connection, since others are silent.
+    Ask,
+    /// Probe an idle connection.
+    KeepAlive(ConnectionId),
+    /// Try whether a lost target can be connected to again.
+    Reconnect,
+}
+
+impl LeafClient {
+    /// What the client wants done now; to be asked every check period.
+    pub fn chores(&self, now: Instant) -> Vec<LeafChore> {
+        let mut chores = Vec::new();
+        if let Some(plan) = self.lost.get()
+            && plan.due <= now
+        {
+            self.plan_reconnect(now, plan.pause);
+            chores.push(LeafChore::Reconnect);
+        }
+        if self.pool.open() == 0 {
+            return chores;
+        }
+        self.hear_calls();
+        let mut watch = self.pool.watch.borrow_mut();
+        if !watch.overdue(now).is_empty() {
+            watch.ask(now);
+            chores.push(LeafChore::Ask);
+        }
+        if self.pool.idle_count() > 0 {
+            let quiet = watch.quiet_idle(now, KEEP_ALIVE_PERIOD);
+            chores.extend(quiet.into_iter().map(LeafChore::KeepAlive));
+        }
+        chores
+    }
+
+    /// Does a chore, and tells what was learnt.
+    pub async fn run_chore(&self, chore: LeafChore) -> Option<TargetNewsKind> {
+        match chore {
+            LeafChore::Ask => self.ask().await,
+            LeafChore::KeepAlive(id) => {
+                let out = self.pool.take_idle_id(id)?;
+                self.prove(out, PROOF_TIMEOUT).await?.put_back();
+            }
+            LeafChore::Reconnect => {
+                let until = Instant::now() + PROOF_TIMEOUT;
+                let out = self.pool.check_out(until).await?;
+                let out = self.prove(out, PROOF_TIMEOUT).await?;
+                out.put_back();
+                return Some(TargetNewsKind::Reachable);
+            }
+        }
+        None
+    }
+
+    /// Asks the target for its status; none if it could not be had.
+    pub async fn status(&self) -> Option<Vec<TargetNewsKind>> {
+        let until = Instant::now() + STATUS_TIMEOUT;
+        let out = self.pool.check_out(until).await?;
+        let call = self.run(
+            &out,
+            LeafCall::Status,
+            None,
+            Vec::new(),
+            None,
+            STATUS_TIMEOUT,
+        );
+        let answer = call.await.ok()?;
+        let news = read_status(self.pool.host(), &answer);
+        out.put_back();
+        news
+    }
+
+    pub(super) fn plan_reconnect(&self, now: Instant, pause: Duration) {
+        let jittered = pause.mul_f64(rand::random_range(0.75..1.25));
+        self.lost.set(Some(ReconnectPlan {
+            due: now + jittered,
+            pause: (pause * 2).min(LONGEST_RECONNECT),
+        }));
+    }
+
+    async fn ask(&self) {
+        let question = async {
+            let make_room = || self.stop_one_overdue();
+            let out = self.pool.check_out_fresh(make_room).await?;
+            self.prove(out, ASK_TIMEOUT).await
+        };
+        let asked = tokio::time::timeout(ASK_TIMEOUT, question).await;
+        let proven = asked.ok().flatten();
+        self.hear_calls();
+        let retired = self.pool.watch.borrow_mut().verdict(proven.is_some());
+        for &id in &retired {
+            self.retire(id);
+        }
+        LogEvent::ConnectionsRetired {
+            target: self.pool.host(),
+            retired: retired.len() as u64,
+            answered: proven.is_some(),
+        }
+        .emit();
+        if let Some(out) = proven {
+            out.put_back();
+        }
+    }
+
+    /// Where the share is used up by connections that all carry a call, the one that is silent
+    /// longest is given up for the question.
+    fn stop_one_overdue(&self) {
+        let calls = self.calls.borrow();
+        let oldest = calls.iter().map(|call| call.connection).min();
+        drop(calls);
+        let overdue = self.pool.watch.borrow().longest_quiet();
+        if let Some(id) = overdue.or(oldest) {
+            self.retire(id);
+        }
+    }
+
+    fn retire(&self, id: ConnectionId) {
+        let stop = self
+            .calls
+            .borrow_mut()
+            .iter_mut()
+            .find(|call| call.connection == id)
+            .and_then(|call| call.stop.take());
+        match stop {
+            Some(stop) => {
+                let _call_may_have_ended = stop.send(StopCause::Silent);
+            }
+            None => drop(self.pool.take_idle_id(id)),
+        }
+    }
+
+    /// Tells the watch when each connection in use was last heard.
+    fn hear_calls(&self) {
+        let mut watch = self.pool.watch.borrow_mut();
+        for call in self.calls.borrow().iter() {
+            watch.heard(call.record.last_read(), call.connection);
+        }
+    }
+}
