--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -133,8 +133,6 @@
     409 INFO "ticket_checked" TicketChecked { ticket: u64, request: &'a str, verdict: &'a str }
     #[doc = "A request was passed on to the daemon that owns its ticket."]
     410 INFO "request_passed_on" RequestPassedOn { ticket: u64, request: &'a str, owner: &'a str }
-    #[doc = "A request that crashed its targets is held back; peers are told."]
-    411 WARN "request_held_back" RequestHeldBack { fingerprint: &'a str, left_ms: u64 }
     #[doc = "A slow or failing target gets no work for a moment."]
     501 WARN "target_ejected" TargetEjected { target: u32, period_ms: u64 }
     #[doc = "An ejected target gets work again."]
@@ -145,6 +143,12 @@
     504 WARN "connections_retired" ConnectionsRetired {
         target: &'a str, retired: u64, answered: bool,
     }
+    #[doc = "A target was lost while it ran a request; `blame` is its part of the blame so far, in thousandths of a target."]
+    701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
+    #[doc = "A request is held back, since targets were lost whenever they ran it."]
+    702 WARN "request_quarantined" RequestQuarantined { fingerprint: &'a str, left_ms: u64 }
+    #[doc = "A request is held back no longer."]
+    703 INFO "quarantine_ended" QuarantineEnded { fingerprint: &'a str }
     #[doc = "A call to a listener was refused before it was read."]
     801 WARN "call_refused" CallRefused { listener: &'a str, peer: &'a str, reason: &'a str }
     #[doc = "An operator asked for a graceful stop."]
--- a/daemon/src/lane/message.rs
+++ b/daemon/src/lane/message.rs
@@ -5,6 +5,7 @@
 use yuccalift_core::action::EngineStatus;
 use yuccalift_core::event::{EngineEvent, TargetNewsKind};
 use yuccalift_core::ids::TargetId;
+use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::{Refusal, SearchAnswer, SearchRequest};
 
 use crate::control::AnnounceNews;
@@ -24,6 +25,11 @@
 #[rtype(result = "()")]
 pub struct FeedEngine(pub EngineEvent);
 
+/// A peer's suspicion of a request.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct TakeNotice(pub QuarantineNotice);
+
 /// Asks what the engine holds.
 #[derive(Debug, Message)]
 #[rtype(result = "StatusAnswer")]
--- a/daemon/src/lane/mod.rs
+++ b/daemon/src/lane/mod.rs
@@ -4,17 +4,16 @@
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
 //!
 //! - `message`: what the lane is told and asked.
-//! - `quarantine`: what it does about requests that crash targets.
 //! - `notes`: what it logs and counts.
 
 mod message;
 mod notes;
-mod quarantine;
 
 pub(crate) use message::TargetTold;
-pub use message::{FeedEngine, GetStatus, SetNewsRoute, StatusAnswer, SubmitRequest};
+pub use message::{FeedEngine, GetStatus, SetNewsRoute, StatusAnswer, SubmitRequest, TakeNotice};
 
-use std::time::{Duration, Instant};
+use std::collections::VecDeque;
+use std::time::Instant;
 
 use actix::{Actor, AsyncContext, Context, Handler, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
@@ -22,17 +21,16 @@
 use yuccalift_core::connection_watch::CHECK_PERIOD;
 use yuccalift_core::control::NewsKind;
 use yuccalift_core::event::{AttemptFailure, EngineEvent, TargetNews, TargetNewsKind};
-use yuccalift_core::ids::{AttemptId, QueryId, TargetId};
+use yuccalift_core::ids::{QueryId, TargetId};
 use yuccalift_core::stall_clock::StallClock;
 use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine};
-use yuccalift_kernel::ServiceRegistry;
 
 use self::message::CallEnded;
 use crate::control::AnnounceNews;
 use crate::control::force_service::DRAINING_LIFE;
 use crate::events::LogEvent;
 use crate::metrics::MetricsClient;
-use crate::quarantine_desk::{AttemptVerdict, QuarantineDesk};
+use crate::quarantine_desk::{DeskStep, QuarantineDesk};
 use crate::target_links::TargetLinks;
 
 /// The name under which the lane's address is published.
@@ -54,10 +52,11 @@
     metrics: MetricsClient,
     callers: Vec<WaitingCaller>,
     links: TargetLinks,
-    quarantine: QuarantineDesk,
-    registry: ServiceRegistry,
     stall: StallClock,
     news: Option<Recipient<AnnounceNews>>,
+    desk: QuarantineDesk,
+    /// Events that wait until the one in work is done.
+    events: VecDeque<EngineEvent>,
     actions: Vec<EngineAction>,
     wake: Option<ScheduledWake>,
 }
@@ -79,22 +78,15 @@
 }
 
 impl EngineLane {
-    /// Makes a lane; `sender` names the process to targets, and in `registry` the lane finds the
-    /// services that it tells of requests held back.
-    pub fn new(
-        policy: PolicyKind,
-        seed: u64,
-        sender: Box<str>,
-        metrics: MetricsClient,
-        registry: ServiceRegistry,
-    ) -> Self {
+    /// Makes a lane; `sender` names the process to targets.
+    pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>, metrics: MetricsClient) -> Self {
         Self {
             engine: SearchEngine::new(policy, seed),
+            desk: QuarantineDesk::new(metrics.clone()),
+            events: VecDeque::new(),
             metrics,
             callers: Vec::new(),
             links: TargetLinks::new(sender),
-            quarantine: QuarantineDesk::default(),
-            registry,
             stall: StallClock::new(Instant::now()),
             news: None,
             actions: Vec::new(),
@@ -122,46 +114,67 @@
     }
 
     fn handle_event(&mut self, now: Instant, event: EngineEvent, context: &mut Context<Self>) {
-        let mut actions = std::mem::take(&mut self.actions);
-        self.engine.handle(now, event, &mut actions);
-        for action in actions.drain(..) {
-            self.carry_out(action, context);
+        self.events.push_back(event);
+        self.handle_waiting(now, context);
+    }
+
+    fn handle_waiting(&mut self, now: Instant, context: &mut Context<Self>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.engine.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, context);
+            }
+            self.actions = actions;
         }
-        self.actions = actions;
     }
 
-    fn carry_out(&mut self, action: EngineAction, context: &mut Context<Self>) {
+    fn carry_out(&mut self, now: Instant, action: EngineAction, context: &mut Context<Self>) {
         match action {
-            EngineAction::Send(plan) => self.send(plan, context),
-            EngineAction::Cancel { attempt, target } => self.cancel(attempt, target, context),
+            EngineAction::Send(plan) => {
+                self.ask_desk(context, |desk, steps| desk.offer(now, plan, steps));
+            }
+            EngineAction::Cancel { attempt, target } => {
+                let cancel = |desk: &mut QuarantineDesk, steps: &mut Vec<DeskStep>| {
+                    desk.cancel(now, attempt, steps)
+                };
+                if !self.ask_desk(context, cancel) {
+                    self.links.cancel(attempt, target);
+                }
+            }
             EngineAction::Answer { query, answer } => self.reply(query, Ok(answer)),
             EngineAction::Refuse { query, refusal } => self.reply(query, Err(refusal)),
             EngineAction::Decided(decision) => self.note_decision(&decision),
         }
     }
 
-    fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
-        let target = plan.target;
-        let verdict = self.quarantine.admit(Instant::now(), plan);
-        self.follow_verdict(target, verdict, context);
-    }
-
-    fn follow_verdict(
+    /// Asks the quarantine desk, and takes the steps that it wants; its events wait for their turn.
+    fn ask_desk<T>(
         &mut self,
-        target: TargetId,
-        verdict: AttemptVerdict,
         context: &mut Context<Self>,
-    ) {
-        match verdict {
-            AttemptVerdict::Send(plan) => self.call(plan, context),
-            AttemptVerdict::Wait => {}
-            AttemptVerdict::Refuse(attempt) => end_unsent(attempt, target, context),
+        question: impl FnOnce(&mut QuarantineDesk, &mut Vec<DeskStep>) -> T,
+    ) -> T {
+        let mut steps = Vec::new();
+        let answer = question(&mut self.desk, &mut steps);
+        for step in steps {
+            match step {
+                DeskStep::Send(plan) => self.send(plan, context),
+                DeskStep::Feed(event) => self.events.push_back(event),
+            }
         }
+        answer
+    }
+
+    /// Lets the desk do what is due.
+    fn tick_desk(&mut self, context: &mut Context<Self>) {
+        let now = Instant::now();
+        self.ask_desk(context, |desk, steps| desk.tick(now, steps));
+        self.handle_waiting(now, context);
     }
 
     /// Starts a call as a task of its own. The actor's own futures are all polled whenever one of
     /// them wakes, which a fan-out of hundreds would pay for with each reply.
-    fn call(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
+    fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
         self.note_attempt(plan.cause);
         let target = plan.target;
         let client = self.links.client(target, plan.address);
@@ -172,22 +185,13 @@
         });
     }
 
-    fn cancel(&mut self, attempt: AttemptId, target: TargetId, context: &mut Context<Self>) {
-        if self.quarantine.cancel(attempt) {
-            end_unsent(attempt, target, context);
-        } else {
-            self.links.cancel(attempt, target);
-        }
-    }
-
     /// Tells the other daemons that a target itself says that it drains.
     fn announce_drain(&self, target: TargetId) {
-        self.announce(NewsKind::Draining(target), DRAINING_LIFE);
-    }
-
-    fn announce(&self, kind: NewsKind, life: Duration) {
         if let Some(news) = &self.news {
-            news.do_send(AnnounceNews { kind, life });
+            news.do_send(AnnounceNews {
+                kind: NewsKind::Draining(target),
+                life: DRAINING_LIFE,
+            });
         }
     }
 
@@ -206,7 +210,8 @@
     /// Keeps one wake-up pending, no later than the engine asks for. One that comes too early does
     /// no harm, and costs less than to be moved with each reply.
     fn schedule_wake(&mut self, context: &mut Context<Self>) {
-        let Some(due) = self.engine.next_wake() else {
+        let wakes = [self.engine.next_wake(), self.desk.next_wake(Instant::now())];
+        let Some(due) = wakes.into_iter().flatten().min() else {
             return;
         };
         if let Some(wake) = self.wake {
@@ -218,6 +223,7 @@
         let delay = due.saturating_duration_since(Instant::now());
         let handle = context.run_later(delay, |lane, context| {
             lane.wake = None;
+            lane.tick_desk(context);
             lane.feed(EngineEvent::Tick, context);
         });
         self.wake = Some(ScheduledWake { due, handle });
@@ -228,8 +234,6 @@
         let now = Instant::now();
         self.notice_pause(now, context);
         self.links.check(now, &context.address());
-        self.release_quarantines(now, context);
-        self.send_waiting(now, context);
         self.schedule_wake(context);
     }
 
@@ -248,13 +252,18 @@
             EngineEvent::MapChanged(map) => self.links.put_map(map, &context.address()),
             EngineEvent::MapRemoved(name) => self.links.remove_map(name, &context.address()),
             EngineEvent::Paused(_) => self.links.suspect_all(),
+            EngineEvent::Quarantine { fingerprint, held } => {
+                let now = Instant::now();
+                self.ask_desk(context, |desk, steps| {
+                    desk.set_held(now, *fingerprint, *held, steps);
+                });
+            }
             EngineEvent::Submit(_)
             | EngineEvent::Reply(_)
             | EngineEvent::Failed { .. }
             | EngineEvent::Tick
             | EngineEvent::AccountsChanged(_)
             | EngineEvent::TargetNews(_)
-            | EngineEvent::Quarantine { .. }
             | EngineEvent::Stopping => {}
         }
     }
@@ -272,23 +281,17 @@
 impl Handler<CallEnded> for EngineLane {
     type Result = ();
 
-    /// The loss of a target is weighed before the engine hears of it, and so before it retries.
     fn handle(&mut self, msg: CallEnded, ctx: &mut Self::Context) {
-        let now = Instant::now();
-        let notices = self.quarantine.ended(now, msg.target, &msg.event);
-        self.hold_back(now, &notices, ctx);
-        let drains = matches!(
-            msg.event,
-            EngineEvent::Failed {
-                failure: AttemptFailure::Draining,
-                ..
-            }
-        );
-        if drains {
+        if let EngineEvent::Failed {
+            failure: AttemptFailure::Draining,
+            ..
+        } = &msg.event
+        {
             self.announce_drain(msg.target);
         }
+        let now = Instant::now();
+        self.ask_desk(ctx, |desk, steps| desk.follow(now, &msg.event, steps));
         self.feed(msg.event, ctx);
-        self.send_waiting(now, ctx);
     }
 }
 
@@ -296,16 +299,20 @@
     type Result = ();
 
     fn handle(&mut self, msg: SetNewsRoute, _ctx: &mut Self::Context) {
+        self.desk.use_news(msg.0.clone());
         self.news = Some(msg.0);
     }
 }
 
-/// Tells the lane of an attempt that ended before it was sent; by a message, since the engine must
-/// not be called while its actions are carried out.
-fn end_unsent(attempt: AttemptId, target: TargetId, context: &mut Context<EngineLane>) {
-    let failure = AttemptFailure::NotSent;
-    let event = EngineEvent::Failed { attempt, failure };
-    context.notify(CallEnded { target, event });
+impl Handler<TakeNotice> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: TakeNotice, ctx: &mut Self::Context) {
+        let now = Instant::now();
+        self.ask_desk(ctx, |desk, steps| desk.learn(now, &msg.0, steps));
+        self.handle_waiting(now, ctx);
+        self.schedule_wake(ctx);
+    }
 }
 
 impl Handler<TargetTold> for EngineLane {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,9 +3,9 @@
 //! - [`daemon`]: one daemon, its threads and the order of its services.
 //! - [`lane`]: the engine and the calls to targets, on a thread of their own.
 //! - `target_links`, [`leaf`]: the connections to targets, and the calls over them.
-//! - `quarantine_desk`: what the loss of a target says of the requests that it ran.
 //! - `caller`: the callers' listener.
 //! - `execute`, [`peer_directory`], `directory_keeper`: non-idempotent requests, and the way to a ticket's owner.
+//! - `quarantine_desk`: holds back requests that crash their targets.
 //! - `operator`, [`status_board`]: the operators' listener and what it tells.
 //! - `listener`, [`rate_limit`]: the key, the limits and the typed errors of all listeners.
 //! - [`control`]: configuration, membership and news.
--- a/daemon/src/quarantine_desk.rs
+++ b/daemon/src/quarantine_desk.rs
@@ -1,227 +1,195 @@
-//! Which attempts run where, and what the loss of a target says of them: [`QuarantineDesk`].
-//!
-//! The verdicts are [`QuarantineTable`]'s; this keeps what it must be told, and the attempts that
-//! wait for the end of a trial. See `docs/DESIGN.md`, "Requests that crash targets".
+//! Carries out what the gate of attempts decides: lines in the log and news to the peers.
+//! What is left for the lane are attempts to send and events for the engine.
 
 use std::time::Instant;
 
+use actix::Recipient;
 use yuccalift_core::action::AttemptPlan;
+use yuccalift_core::control::NewsKind;
 use yuccalift_core::event::{AttemptFailure, EngineEvent};
-use yuccalift_core::ids::{AttemptId, Fingerprint, TargetId};
+use yuccalift_core::ids::{AttemptId, Fingerprint};
 use yuccalift_core::quarantine::{
-    QuarantineEntry, QuarantineNotice, QuarantineTable, RunningRequest, TrialRequest, TrialVerdict,
+    AttemptGate, GateAction, NoticeKind, QuarantineNotice, SUSPICION_LIFE,
 };
 
-/// One attempt that a target may be running.
-#[derive(Clone, Copy, Debug)]
-struct RunningAttempt {
-    attempt: AttemptId,
-    request: RunningRequest,
-    /// Whether its target was lost under it, which is told once for all that ran there.
-    lost: bool,
-}
-
-/// The attempts at one target.
-#[derive(Debug)]
-struct TargetRuns {
-    target: TargetId,
-    attempts: Vec<RunningAttempt>,
-}
+use crate::control::AnnounceNews;
+use crate::decision_log::millis;
+use crate::events::LogEvent;
+use crate::metrics::{DaemonMetric, MetricsClient};
 
-/// An attempt that waits for the end of a trial.
+/// What the lane does for the gate, in this order.
 #[derive(Debug)]
-struct WaitingAttempt {
-    plan: AttemptPlan,
-    asked: Instant,
-}
-
-/// What is to be done with an attempt.
-#[derive(Debug)]
-pub(crate) enum AttemptVerdict {
-    /// Send it now.
+pub(crate) enum DeskStep {
+    /// Send an attempt.
     Send(AttemptPlan),
-    /// It is kept until a trial has ended.
-    Wait,
-    /// It is not sent.
-    Refuse(AttemptId),
+    /// Feed the engine.
+    Feed(EngineEvent),
 }
 
-/// The attempts of one lane, for the table of suspects.
-#[derive(Debug, Default)]
+/// The gate with what stands around it.
 pub(crate) struct QuarantineDesk {
-    table: QuarantineTable,
-    runs: Vec<TargetRuns>,
-    waiting: Vec<WaitingAttempt>,
+    gate: AttemptGate,
+    metrics: MetricsClient,
+    news: Option<Recipient<AnnounceNews>>,
+    actions: Vec<GateAction>,
 }
 
 impl QuarantineDesk {
-    /// Says what is to be done with a new attempt.
-    pub(crate) fn admit(&mut self, now: Instant, plan: AttemptPlan) -> AttemptVerdict {
-        self.admit_asked(now, plan, now)
+    /// A desk that knows no suspects, and nobody to tell.
+    pub(crate) fn new(metrics: MetricsClient) -> Self {
+        Self {
+            gate: AttemptGate::new(),
+            metrics,
+            news: None,
+            actions: Vec::new(),
+        }
     }
 
-    /// The attempts that need not wait any longer, each with its target.
-    pub(crate) fn admit_waiting(&mut self, now: Instant) -> Vec<(TargetId, AttemptVerdict)> {
-        let waiting = std::mem::take(&mut self.waiting);
-        let mut decided = Vec::new();
-        for WaitingAttempt { plan, asked } in waiting {
-            let target = plan.target;
-            match self.admit_asked(now, plan, asked) {
-                AttemptVerdict::Wait => {}
-                verdict => decided.push((target, verdict)),
-            }
-        }
-        decided
+    /// Sets who passes news on to the peers.
+    pub(crate) fn use_news(&mut self, news: Recipient<AnnounceNews>) {
+        self.news = Some(news);
     }
 
-    /// Takes a cancelled attempt from those that wait; whether it was among them.
-    pub(crate) fn cancel(&mut self, attempt: AttemptId) -> bool {
-        let count = self.waiting.len();
-        self.waiting
-            .retain(|waiting| waiting.plan.attempt != attempt);
-        self.waiting.len() < count
+    /// Takes an attempt that the engine wants sent.
+    pub(crate) fn offer(&mut self, now: Instant, plan: AttemptPlan, steps: &mut Vec<DeskStep>) {
+        self.gate.offer(now, plan, &mut self.actions);
+        self.carry_out(now, steps);
     }
 
-    /// Takes the end of an attempt, and gives what follows for the requests that ran beside it.
-    pub(crate) fn ended(
+    /// Takes back an attempt; true if it waited here, and false if it was sent.
+    pub(crate) fn cancel(
         &mut self,
         now: Instant,
-        target: TargetId,
-        event: &EngineEvent,
-    ) -> Vec<QuarantineNotice> {
-        let Some(attempt) = ended_attempt(event) else {
-            return Vec::new();
-        };
-        let mut notices = Vec::new();
-        if let EngineEvent::Failed {
-            failure: AttemptFailure::Lost,
-            ..
-        } = event
-        {
-            notices = self.target_lost(now, target, attempt);
-        }
-        let Some(run) = self.remove(target, attempt) else {
-            return notices;
-        };
-        let RunningRequest { fingerprint, shard } = run.request;
-        if matches!(event, EngineEvent::Reply(_)) {
-            self.table.succeeded(fingerprint, shard);
-        }
-        self.table.ended(fingerprint, shard, target);
-        notices
-    }
-
-    /// Ends what has run out; gives the fingerprints that are held back no longer.
-    pub(crate) fn expire(&mut self, now: Instant) -> Vec<Fingerprint> {
-        self.table.expire(now)
-    }
-
-    /// The requests that are held back.
-    pub(crate) fn list(&self, now: Instant) -> Vec<QuarantineEntry> {
-        self.table.list(now)
+        attempt: AttemptId,
+        steps: &mut Vec<DeskStep>,
+    ) -> bool {
+        let waited = self.gate.cancel(attempt, &mut self.actions);
+        self.carry_out(now, steps);
+        waited
     }
 
-    fn admit_asked(&mut self, now: Instant, plan: AttemptPlan, asked: Instant) -> AttemptVerdict {
-        if now >= plan.deadline {
-            return AttemptVerdict::Refuse(plan.attempt);
-        }
-        match self.verdict(now, &plan, asked) {
-            TrialVerdict::Send => {
-                self.add(&plan);
-                AttemptVerdict::Send(plan)
+    /// Follows what became of an attempt.
+    pub(crate) fn follow(&mut self, now: Instant, event: &EngineEvent, steps: &mut Vec<DeskStep>) {
+        match event {
+            EngineEvent::Reply(reply) => {
+                self.gate.answered(now, reply.attempt, &mut self.actions);
             }
-            TrialVerdict::Wait => {
-                self.waiting.push(WaitingAttempt { plan, asked });
-                AttemptVerdict::Wait
+            EngineEvent::Failed { attempt, failure } => {
+                self.gate.failed(now, *attempt, failure, &mut self.actions);
             }
-            TrialVerdict::Refuse => AttemptVerdict::Refuse(plan.attempt),
+            _ => {}
         }
+        self.carry_out(now, steps);
     }
 
-    fn verdict(&mut self, now: Instant, plan: &AttemptPlan, asked: Instant) -> TrialVerdict {
-        if self.table.is_empty() {
-            return TrialVerdict::Send;
-        }
-        let beside: Vec<Fingerprint> = match self.position(plan.target) {
-            Ok(position) => fingerprints(&self.runs[position].attempts),
-            Err(_position) => Vec::new(),
-        };
-        self.table.admit(
-            now,
-            &TrialRequest {
-                fingerprint: plan.fingerprint,
-                shard: plan.shard,
-                target: plan.target,
-                asked,
-                beside: &beside,
-            },
-        )
+    /// Takes a peer's suspicion.
+    pub(crate) fn learn(
+        &mut self,
+        now: Instant,
+        notice: &QuarantineNotice,
+        steps: &mut Vec<DeskStep>,
+    ) {
+        self.gate.learn(now, notice, &mut self.actions);
+        self.carry_out(now, steps);
     }
 
-    /// Tells the table of a lost target, once for all attempts that ran there.
-    fn target_lost(
+    /// Takes the beginning or the end of a quarantine that news tell of. The news end by
+    /// themselves, so that the longest hold stands until then.
+    pub(crate) fn set_held(
         &mut self,
         now: Instant,
-        target: TargetId,
-        attempt: AttemptId,
-    ) -> Vec<QuarantineNotice> {
-        let Ok(position) = self.position(target) else {
-            return Vec::new();
-        };
-        let attempts = &mut self.runs[position].attempts;
-        let told = attempts
-            .iter()
-            .any(|run| run.attempt == attempt && run.lost);
-        if told {
-            return Vec::new();
-        }
-        let mut in_flight = Vec::with_capacity(attempts.len());
-        for run in attempts.iter_mut().filter(|run| !run.lost) {
-            run.lost = true;
-            in_flight.push(run.request);
+        fingerprint: Fingerprint,
+        held: bool,
+        steps: &mut Vec<DeskStep>,
+    ) {
+        if !held {
+            self.gate.lift(now, fingerprint, &mut self.actions);
+        } else if !self.gate.table().held(now, fingerprint) {
+            let kind = NoticeKind::Held {
+                left: yuccalift_core::control::news::MAX_LIFE,
+            };
+            let notice = QuarantineNotice { fingerprint, kind };
+            self.gate.learn(now, &notice, &mut self.actions);
         }
-        self.table.target_lost(now, target, &in_flight)
+        self.carry_out(now, steps);
     }
 
-    fn add(&mut self, plan: &AttemptPlan) {
-        let position = self.position(plan.target).unwrap_or_else(|position| {
-            let runs = TargetRuns {
-                target: plan.target,
-                attempts: Vec::new(),
-            };
-            self.runs.insert(position, runs);
-            position
-        });
-        self.runs[position].attempts.push(RunningAttempt {
-            attempt: plan.attempt,
-            request: RunningRequest {
-                fingerprint: plan.fingerprint,
-                shard: plan.shard,
-            },
-            lost: false,
-        });
+    /// Does what is due.
+    pub(crate) fn tick(&mut self, now: Instant, steps: &mut Vec<DeskStep>) {
+        self.gate.tick(now, &mut self.actions);
+        self.carry_out(now, steps);
+    }
+
+    /// When [`Self::tick`] is due next, if at all.
+    pub(crate) fn next_wake(&self, now: Instant) -> Option<Instant> {
+        self.gate.next_wake(now)
     }
 
-    fn remove(&mut self, target: TargetId, attempt: AttemptId) -> Option<RunningAttempt> {
-        let position = self.position(target).ok()?;
-        let attempts = &mut self.runs[position].attempts;
-        let found = attempts.iter().position(|run| run.attempt == attempt)?;
-        Some(attempts.swap_remove(found))
+    fn carry_out(&mut self, now: Instant, steps: &mut Vec<DeskStep>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                GateAction::Send(plan) => steps.push(DeskStep::Send(plan)),
+                GateAction::Drop(attempt) => steps.push(DeskStep::Feed(EngineEvent::Failed {
+                    attempt,
+                    failure: AttemptFailure::NotSent,
+                })),
+                GateAction::Tell(notice) => self.tell(&notice),
+                GateAction::Hold { fingerprint, held } => {
+                    self.note_hold(now, fingerprint, held);
+                    let event = EngineEvent::Quarantine { fingerprint, held };
+                    steps.push(DeskStep::Feed(event));
+                }
+            }
+        }
+        self.actions = actions;
     }
 
-    fn position(&self, target: TargetId) -> Result<usize, usize> {
-        self.runs.binary_search_by_key(&target, |runs| runs.target)
+    fn tell(&self, notice: &QuarantineNotice) {
+        let fingerprint = notice.fingerprint;
+        let (kind, life) = match notice.kind {
+            NoticeKind::Suspected { shard, wide, blame } => {
+                let text = hexadecimal(fingerprint);
+                LogEvent::RequestSuspected {
+                    fingerprint: &text,
+                    shard,
+                    blame,
+                }
+                .emit();
+                let suspect = NewsKind::Suspect {
+                    fingerprint,
+                    shard,
+                    wide,
+                    blame,
+                };
+                (suspect, SUSPICION_LIFE)
+            }
+            NoticeKind::Held { left } => (NewsKind::Quarantine(fingerprint), left),
+        };
+        if let Some(news) = &self.news {
+            news.do_send(AnnounceNews { kind, life });
+        }
     }
-}
 
-fn fingerprints(attempts: &[RunningAttempt]) -> Vec<Fingerprint> {
-    attempts.iter().map(|run| run.request.fingerprint).collect()
+    fn note_hold(&self, now: Instant, fingerprint: Fingerprint, held: bool) {
+        let text = hexadecimal(fingerprint);
+        let entries = self.gate.table().list(now);
+        if held {
+            let entry = entries
+                .iter()
+                .find(|entry| entry.fingerprint == fingerprint);
+            LogEvent::RequestQuarantined {
+                fingerprint: &text,
+                left_ms: entry.map_or(0, |entry| millis(entry.left)),
+            }
+            .emit();
+            self.metrics.count(DaemonMetric::RequestsQuarantined, 1);
+        } else {
+            LogEvent::QuarantineEnded { fingerprint: &text }.emit();
+        }
+    }
 }
 
-fn ended_attempt(event: &EngineEvent) -> Option<AttemptId> {
-    match event {
-        EngineEvent::Reply(reply) => Some(reply.attempt),
-        EngineEvent::Failed { attempt, .. } => Some(*attempt),
-        _ => None,
-    }
+fn hexadecimal(fingerprint: Fingerprint) -> String {
+    format!("{fingerprint:016x}")
 }
--- a/daemon/tests/targets.rs
+++ b/daemon/tests/targets.rs
@@ -116,9 +116,9 @@
             "it ends at once: {took:?}"
         );
         assert_eq!(client.open(), 2, "both connections are kept");
+        assert_eq!(leaf.connections().open, 2, "at the target, too");
     });
     assert_eq!(leaf.counts().cancelled, 1, "the target stopped its work");
-    assert_eq!(leaf.connections().open, 2, "and closed nothing");
 }
 
 /// The share is used up: the connection is closed, and another takes its place.
