--- a/daemon/src/lane/mod.rs
+++ b/daemon/src/lane.rs
@@ -2,20 +2,11 @@
 //!
 //! It decides nothing: it feeds the engine and carries out its actions. Every
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
-//!
-//! - `message`: what the lane is told and asked.
-//! - `notes`: what it logs and counts.
-
-mod message;
-mod notes;
-
-pub(crate) use message::TargetTold;
-pub use message::{FeedEngine, GetStatus, SetNewsRoute, StatusAnswer, SubmitRequest, TakeNotice};
 
 use std::collections::VecDeque;
 use std::time::Instant;
 
-use actix::{Actor, AsyncContext, Context, Handler, Recipient, SpawnHandle};
+use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
 use yuccalift_core::action::{AttemptPlan, EngineAction};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
@@ -25,13 +16,18 @@
 use yuccalift_core::stall_clock::StallClock;
 use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine};
 
-use self::message::CallEnded;
 use crate::control::AnnounceNews;
-use crate::control::force_service::DRAINING_LIFE;
 use crate::events::LogEvent;
 use crate::metrics::MetricsClient;
 use crate::quarantine_desk::{DeskStep, QuarantineDesk};
-use crate::target_links::TargetLinks;
+use crate::target_links::{DRAIN_NEWS_LIFE, TargetLinks};
+
+mod messages;
+mod notes;
+
+pub(crate) use messages::TargetTold;
+pub use messages::{FeedEngine, GetStatus, SetNewsRoute, StatusAnswer, SubmitRequest, TakeNotice};
+use notes::LaneNotes;
 
 /// The name under which the lane's address is published.
 pub const LANE_SERVICE: &str = "lane";
@@ -46,10 +42,18 @@
     reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
 }
 
+/// What became of an attempt, from the task that made the call.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct CallEnded {
+    target: TargetId,
+    event: EngineEvent,
+}
+
 /// The actor that runs the engine.
 pub struct EngineLane {
     engine: SearchEngine,
-    metrics: MetricsClient,
+    notes: LaneNotes,
     callers: Vec<WaitingCaller>,
     links: TargetLinks,
     stall: StallClock,
@@ -84,7 +88,7 @@
             engine: SearchEngine::new(policy, seed),
             desk: QuarantineDesk::new(metrics.clone()),
             events: VecDeque::new(),
-            metrics,
+            notes: LaneNotes::new(metrics),
             callers: Vec::new(),
             links: TargetLinks::new(sender),
             stall: StallClock::new(Instant::now()),
@@ -144,7 +148,7 @@
             }
             EngineAction::Answer { query, answer } => self.reply(query, Ok(answer)),
             EngineAction::Refuse { query, refusal } => self.reply(query, Err(refusal)),
-            EngineAction::Decided(decision) => self.note_decision(&decision),
+            EngineAction::Decided(decision) => self.notes.decision(&decision),
         }
     }
 
@@ -175,7 +179,7 @@
     /// Starts a call as a task of its own. The actor's own futures are all polled whenever one of
     /// them wakes, which a fan-out of hundreds would pay for with each reply.
     fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
-        self.note_attempt(plan.cause);
+        self.notes.attempt(plan.cause);
         let target = plan.target;
         let client = self.links.client(target, plan.address);
         let lane = context.address();
@@ -186,11 +190,14 @@
     }
 
     /// Tells the other daemons that a target itself says that it drains.
-    fn announce_drain(&self, target: TargetId) {
+    fn announce_drain(&mut self, target: TargetId) {
+        if !self.links.note_drain(target, Instant::now()) {
+            return;
+        }
         if let Some(news) = &self.news {
             news.do_send(AnnounceNews {
                 kind: NewsKind::Draining(target),
-                life: DRAINING_LIFE,
+                life: DRAIN_NEWS_LIFE,
             });
         }
     }
@@ -203,7 +210,7 @@
             return;
         };
         let caller = self.callers.remove(position);
-        self.note_end(query, caller.since, &result);
+        self.notes.end(query, caller.since, &result);
         let _caller_may_have_gone = caller.reply.send(result);
     }
 
--- a/daemon/src/lane/message.rs
+++ b/daemon/src/lane/messages.rs
@@ -1,4 +1,4 @@
-//! What the lane is told and asked.
+//! The messages that other services send to the lane.
 
 use actix::{Message, Recipient};
 use tokio::sync::oneshot;
@@ -39,16 +39,6 @@
 #[derive(Debug, actix::MessageResponse)]
 pub struct StatusAnswer(pub EngineStatus);
 
-/// What became of an attempt, from the task that made the call.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub(super) struct CallEnded {
-    /// The target.
-    pub(super) target: TargetId,
-    /// The reply or the failure.
-    pub(super) event: EngineEvent,
-}
-
 /// Tells the lane where its news for other daemons goes.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
--- a/daemon/src/lane/notes.rs
+++ b/daemon/src/lane/notes.rs
@@ -1,4 +1,4 @@
-//! What the lane logs and counts of its work.
+//! What the lane tells of its work: log lines and metrics.
 
 use std::time::Instant;
 
@@ -6,12 +6,23 @@
 use yuccalift_core::ids::QueryId;
 use yuccalift_core::{EngineDecision, Refusal, SearchAnswer};
 
-use super::EngineLane;
 use crate::decision_log::{log_answer, log_decision, log_refusal};
-use crate::metrics::DaemonMetric;
+use crate::metrics::{DaemonMetric, MetricsClient};
 
-impl EngineLane {
-    pub(super) fn note_decision(&self, decision: &EngineDecision) {
+/// Writes the lane's log lines and counts for its metrics.
+#[derive(Clone, Debug)]
+pub(super) struct LaneNotes {
+    metrics: MetricsClient,
+}
+
+impl LaneNotes {
+    /// Notes that go to this client.
+    pub(super) fn new(metrics: MetricsClient) -> Self {
+        Self { metrics }
+    }
+
+    /// Notes a decision.
+    pub(super) fn decision(&self, decision: &EngineDecision) {
         log_decision(decision);
         match decision {
             EngineDecision::Planned { .. } => self.metrics.count(DaemonMetric::QueriesPlanned, 1),
@@ -20,7 +31,8 @@
         }
     }
 
-    pub(super) fn note_attempt(&self, cause: AttemptCause) {
+    /// Notes an attempt that is sent.
+    pub(super) fn attempt(&self, cause: AttemptCause) {
         self.metrics.count(DaemonMetric::LeafRequests, 1);
         match cause {
             AttemptCause::First => {}
@@ -29,7 +41,8 @@
         }
     }
 
-    pub(super) fn note_end(
+    /// Notes the end of a request.
+    pub(super) fn end(
         &self,
         query: QueryId,
         since: Instant,
