--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 use snafu::ResultExt;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
+use yuccalift_core::event::EngineEvent;
 use yuccalift_core::ids::Incarnation;
 use yuccalift_kernel::{Kernel, StopReport};
 use yuccalift_settings::DaemonSettings;
@@ -20,7 +21,7 @@
 use crate::error::{BindSnafu, DaemonError, EndedSnafu, MetricsSnafu, ThreadSnafu};
 use crate::events::LogEvent;
 use crate::execute::{OwnerCaller, PeerExecuteState, TicketDesk};
-use crate::lane::{EngineLane, LANE_SERVICE};
+use crate::lane::{EngineLane, FeedEngine, LANE_SERVICE};
 use crate::listener::{ListenerSpec, serve};
 use crate::metrics::{METRICS_SERVICE, MetricsClient};
 use crate::operator::{self, OperatorState};
@@ -282,6 +283,7 @@
         key: None,
         stop_timeout: settings.stop_timeout,
     };
+    let lane = state.lane.clone();
     let data = web::Data::new(state);
     let key = settings.shared_key.clone();
     let handle = serve(listener, &spec, metrics, move |config| {
@@ -293,6 +295,7 @@
     let guard = kernel.start("caller");
     actix::spawn(async move {
         guard.token.cancelled().await;
+        lane.do_send(FeedEngine(EngineEvent::Stopping));
         handle.stop(true).await;
     });
     Ok(())
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -20,7 +20,7 @@
 use crate::events::LogEvent;
 use crate::metrics::MetricsClient;
 use crate::quarantine_desk::{DeskStep, QuarantineDesk};
-use crate::target_links::TargetLinks;
+use crate::target_links::{DRAIN_NEWS_LIFE, TargetLinks};
 
 mod messages;
 mod notes;
@@ -29,10 +29,6 @@
 pub use messages::{FeedEngine, GetStatus, SetNewsRoute, StatusAnswer, SubmitRequest, TakeNotice};
 use notes::LaneNotes;
 
-/// How long a target's own word that it is draining is news for others. It is short, since a target
-/// that is back says so only to those that ask it, and each refusal is news again.
-const DRAIN_WORD_LIFE: Duration = Duration::from_secs(5);
-
 /// The name under which the lane's address is published.
 pub const LANE_SERVICE: &str = "lane";
 
@@ -194,11 +190,14 @@
     }
 
     /// Tells the other daemons that a target itself says that it drains.
-    fn announce_drain(&self, target: TargetId) {
+    fn announce_drain(&mut self, target: TargetId) {
+        if !self.links.note_drain(target, Instant::now()) {
+            return;
+        }
         if let Some(news) = &self.news {
             news.do_send(AnnounceNews {
                 kind: NewsKind::Draining(target),
-                life: DRAIN_WORD_LIFE,
+                life: DRAIN_NEWS_LIFE,
             });
         }
     }
--- a/daemon/src/target_links.rs
+++ b/daemon/src/target_links.rs
@@ -21,6 +21,12 @@
 /// The most first status probes of new targets in one check period.
 const FIRST_PROBES_PER_CHECK: usize = 64;
 
+/// How long the others believe that a target drains since it said so itself; it is said again while
+/// the target goes on saying it, so that one which takes work again is not avoided for long.
+pub(crate) const DRAIN_NEWS_LIFE: Duration = Duration::from_secs(10);
+/// How often it is said again.
+const DRAIN_NEWS_PERIOD: Duration = Duration::from_secs(5);
+
 /// The connections to one target.
 struct TargetLink {
     target: TargetId,
@@ -28,6 +34,7 @@
     client: Rc<LeafClient>,
     status_due: Instant,
     met: bool,
+    drain_told: Option<Instant>,
 }
 
 /// The links of one lane, sorted by target.
@@ -71,6 +78,7 @@
             client: Rc::clone(&client),
             status_due: Instant::now(),
             met: false,
+            drain_told: None,
         };
         match found {
             Ok(position) => {
@@ -97,6 +105,19 @@
         }
     }
 
+    /// Notes that a target says that it drains; whether the others must be told now.
+    pub(crate) fn note_drain(&mut self, target: TargetId, now: Instant) -> bool {
+        let Ok(position) = self.position(target) else {
+            return false;
+        };
+        let told = &mut self.links[position].drain_told;
+        let recent = told.is_some_and(|at| now.saturating_duration_since(at) < DRAIN_NEWS_PERIOD);
+        if !recent {
+            *told = Some(now);
+        }
+        !recent
+    }
+
     /// Doubts every connection until it proves itself alive.
     pub(crate) fn suspect_all(&self) {
         for link in &self.links {
