Check that the documents of one site go together

Change: yuccalift check over several files refuses accounts that ask a collection without a map, target numbers and hosts that stand twice, daemons with different keys, and more daemons than the fleet's bound.

--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -1,7 +1,7 @@
 //! `yuccalift check`: checks settings and published documents, and shows every fault.
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
-use yuccalift_settings::check_document;
+use yuccalift_settings::SiteCheck;
 
 use crate::error::CommandError;
 use crate::input::read_file;
@@ -15,10 +15,14 @@
 bounds of the fleet (JSON); its kind is told from its text. Each fault is one line on standard
 error: FILE:LINE: FIELD: found ...; allowed: ...
 
+Files that are given together are also checked to go together: accounts ask only collections with a
+shard map, target numbers and host names stand once, daemons have one key, and the fleet's bound
+leaves room for the daemons.
+
 Options:
   -h, --help  print this text
 
-Exit status: 0 every document is valid, 2 a document is refused or cannot be read.
+Exit status: 0 all is valid, 2 a document is refused or cannot be read, or they do not go together.
 ";
 
 /// Runs the command.
@@ -45,16 +49,26 @@
 }
 
 fn check_files(files: &[String]) -> Result<(), CommandError> {
-    let refused = files.iter().filter(|file| !check_file(file)).count();
-    if refused == 0 {
-        return Ok(());
+    let mut site = SiteCheck::new();
+    let refused = files
+        .iter()
+        .filter(|file| !check_file(&mut site, file))
+        .count();
+    let faults = site.faults();
+    for fault in &faults {
+        eprintln!("{fault}");
     }
-    let message = format!("check: {refused} of {} documents refused", files.len()).into();
+    let message = match (refused, faults.len()) {
+        (0, 0) => return Ok(()),
+        (0, faults) => format!("check: {faults} faults between the documents"),
+        (refused, _) => format!("check: {refused} of {} documents refused", files.len()),
+    };
+    let message = message.into();
     Err(CommandError::BadInput { message })
 }
 
 /// Checks one file and shows what came of it; whether it is valid.
-fn check_file(file: &str) -> bool {
+fn check_file(site: &mut SiteCheck, file: &str) -> bool {
     let text = match read_file(file) {
         Ok(text) => text,
         Err(error) => {
@@ -62,7 +76,7 @@
             return false;
         }
     };
-    match check_document(file, &text) {
+    match site.add(file, &text) {
         Ok(kind) => {
             println!("{file}: valid {}", kind.describe());
             true
--- a/settings/src/document_kind.rs
+++ b/settings/src/document_kind.rs
@@ -1,9 +1,7 @@
 //! Tells the kinds of documents apart, so that one command checks them all.
 
-use crate::accounts::parse_accounts;
-use crate::daemon_file::parse_daemon;
 use crate::error::SettingsErrors;
-use crate::published::{parse_fleet, parse_shard_map};
+use crate::site_check::SiteCheck;
 
 /// The kinds of documents that operators write or publish.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,17 +46,11 @@
     }
 }
 
-/// Checks a document of any kind.
+/// Checks a document of any kind by itself.
 ///
 /// # Errors
 ///
 /// Every fault of the document, each with its line; of a JSON value the first.
 pub fn check_document(file_name: &str, text: &str) -> Result<DocumentKind, SettingsErrors> {
-    let kind = DocumentKind::of(text);
-    match kind {
-        DocumentKind::Daemon => parse_daemon(file_name, text).map(|_| kind),
-        DocumentKind::Accounts => parse_accounts(file_name, text, 0).map(|_| kind),
-        DocumentKind::ShardMap => parse_shard_map(file_name, text).map(|_| kind),
-        DocumentKind::Fleet => parse_fleet(file_name, text).map(|_| kind),
-    }
+    SiteCheck::new().add(file_name, text)
 }
--- a/settings/src/error.rs
+++ b/settings/src/error.rs
@@ -98,6 +98,12 @@
         }
     }
 
+    /// The faults, sorted by line; there may be none.
+    pub(crate) fn into_errors(mut self) -> Vec<SettingsError> {
+        self.errors.sort();
+        self.errors
+    }
+
     /// The value if there was no fault, all faults otherwise.
     pub(crate) fn finish<T>(mut self, value: Option<T>) -> Result<T, SettingsErrors> {
         if let (Some(value), true) = (value, self.errors.is_empty()) {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -9,6 +9,7 @@
 //!   where each value came from.
 //! - [`published`]: reads the JSON values of the platform.
 //! - [`document_kind`]: tells the documents apart, [`check_document`].
+//! - [`site_check`]: whether the documents of one site go together.
 //! - [`error`]: every fault of a file, each with its line.
 //!
 //! Documents are read by table and not by a derived deserializer: a deserializer stops at the first
@@ -23,6 +24,7 @@
 pub mod field;
 pub mod published;
 mod reader;
+pub mod site_check;
 pub mod value;
 
 pub use accounts::{
@@ -35,3 +37,4 @@
 pub use error::{SettingsError, SettingsErrors};
 pub use field::{FieldDefault, FieldKind, FieldSpec, FieldValue};
 pub use published::{parse_fleet, parse_shard_map};
+pub use site_check::SiteCheck;
--- a/settings/src/published.rs
+++ b/settings/src/published.rs
@@ -4,6 +4,7 @@
 
 use serde::de::DeserializeOwned;
 use yuccalift_core::ShardMap;
+use yuccalift_core::ids::TargetId;
 use yuccalift_core::shard_map::ShardMapError;
 use yuccalift_wire::platform::FleetBounds;
 
@@ -91,6 +92,16 @@
     errors.add(line, &path, error.to_string(), "a whole shard map");
 }
 
+/// The line of a target in a shard map.
+pub(crate) fn target_line(text: &str, target: TargetId) -> usize {
+    entry_line(&tree(text), "targets", "target", Some(target))
+}
+
+/// The line of a field at the top of a document.
+pub(crate) fn field_line(text: &str, name: &str) -> usize {
+    find(&tree(text), name).map_or(1, |entry| entry.line)
+}
+
 /// The line of the last list entry with that id, or of the list.
 fn entry_line(entries: &[MappingEntry], list: &str, id_field: &str, id: Option<u32>) -> usize {
     let Some(entry) = find(entries, list) else {
--- /dev/null
+++ b/settings/src/site_check.rs
@@ -0,0 +1,189 @@
+//! Checks that the documents of one site go together.
+//!
+//! Each document may be valid and the site still not work: an account asks a collection that no map
+//! describes, or two daemons have one host name. `yuccalift check` runs this over all files that it
+//! is given.
+
+use yuccalift_core::ShardMap;
+use yuccalift_core::ids::TargetId;
+use yuccalift_wire::platform::FleetBounds;
+
+use crate::accounts::{FieldOrigin, ResolvedAccounts, resolve_accounts};
+use crate::daemon::DaemonSettings;
+use crate::daemon_file::parse_daemon;
+use crate::document_kind::DocumentKind;
+use crate::error::{ErrorList, SettingsError, SettingsErrors};
+use crate::published::{field_line, parse_fleet, parse_shard_map, target_line};
+
+/// A document with its file.
+#[derive(Clone, Debug)]
+struct SiteFile<T> {
+    file: Box<str>,
+    text: Box<str>,
+    document: T,
+}
+
+impl<T> SiteFile<T> {
+    fn new(file: &str, text: &str, document: T) -> Self {
+        Self {
+            file: file.into(),
+            text: text.into(),
+            document,
+        }
+    }
+}
+
+/// The documents of one site, as far as they are given.
+#[derive(Clone, Debug, Default)]
+pub struct SiteCheck {
+    daemons: Vec<SiteFile<DaemonSettings>>,
+    accounts: Vec<SiteFile<ResolvedAccounts>>,
+    maps: Vec<SiteFile<ShardMap>>,
+    fleets: Vec<SiteFile<FleetBounds>>,
+}
+
+impl SiteCheck {
+    /// A site without documents.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Checks a document by itself and takes it in.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the document, each with its line; of a JSON value the first.
+    pub fn add(&mut self, file: &str, text: &str) -> Result<DocumentKind, SettingsErrors> {
+        let kind = DocumentKind::of(text);
+        match kind {
+            DocumentKind::Daemon => {
+                let settings = parse_daemon(file, text)?;
+                self.daemons.push(SiteFile::new(file, text, settings));
+            }
+            DocumentKind::Accounts => {
+                let accounts = resolve_accounts(file, text, 0)?;
+                self.accounts.push(SiteFile::new(file, text, accounts));
+            }
+            DocumentKind::ShardMap => {
+                let map = parse_shard_map(file, text)?;
+                self.maps.push(SiteFile::new(file, text, map));
+            }
+            DocumentKind::Fleet => {
+                let bounds = parse_fleet(file, text)?;
+                self.fleets.push(SiteFile::new(file, text, bounds));
+            }
+        }
+        Ok(kind)
+    }
+
+    /// The faults between the documents.
+    pub fn faults(&self) -> Vec<SettingsError> {
+        let mut faults = Vec::new();
+        self.check_collections(&mut faults);
+        self.check_targets(&mut faults);
+        self.check_daemons(&mut faults);
+        self.check_bounds(&mut faults);
+        faults
+    }
+
+    /// Accounts may ask only collections with a map; checked where any map is given.
+    fn check_collections(&self, faults: &mut Vec<SettingsError>) {
+        if self.maps.is_empty() {
+            return;
+        }
+        let mut names: Vec<&str> = self
+            .maps
+            .iter()
+            .map(|map| map.document.collection.as_ref())
+            .collect();
+        names.sort_unstable();
+        for accounts in &self.accounts {
+            let mut errors = ErrorList::new(&accounts.file);
+            for policy in &accounts.document.table.accounts {
+                let unknown = policy
+                    .collections
+                    .iter()
+                    .filter(|name| names.binary_search(&name.as_ref()).is_err());
+                for name in unknown {
+                    let line = collections_line(&accounts.document, &policy.account);
+                    let path = format!("accounts.{}.collections", policy.account);
+                    let found = format!("`{name}`, of which no shard map is given");
+                    errors.add(line, &path, found, names.join(", "));
+                }
+            }
+            faults.extend(errors.into_errors());
+        }
+    }
+
+    fn check_targets(&self, faults: &mut Vec<SettingsError>) {
+        let mut seen: Vec<(TargetId, &str)> = Vec::new();
+        for map in &self.maps {
+            let mut errors = ErrorList::new(&map.file);
+            for entry in &map.document.targets {
+                let target = entry.target;
+                match seen.binary_search_by_key(&target, |known| known.0) {
+                    Ok(position) => {
+                        let found = format!("the number again, first in {}", seen[position].1);
+                        let path = format!("targets[target={target}]");
+                        let line = target_line(&map.text, target);
+                        errors.add(line, &path, found, "numbers that are unique over all maps");
+                    }
+                    Err(position) => seen.insert(position, (target, &map.file)),
+                }
+            }
+            faults.extend(errors.into_errors());
+        }
+    }
+
+    /// Each daemon has a host of its own, and all have one key.
+    fn check_daemons(&self, faults: &mut Vec<SettingsError>) {
+        for (position, daemon) in self.daemons.iter().enumerate() {
+            let mut errors = ErrorList::new(&daemon.file);
+            let host = &daemon.document.host;
+            let earlier = &self.daemons[..position];
+            if let Some(other) = earlier.iter().find(|other| other.document.host == *host) {
+                let found = format!("`{host}` again, first in {}", other.file);
+                errors.add(
+                    field_line(&daemon.text, "host"),
+                    "host",
+                    found,
+                    "each host once",
+                );
+            }
+            if let Some(first) = earlier.first()
+                && first.document.shared_key != daemon.document.shared_key
+            {
+                let found = format!("another key than in {}", first.file);
+                let line = field_line(&daemon.text, "shared_key");
+                errors.add(line, "shared_key", found, "one key for all daemons");
+            }
+            faults.extend(errors.into_errors());
+        }
+    }
+
+    /// The bounds leave room for the daemons that are given.
+    fn check_bounds(&self, faults: &mut Vec<SettingsError>) {
+        let daemons = self.daemons.len();
+        for fleet in &self.fleets {
+            let bound = fleet.document.daemons;
+            if daemons > bound as usize {
+                let mut errors = ErrorList::new(&fleet.file);
+                let found = format!("`{bound}` with {daemons} daemons given");
+                let line = field_line(&fleet.text, "daemons");
+                errors.add(line, "daemons", found, format!("{daemons} or more"));
+                faults.extend(errors.into_errors());
+            }
+        }
+    }
+}
+
+fn collections_line(accounts: &ResolvedAccounts, account: &str) -> usize {
+    let fields = accounts
+        .explanation(account)
+        .map(|explanation| &explanation.fields);
+    let field = fields.and_then(|fields| fields.iter().find(|field| field.name == "collections"));
+    match field.map(|field| &field.origin) {
+        Some(FieldOrigin::Account { line } | FieldOrigin::Template { line, .. }) => *line,
+        _ => 1,
+    }
+}
--- /dev/null
+++ b/settings/tests/site.rs
@@ -0,0 +1,72 @@
+//! Documents that are valid alone and do not go together.
+
+use yuccalift_settings::SiteCheck;
+
+const ACCOUNTS: &str = "\
+templates:
+  race: {collections: [tags]}
+accounts:
+  vets: {template: race}
+  farms:
+    template: race
+    collections: [tags, ewes]
+";
+
+fn daemon(host: &str, key: &str) -> String {
+    format!(
+        "host: {host}\ndata_centre: hue\n\
+         listen: {{callers: '127.0.0.1:1', peers: '127.0.0.1:2', operators: '127.0.0.1:3'}}\n\
+         platform: ['127.0.0.1:4']\nshared_key: {key}\n"
+    )
+}
+
+fn map(collection: &str) -> String {
+    format!(
+        "{{\"collection\": \"{collection}\", \"epoch\": 1,\n\
+         \"shards\": [{{\"shard\": 0, \"replicas\": [7]}}],\n\
+         \"targets\": [\n\
+         {{\"target\": 7, \"address\": \"127.0.0.1:8\", \"data_centre\": \"hue\", \"host\": \"l\",\n\
+         \"slots\": 1, \"connections\": 1, \"connect_ms\": 1}}]}}"
+    )
+}
+
+fn shows(documents: &[(&str, String)], expected: &[&str]) {
+    let mut site = SiteCheck::new();
+    for (file, text) in documents {
+        site.add(file, text).expect("each document is valid alone");
+    }
+    let faults: Vec<String> = site.faults().iter().map(ToString::to_string).collect();
+    assert_eq!(
+        faults, expected,
+        "each fault between the documents, and no other"
+    );
+}
+
+const KEY: &str = "a-key-of-sixteen-or-more";
+
+yuccalift_testkit::cases! {
+    accounts_alone_go: shows(&[("a.yaml", ACCOUNTS.into())], &[]);
+    an_account_without_a_map: shows(
+        &[("a.yaml", ACCOUNTS.into()), ("tags.json", map("tags"))],
+        &["a.yaml:7: accounts.farms.collections: found `ewes`, of which no shard map is given; allowed: tags"],
+    );
+    a_target_in_two_maps: shows(
+        &[("tags.json", map("tags")), ("ewes.json", map("ewes"))],
+        &["ewes.json:4: targets[target=7]: found the number again, first in tags.json; allowed: numbers that are unique over all maps"],
+    );
+    a_host_twice_and_two_keys: shows(
+        &[("1.yaml", daemon("entry-1", KEY)), ("2.yaml", daemon("entry-1", "another-key-of-that-size"))],
+        &[
+            "2.yaml:1: host: found `entry-1` again, first in 1.yaml; allowed: each host once",
+            "2.yaml:5: shared_key: found another key than in 1.yaml; allowed: one key for all daemons",
+        ],
+    );
+    more_daemons_than_the_bound: shows(
+        &[
+            ("1.yaml", daemon("entry-1", KEY)),
+            ("2.yaml", daemon("entry-2", KEY)),
+            ("fleet.json", "{\"daemons\": 1, \"daemons_per_data_centre\": 1}".into()),
+        ],
+        &["fleet.json:1: daemons: found `1` with 2 daemons given; allowed: 2 or more"],
+    );
+}
