Keep one test of the path over processes

Change: one site of processes in cli/tests/process/search.rs; the search keeps the assertions of both, the operators' commands and the daemon's exit statuses keep theirs in the same test program.

--- a/cli/tests/process/search.rs
+++ b/cli/tests/process/search.rs
@@ -1,6 +1,7 @@
 //! The whole path as separate processes: platform, leafs, daemons and callers, over TCP.
 
 use std::net::SocketAddr;
+use std::process::Command;
 use std::time::Instant;
 
 use crate::spawned::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
@@ -8,6 +9,7 @@
 use serde_json::json;
 use yuccalift_core::{SearchAnswer, ShardEntry, ShardMap, TargetEntry};
 use yuccalift_standins::LeafRun;
+use yuccalift_wire::operator::StatusReport;
 
 const ACCOUNTS: &str = "\
 templates:
@@ -22,6 +24,8 @@
     template: race
 ";
 
+const KEY: &str = "a-key-for-these-tests";
+
 /// How many shards the collection has; each is on its own leaf.
 const SHARDS: u32 = 3;
 
@@ -83,7 +87,7 @@
          data_centre: dc-1\n\
          listen:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n\
          platform: [\"{platform}\"]\n\
-         shared_key: test-key-test-key\n\
+         shared_key: {KEY}\n\
          log:\n  format: json\n  level: info\n"
     )
 }
@@ -139,28 +143,63 @@
     serde_json::from_slice(&body).expect("the record is read")
 }
 
+/// The processes of one site: a platform, a leaf for each shard, and a daemon.
+struct SearchSite {
+    platform: SocketAddr,
+    leafs: Vec<LeafProcess>,
+    daemon: TestProcess,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    _platform: TestProcess,
+    _folder: TestFolder,
+}
+
+impl SearchSite {
+    fn start(name: &str) -> Self {
+        let folder = TestFolder::new(name);
+        let arguments = ["standin", "platform", "--listen", "127.0.0.2:0"];
+        let platform_process = TestProcess::yuccalift(&arguments);
+        let platform = platform_process.wait_address("platform ");
+        let leafs: Vec<LeafProcess> = (0..SHARDS).map(LeafProcess::start).collect();
+        let path = folder.write("daemon.yaml", &settings("entry-1", platform));
+        let daemon = TestProcess::yuccaliftd(&path);
+        let started = daemon.wait_line(|line| {
+            let event: serde_json::Value = serde_json::from_str(line).ok()?;
+            (event["number"] == 101).then_some(event)
+        });
+        let listener = |name: &str| {
+            let address = started[name].as_str().expect("the line names the listener");
+            address.parse().expect("an address is logged")
+        };
+        Self {
+            platform,
+            leafs,
+            daemon,
+            callers: listener("callers"),
+            operators: listener("operators"),
+            _platform: platform_process,
+            _folder: folder,
+        }
+    }
+
+    /// Publishes the site and waits until the daemon takes requests.
+    async fn publish(&self, client: &Client) {
+        let map = serde_json::to_string(&shard_map(&self.leafs)).expect("a map has a JSON form");
+        let fleet = json!({"daemons": 2, "daemons_per_data_centre": 2});
+        put_value(client, self.platform, "accounts", ACCOUNTS.to_owned()).await;
+        put_value(client, self.platform, "fleet", fleet.to_string()).await;
+        put_value(client, self.platform, "map/tags", map).await;
+        wait_ready(client, self.callers).await;
+    }
+}
+
 #[test]
 fn a_search_goes_through_processes() {
-    let folder = TestFolder::new("processes");
-    let arguments = ["standin", "platform", "--listen", "127.0.0.2:0"];
-    let platform_process = TestProcess::yuccalift(&arguments);
-    let platform = platform_process.wait_address("platform ");
-    let leafs: Vec<LeafProcess> = (0..SHARDS).map(LeafProcess::start).collect();
-    let path = folder.write("daemon.yaml", &settings("entry-1", platform));
-    let mut daemon_process = TestProcess::yuccaliftd(&path);
-    let daemon: SocketAddr = daemon_process.wait_line(|line| {
-        let event: serde_json::Value = serde_json::from_str(line).ok()?;
-        event.get("callers")?.as_str()?.parse().ok()
-    });
+    let mut site = SearchSite::start("search");
     actix_rt::System::new().block_on(async {
         let client = Client::default();
-        let map = serde_json::to_string(&shard_map(&leafs)).expect("a map has a JSON form");
-        let fleet = json!({"daemons": 2, "daemons_per_data_centre": 2});
-        put_value(&client, platform, "accounts", ACCOUNTS.to_owned()).await;
-        put_value(&client, platform, "fleet", fleet.to_string()).await;
-        put_value(&client, platform, "map/tags", map).await;
-        wait_ready(&client, daemon).await;
-        let answer = search(&client, daemon).await;
+        site.publish(&client).await;
+        let answer = search(&client, site.callers).await;
         assert_eq!(
             answer.request.as_ref(),
             "request-1",
@@ -173,15 +212,51 @@
             answer.coverage
         );
         assert!(answer.complete, "the answer's end is marked");
-        for (leaf, shard) in leafs.iter().zip(0..) {
+        for (leaf, shard) in site.leafs.iter().zip(0..) {
             let runs = read_runs(&client, leaf).await;
             let shards: Vec<u32> = runs.iter().map(|run| run.shard).collect();
             assert_eq!(shards, vec![shard], "each leaf ran its own shard once");
         }
     });
-    daemon_process.signal("-TERM");
+    site.daemon
+        .wait_line(|line| line.contains("\"event\":\"query_planned\"").then_some(()));
+    site.daemon.signal("-TERM");
     assert!(
-        daemon_process.wait_end().success(),
+        site.daemon.wait_end().success(),
         "a graceful stop is a good end"
     );
 }
+
+/// Runs an operator's command that must succeed, and returns what it prints.
+fn operate(arguments: &[&str]) -> String {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yuccalift"));
+    command.args(arguments).env("YUCCALIFT_KEY", KEY);
+    let output = command.output().expect("the command runs");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{arguments:?}: {said}");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+#[test]
+fn operators_see_and_drain_a_daemon_process() {
+    let mut site = SearchSite::start("operators");
+    actix_rt::System::new().block_on(async { site.publish(&Client::default()).await });
+    let operators = site.operators.to_string();
+    let report = operate(&["status", &operators, "--json"]);
+    let report: StatusReport = serde_json::from_str(&report).expect("the report is read");
+    assert!(report.ready, "the daemon says that it is ready");
+    assert!(
+        report.config_version > 0,
+        "it says which configuration it has"
+    );
+    let table = operate(&["status", &operators]);
+    assert!(
+        table.starts_with("host entry-1 in dc-1"),
+        "a table names the host: {table}"
+    );
+    operate(&["drain", &operators]);
+    assert!(
+        site.daemon.wait_end().success(),
+        "a drained daemon ends well"
+    );
+}
--- a/cli/tests/process/spawned.rs
+++ b/cli/tests/process/spawned.rs
@@ -31,9 +31,7 @@
 
     /// Starts `yuccaliftd`, which stands beside `yuccalift`, and reads its log.
     pub fn yuccaliftd(settings: &Path) -> Self {
-        let program = Path::new(env!("CARGO_BIN_EXE_yuccalift")).with_file_name("yuccaliftd");
-        assert!(program.exists(), "yuccaliftd is built with the workspace");
-        let mut command = Command::new(program);
+        let mut command = Command::new(yuccaliftd());
         command.arg(settings).stderr(Stdio::piped());
         let mut child = command.spawn().expect("yuccaliftd starts");
         let stderr = child.stderr.take().expect("its log is piped");
@@ -93,6 +91,13 @@
     }
 }
 
+/// The program `yuccaliftd`, which stands beside `yuccalift`.
+pub fn yuccaliftd() -> PathBuf {
+    let program = Path::new(env!("CARGO_BIN_EXE_yuccalift")).with_file_name("yuccaliftd");
+    assert!(program.exists(), "yuccaliftd is built with the workspace");
+    program
+}
+
 /// Reads lines on a thread of its own, so that the process never waits for its reader.
 fn read_lines(output: impl Read + Send + 'static) -> Receiver<String> {
     let (sender, lines) = channel();
