--- a/core/src/control/news.rs
+++ b/core/src/control/news.rs
@@ -48,7 +48,6 @@
 
 /// An item as it is sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct NewsItem {
     /// What it says.
     #[serde(rename = "k")]
