Give a new daemon no requests before it says that it is ready

Cause: the callers' balancer took a daemon that had just replaced another for ready, so its first request was refused with unknown account; a real balancer asks first. Ruled out: the daemon's own readiness, which came after its accounts.

--- a/standins/src/callers/balancer.rs
+++ b/standins/src/callers/balancer.rs
@@ -30,14 +30,15 @@
 }
 
 impl DaemonList {
-    /// Makes a list of daemons, all taken for ready until they say otherwise.
+    /// Makes a list of daemons.
     pub fn new(daemons: &[SocketAddr]) -> Self {
         let list = Self::default();
         list.replace(daemons);
         list
     }
 
-    /// Replaces the daemons; one that stays keeps its readiness.
+    /// Replaces the daemons; one that stays keeps its readiness, a new one gets requests once it
+    /// has said that it is ready.
     pub fn replace(&self, daemons: &[SocketAddr]) {
         let mut state = self.lock();
         let known = std::mem::take(&mut state.daemons);
@@ -48,7 +49,7 @@
                 ready: known
                     .iter()
                     .find(|daemon| daemon.address == address)
-                    .is_none_or(|daemon| daemon.ready),
+                    .is_some_and(|daemon| daemon.ready),
             })
             .collect();
     }
