--- a/core/tests/engine/targets.rs
+++ b/core/tests/engine/targets.rs
@@ -72,6 +72,20 @@
     baseline_keeps_the_share: share_is_kept(PolicyKind::Baseline);
 }
 
+#[test]
+fn share_told_before_the_map_is_kept() {
+    let mut driver = EngineDriver::new(EngineOptions::new(PolicyKind::Full, 7));
+    let share = TargetShare {
+        target: 0,
+        connections: 7,
+    };
+    driver.tell(EngineEvent::SharesChanged([share].into()));
+    driver.tell(EngineEvent::MapChanged(std::sync::Arc::new(map(1, 1, 2))));
+    let connections = |target: usize| driver.engine.status().targets[target].connections;
+    assert_eq!(connections(0), 7, "it was told");
+    assert_eq!(connections(1), 1, "the least while nothing is told");
+}
+
 #[test]
 fn target_without_a_share_is_not_used() {
     let mut driver = driver(PolicyKind::Full, 2);
@@ -203,6 +217,7 @@
                 lost += 1;
                 driver.fail(&plan, AttemptFailure::NotSent);
             } else {
+                driver.now += Duration::from_millis(1);
                 driver.reply(&plan);
             }
             sends.extend(driver.take_sends());
@@ -234,6 +249,23 @@
     assert!(count_of(&asked, 0) > 0, "until it is back");
 }
 
+#[test]
+fn own_live_report_does_not_lift_what_others_say() {
+    let mut driver = driver(PolicyKind::Full, 2);
+    driver.news(0, TargetNewsKind::Leaving(true));
+    driver.pass(Duration::from_secs(6));
+    driver.news(0, TargetNewsKind::Live);
+    let asked = run_queries(&mut driver, 1, 20, |_| USUAL);
+    assert_eq!(
+        count_of(&asked, 0),
+        0,
+        "its own report lags, so it gets no work"
+    );
+    driver.news(0, TargetNewsKind::Leaving(false));
+    let asked = run_queries(&mut driver, 100, 40, |_| USUAL);
+    assert!(count_of(&asked, 0) > 0, "until nobody says so any more");
+}
+
 #[test]
 fn new_target_starts_gently() {
     let mut driver = driver(PolicyKind::Full, 2);
@@ -269,7 +301,7 @@
     let mut driver = driver(PolicyKind::Full, 2);
     run_queries(&mut driver, 1, 50, |_| USUAL);
     driver.news(0, TargetNewsKind::Load { load: 1.0, age });
-    count_of(&run_queries(&mut driver, 101, 40, |_| Duration::ZERO), 0)
+    count_of(&run_queries(&mut driver, 101, 40, |_| USUAL), 0)
 }
 
 #[test]
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -3,57 +3,39 @@
 //! It decides nothing: it feeds the engine and carries out its actions. Every
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
 
+use std::collections::VecDeque;
 use std::time::Instant;
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
-use yuccalift_core::action::{AttemptCause, AttemptPlan, EngineAction, EngineStatus};
+use yuccalift_core::action::{AttemptPlan, EngineAction};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
 use yuccalift_core::control::NewsKind;
 use yuccalift_core::event::{AttemptFailure, EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::{QueryId, TargetId};
 use yuccalift_core::stall_clock::StallClock;
-use yuccalift_core::{
-    EngineDecision, PolicyKind, Refusal, SearchAnswer, SearchEngine, SearchRequest,
-};
+use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine};
 
 use crate::control::AnnounceNews;
 use crate::control::force_service::DRAINING_LIFE;
-use crate::decision_log::{log_answer, log_decision, log_refusal};
 use crate::events::LogEvent;
-use crate::metrics::{DaemonMetric, MetricsClient};
+use crate::metrics::MetricsClient;
+use crate::quarantine_desk::{DeskStep, QuarantineDesk};
 use crate::target_links::TargetLinks;
 
+mod messages;
+mod notes;
+
+pub(crate) use messages::TargetTold;
+pub use messages::{FeedEngine, GetStatus, SetNewsRoute, StatusAnswer, SubmitRequest, TakeNotice};
+use notes::LaneNotes;
+
 /// The name under which the lane's address is published.
 pub const LANE_SERVICE: &str = "lane";
 
 /// How many messages the lane's mailbox holds before senders are refused.
 const MAILBOX_MESSAGES: usize = 4096;
 
-/// Asks the lane to run a request; the answer or refusal comes through `reply`.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct SubmitRequest {
-    /// The request.
-    pub request: SearchRequest,
-    /// Where the answer goes.
-    pub reply: oneshot::Sender<Result<SearchAnswer, Refusal>>,
-}
-
-/// Feeds the engine an event.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct FeedEngine(pub EngineEvent);
-
-/// Asks what the engine holds.
-#[derive(Debug, Message)]
-#[rtype(result = "StatusAnswer")]
-pub struct GetStatus;
-
-/// The answer to [`GetStatus`].
-#[derive(Debug, actix::MessageResponse)]
-pub struct StatusAnswer(pub EngineStatus);
-
 /// A caller whose request is in the engine.
 struct WaitingCaller {
     query: QueryId,
@@ -69,29 +51,17 @@
     event: EngineEvent,
 }
 
-/// Tells the lane where its news for other daemons goes.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct SetNewsRoute(pub Recipient<AnnounceNews>);
-
-/// What a task learnt of a target beside its calls.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub(crate) struct TargetTold {
-    /// The target.
-    pub(crate) target: TargetId,
-    /// The news.
-    pub(crate) news: Vec<TargetNewsKind>,
-}
-
 /// The actor that runs the engine.
 pub struct EngineLane {
     engine: SearchEngine,
-    metrics: MetricsClient,
+    notes: LaneNotes,
     callers: Vec<WaitingCaller>,
     links: TargetLinks,
     stall: StallClock,
     news: Option<Recipient<AnnounceNews>>,
+    desk: QuarantineDesk,
+    /// Events that wait until the one in work is done.
+    events: VecDeque<EngineEvent>,
     actions: Vec<EngineAction>,
     wake: Option<ScheduledWake>,
 }
@@ -117,7 +87,9 @@
     pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>, metrics: MetricsClient) -> Self {
         Self {
             engine: SearchEngine::new(policy, seed),
-            metrics,
+            desk: QuarantineDesk::new(metrics.clone()),
+            events: VecDeque::new(),
+            notes: LaneNotes::new(metrics),
             callers: Vec::new(),
             links: TargetLinks::new(sender),
             stall: StallClock::new(Instant::now()),
@@ -147,28 +119,68 @@
     }
 
     fn handle_event(&mut self, now: Instant, event: EngineEvent, context: &mut Context<Self>) {
-        let mut actions = std::mem::take(&mut self.actions);
-        self.engine.handle(now, event, &mut actions);
-        for action in actions.drain(..) {
-            self.carry_out(action, context);
+        self.events.push_back(event);
+        self.handle_waiting(now, context);
+    }
+
+    fn handle_waiting(&mut self, now: Instant, context: &mut Context<Self>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.engine.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, context);
+            }
+            self.actions = actions;
         }
-        self.actions = actions;
     }
 
-    fn carry_out(&mut self, action: EngineAction, context: &mut Context<Self>) {
+    fn carry_out(&mut self, now: Instant, action: EngineAction, context: &mut Context<Self>) {
         match action {
-            EngineAction::Send(plan) => self.send(plan, context),
-            EngineAction::Cancel { attempt, target } => self.links.cancel(attempt, target),
+            EngineAction::Send(plan) => {
+                self.ask_desk(context, |desk, steps| desk.offer(now, plan, steps));
+            }
+            EngineAction::Cancel { attempt, target } => {
+                let cancel = |desk: &mut QuarantineDesk, steps: &mut Vec<DeskStep>| {
+                    desk.cancel(now, attempt, steps)
+                };
+                if !self.ask_desk(context, cancel) {
+                    self.links.cancel(attempt, target);
+                }
+            }
             EngineAction::Answer { query, answer } => self.reply(query, Ok(answer)),
             EngineAction::Refuse { query, refusal } => self.reply(query, Err(refusal)),
-            EngineAction::Decided(decision) => self.note_decision(&decision),
+            EngineAction::Decided(decision) => self.notes.decision(&decision),
         }
     }
 
+    /// Asks the quarantine desk, and takes the steps that it wants; its events wait for their turn.
+    fn ask_desk<T>(
+        &mut self,
+        context: &mut Context<Self>,
+        question: impl FnOnce(&mut QuarantineDesk, &mut Vec<DeskStep>) -> T,
+    ) -> T {
+        let mut steps = Vec::new();
+        let answer = question(&mut self.desk, &mut steps);
+        for step in steps {
+            match step {
+                DeskStep::Send(plan) => self.send(plan, context),
+                DeskStep::Feed(event) => self.events.push_back(event),
+            }
+        }
+        answer
+    }
+
+    /// Lets the desk do what is due.
+    fn tick_desk(&mut self, context: &mut Context<Self>) {
+        let now = Instant::now();
+        self.ask_desk(context, |desk, steps| desk.tick(now, steps));
+        self.handle_waiting(now, context);
+    }
+
     /// Starts a call as a task of its own. The actor's own futures are all polled whenever one of
     /// them wakes, which a fan-out of hundreds would pay for with each reply.
     fn send(&mut self, plan: AttemptPlan, context: &mut Context<Self>) {
-        self.note_attempt(plan.cause);
+        self.notes.attempt(plan.cause);
         let target = plan.target;
         let client = self.links.client(target, plan.address);
         let lane = context.address();
@@ -196,52 +208,15 @@
             return;
         };
         let caller = self.callers.remove(position);
-        self.note_end(query, caller.since, &result);
+        self.notes.end(query, caller.since, &result);
         let _caller_may_have_gone = caller.reply.send(result);
     }
 
-    fn note_decision(&self, decision: &EngineDecision) {
-        log_decision(decision);
-        match decision {
-            EngineDecision::Planned { .. } => self.metrics.count(DaemonMetric::QueriesPlanned, 1),
-            EngineDecision::Ejected { .. } => self.metrics.count(DaemonMetric::TargetsEjected, 1),
-            _ => {}
-        }
-    }
-
-    fn note_attempt(&self, cause: AttemptCause) {
-        self.metrics.count(DaemonMetric::LeafRequests, 1);
-        match cause {
-            AttemptCause::First => {}
-            AttemptCause::Hedge => self.metrics.count(DaemonMetric::LeafHedges, 1),
-            AttemptCause::Retry => self.metrics.count(DaemonMetric::LeafRetries, 1),
-        }
-    }
-
-    fn note_end(&self, query: QueryId, since: Instant, result: &Result<SearchAnswer, Refusal>) {
-        let took = since.elapsed();
-        match result {
-            Ok(answer) => {
-                log_answer(query, &answer.coverage, took);
-                let coverage = &answer.coverage;
-                self.metrics.count(DaemonMetric::QueriesAnswered, 1);
-                self.metrics.time(DaemonMetric::QueryTime, took);
-                let asked = u64::from(coverage.asked);
-                self.metrics.count(DaemonMetric::ShardsAsked, asked);
-                let missing = coverage.missing.len() as u64;
-                self.metrics.count(DaemonMetric::ShardsMissing, missing);
-            }
-            Err(refusal) => {
-                log_refusal(query, refusal);
-                self.metrics.count(DaemonMetric::QueriesRefused, 1);
-            }
-        }
-    }
-
     /// Keeps one wake-up pending, no later than the engine asks for. One that comes too early does
     /// no harm, and costs less than to be moved with each reply.
     fn schedule_wake(&mut self, context: &mut Context<Self>) {
-        let Some(due) = self.engine.next_wake() else {
+        let wakes = [self.engine.next_wake(), self.desk.next_wake(Instant::now())];
+        let Some(due) = wakes.into_iter().flatten().min() else {
             return;
         };
         if let Some(wake) = self.wake {
@@ -253,6 +228,7 @@
         let delay = due.saturating_duration_since(Instant::now());
         let handle = context.run_later(delay, |lane, context| {
             lane.wake = None;
+            lane.tick_desk(context);
             lane.feed(EngineEvent::Tick, context);
         });
         self.wake = Some(ScheduledWake { due, handle });
@@ -281,13 +257,18 @@
             EngineEvent::MapChanged(map) => self.links.put_map(map, &context.address()),
             EngineEvent::MapRemoved(name) => self.links.remove_map(name, &context.address()),
             EngineEvent::Paused(_) => self.links.suspect_all(),
+            EngineEvent::Quarantine { fingerprint, held } => {
+                let now = Instant::now();
+                self.ask_desk(context, |desk, steps| {
+                    desk.set_held(now, *fingerprint, *held, steps);
+                });
+            }
             EngineEvent::Submit(_)
             | EngineEvent::Reply(_)
             | EngineEvent::Failed { .. }
             | EngineEvent::Tick
             | EngineEvent::AccountsChanged(_)
             | EngineEvent::TargetNews(_)
-            | EngineEvent::Quarantine { .. }
             | EngineEvent::Stopping => {}
         }
     }
@@ -313,6 +294,8 @@
         {
             self.announce_drain(msg.target);
         }
+        let now = Instant::now();
+        self.ask_desk(ctx, |desk, steps| desk.follow(now, &msg.event, steps));
         self.feed(msg.event, ctx);
     }
 }
@@ -321,10 +304,22 @@
     type Result = ();
 
     fn handle(&mut self, msg: SetNewsRoute, _ctx: &mut Self::Context) {
+        self.desk.use_news(msg.0.clone());
         self.news = Some(msg.0);
     }
 }
 
+impl Handler<TakeNotice> for EngineLane {
+    type Result = ();
+
+    fn handle(&mut self, msg: TakeNotice, ctx: &mut Self::Context) {
+        let now = Instant::now();
+        self.ask_desk(ctx, |desk, steps| desk.learn(now, &msg.0, steps));
+        self.handle_waiting(now, ctx);
+        self.schedule_wake(ctx);
+    }
+}
+
 impl Handler<TargetTold> for EngineLane {
     type Result = ();
 
