Fold the second test program over processes into the one, with one support

Cause: two programs of tests over processes had come from two hands, with two supports that did the same. Folding them showed a second fault: a test of the package alone tested whichever yuccaliftd lay beside it. Change: the search and the drain share one site of stand-in processes, the command line of yuccaliftd has a module, and every assertion is kept; the check of the event's name is now one on the parsed field. The support has cargo bring yuccaliftd up to date once before its first use; it used to build it where it was missing, or not at all. Conclusion: no test over processes can pass or fail by a daemon of another commit.

--- a/cli/tests/process/search.rs
+++ b/cli/tests/process/search.rs
@@ -1,6 +1,7 @@
 //! The whole path as separate processes: platform, leafs, daemons and callers, over TCP.
 
 use std::net::SocketAddr;
+use std::process::Command;
 use std::time::Instant;
 
 use crate::spawned::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
@@ -8,6 +9,7 @@
 use serde_json::json;
 use yuccalift_core::{SearchAnswer, ShardEntry, ShardMap, TargetEntry};
 use yuccalift_standins::LeafRun;
+use yuccalift_wire::operator::StatusReport;
 
 const ACCOUNTS: &str = "\
 templates:
@@ -22,35 +24,53 @@
     template: race
 ";
 
+/// The key of peers and operators.
+const KEY: &str = "test-key-test-key";
 /// How many shards the collection has; each is on its own leaf.
 const SHARDS: u32 = 3;
 
-/// A leaf process with its two addresses.
+/// The platform and the leafs, as processes.
+struct ProcessSite {
+    _platform_process: TestProcess,
+    platform: SocketAddr,
+    leafs: Vec<LeafProcess>,
+}
+
 struct LeafProcess {
-    _process: TestProcess,
+    process: TestProcess,
     address: SocketAddr,
-    admin: SocketAddr,
+}
+
+impl ProcessSite {
+    /// Starts stand-ins with options beside those that every test needs.
+    fn start(platform_options: &[&str], leaf_options: &[&str]) -> Self {
+        let arguments = [&["standin", "platform"], platform_options].concat();
+        let platform_process = TestProcess::yuccalift(&arguments);
+        Self {
+            platform: platform_process.wait_address("platform "),
+            _platform_process: platform_process,
+            leafs: (0..SHARDS)
+                .map(|shard| LeafProcess::start(shard, leaf_options))
+                .collect(),
+        }
+    }
+
+    async fn publish(&self, client: &Client) {
+        let map = serde_json::to_string(&shard_map(&self.leafs)).expect("a map has a JSON form");
+        let fleet = json!({"daemons": 3, "daemons_per_data_centre": 3});
+        put_value(client, self.platform, "accounts", ACCOUNTS.to_owned()).await;
+        put_value(client, self.platform, "fleet", fleet.to_string()).await;
+        put_value(client, self.platform, "map/tags", map).await;
+    }
 }
 
 impl LeafProcess {
-    fn start(shard: u32) -> Self {
+    fn start(shard: u32, options: &[&str]) -> Self {
         let shard = shard.to_string();
-        let arguments = [
-            "standin",
-            "leaf",
-            "--admin",
-            "127.0.0.2:0",
-            "--shards",
-            &shard,
-        ];
+        let arguments = [&["standin", "leaf", "--shards", &shard], options].concat();
         let process = TestProcess::yuccalift(&arguments);
         let address = process.wait_address("leaf ");
-        let admin = process.wait_address("admin ");
-        Self {
-            _process: process,
-            address,
-            admin,
-        }
+        Self { process, address }
     }
 }
 
@@ -83,8 +103,9 @@
          data_centre: dc-1\n\
          listen:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n\
          platform: [\"{platform}\"]\n\
-         shared_key: test-key-test-key\n\
-         log:\n  format: json\n  level: info\n"
+         shared_key: {KEY}\n\
+         log:\n  format: json\n  level: info\n\
+         stop_timeout: 10s\n"
     )
 }
 
@@ -133,55 +154,113 @@
 }
 
 async fn read_runs(client: &Client, leaf: &LeafProcess) -> Vec<LeafRun> {
-    let url = format!("http://{}/admin/runs", leaf.admin);
+    let admin = leaf.process.wait_address("admin ");
+    let url = format!("http://{admin}/admin/runs");
     let mut response = client.get(url).send().await.expect("the leaf answers");
     let body = response.body().await.expect("the body is whole");
     serde_json::from_slice(&body).expect("the record is read")
 }
 
+/// Where a daemon listens, from its first log line.
+struct DaemonListeners {
+    callers: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl DaemonListeners {
+    fn read(daemon: &TestProcess) -> Self {
+        let line = daemon.wait_line(|line| {
+            let line: serde_json::Value = serde_json::from_str(line).expect("a log line is JSON");
+            (line["event"] == "daemon_started").then_some(line)
+        });
+        assert_eq!(line["number"], 101, "the line has its number");
+        let address = |name: &str| {
+            let text = line[name].as_str().expect("the line names the listener");
+            text.parse().expect("an address is logged")
+        };
+        Self {
+            callers: address("callers"),
+            operators: address("operators"),
+        }
+    }
+}
+
+async fn answered_whole(client: &Client, daemon: SocketAddr) {
+    let answer = search(client, daemon).await;
+    assert_eq!(
+        answer.request.as_ref(),
+        "request-1",
+        "the caller's request is answered"
+    );
+    assert_eq!(answer.coverage.asked, SHARDS, "every shard is asked");
+    assert!(
+        answer.coverage.is_whole(),
+        "every shard answers: {:?}",
+        answer.coverage
+    );
+    assert!(answer.complete, "the answer's end is marked");
+}
+
+/// Runs a command of operators to its end, and returns what it printed.
+fn operate(arguments: &[&str]) -> String {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yuccalift"));
+    let output = command.args(arguments).env("YUCCALIFT_KEY", KEY).output();
+    let output = output.expect("the command runs");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{arguments:?}: {said}");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
 #[test]
 fn a_search_goes_through_processes() {
-    let folder = TestFolder::new("processes");
-    let arguments = ["standin", "platform", "--listen", "127.0.0.2:0"];
-    let platform_process = TestProcess::yuccalift(&arguments);
-    let platform = platform_process.wait_address("platform ");
-    let leafs: Vec<LeafProcess> = (0..SHARDS).map(LeafProcess::start).collect();
-    let path = folder.write("daemon.yaml", &settings("entry-1", platform));
-    let mut daemon_process = TestProcess::yuccaliftd(&path);
-    let daemon: SocketAddr = daemon_process.wait_line(|line| {
-        let event: serde_json::Value = serde_json::from_str(line).ok()?;
-        event.get("callers")?.as_str()?.parse().ok()
-    });
+    let folder = TestFolder::new("search");
+    let site = ProcessSite::start(&["--listen", "127.0.0.2:0"], &["--admin", "127.0.0.2:0"]);
+    let path = folder.write("daemon.yaml", &settings("entry-1", site.platform));
+    let mut daemon = TestProcess::yuccaliftd(&path);
+    let listeners = DaemonListeners::read(&daemon);
     actix_rt::System::new().block_on(async {
         let client = Client::default();
-        let map = serde_json::to_string(&shard_map(&leafs)).expect("a map has a JSON form");
-        let fleet = json!({"daemons": 2, "daemons_per_data_centre": 2});
-        put_value(&client, platform, "accounts", ACCOUNTS.to_owned()).await;
-        put_value(&client, platform, "fleet", fleet.to_string()).await;
-        put_value(&client, platform, "map/tags", map).await;
-        wait_ready(&client, daemon).await;
-        let answer = search(&client, daemon).await;
-        assert_eq!(
-            answer.request.as_ref(),
-            "request-1",
-            "the caller's request is answered"
-        );
-        assert_eq!(answer.coverage.asked, SHARDS, "every shard is asked");
-        assert!(
-            answer.coverage.is_whole(),
-            "every shard answers: {:?}",
-            answer.coverage
-        );
-        assert!(answer.complete, "the answer's end is marked");
-        for (leaf, shard) in leafs.iter().zip(0..) {
+        site.publish(&client).await;
+        wait_ready(&client, listeners.callers).await;
+        answered_whole(&client, listeners.callers).await;
+        for (leaf, shard) in site.leafs.iter().zip(0..) {
             let runs = read_runs(&client, leaf).await;
             let shards: Vec<u32> = runs.iter().map(|run| run.shard).collect();
             assert_eq!(shards, vec![shard], "each leaf ran its own shard once");
         }
     });
-    daemon_process.signal("-TERM");
+    daemon.signal("-TERM");
+    assert!(daemon.wait_end().success(), "a graceful stop is a good end");
+}
+
+#[test]
+fn operators_see_a_daemon_that_serves_and_drain_it() {
+    let folder = TestFolder::new("drain");
+    let site = ProcessSite::start(&[], &[]);
+    let path = folder.write("daemon.yaml", &settings("entry-1", site.platform));
+    let mut daemon = TestProcess::yuccaliftd(&path);
+    let listeners = DaemonListeners::read(&daemon);
+    actix_rt::System::new().block_on(async {
+        let client = Client::default();
+        site.publish(&client).await;
+        wait_ready(&client, listeners.callers).await;
+        answered_whole(&client, listeners.callers).await;
+    });
+    daemon.wait_line(|line| line.contains("\"event\":\"query_planned\"").then_some(()));
+
+    let operator = listeners.operators.to_string();
+    let report = operate(&["status", &operator, "--json"]);
+    let report: StatusReport = serde_json::from_str(&report).expect("the report is read");
+    assert!(report.ready, "the daemon says that it is ready");
+    assert!(
+        report.config_version > 0,
+        "it says which configuration it has"
+    );
+    let table = operate(&["status", &operator]);
     assert!(
-        daemon_process.wait_end().success(),
-        "a graceful stop is a good end"
+        table.starts_with("host entry-1 in dc-1"),
+        "a table names the host: {table}"
     );
+    operate(&["drain", &operator]);
+    assert!(daemon.wait_end().success(), "the daemon ends well");
 }
--- a/cli/tests/process/spawned.rs
+++ b/cli/tests/process/spawned.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::LazyLock;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -31,9 +32,7 @@
 
     /// Starts `yuccaliftd`, which stands beside `yuccalift`, and reads its log.
     pub fn yuccaliftd(settings: &Path) -> Self {
-        let program = Path::new(env!("CARGO_BIN_EXE_yuccalift")).with_file_name("yuccaliftd");
-        assert!(program.exists(), "yuccaliftd is built with the workspace");
-        let mut command = Command::new(program);
+        let mut command = Command::new(yuccaliftd());
         command.arg(settings).stderr(Stdio::piped());
         let mut child = command.spawn().expect("yuccaliftd starts");
         let stderr = child.stderr.take().expect("its log is piped");
@@ -93,6 +92,40 @@
     }
 }
 
+/// The `yuccaliftd` binary, which stands beside `yuccalift`.
+///
+/// It is of another package, so that a test of this package alone does not build it; a binary that
+/// is left from an earlier build would be tested in its place. So cargo brings it up to date once,
+/// before the first use; after a build of the whole workspace that is no work.
+pub fn yuccaliftd() -> &'static Path {
+    static PROGRAM: LazyLock<PathBuf> = LazyLock::new(|| {
+        let path = Path::new(env!("CARGO_BIN_EXE_yuccalift")).with_file_name("yuccaliftd");
+        build_daemon(&path);
+        path
+    });
+    &PROGRAM
+}
+
+fn build_daemon(path: &Path) {
+    let target = path
+        .parent()
+        .and_then(Path::parent)
+        .expect("a target directory");
+    let profile = if cfg!(debug_assertions) {
+        "dev"
+    } else {
+        "release"
+    };
+    let mut command = Command::new(env!("CARGO"));
+    command
+        .args(["build", "--locked", "--workspace", "--bin", "yuccaliftd"])
+        .args(["--profile", profile, "--target-dir"])
+        .arg(target)
+        .current_dir(env!("CARGO_MANIFEST_DIR"));
+    let status = command.status().expect("cargo runs");
+    assert!(status.success(), "the daemon is built");
+}
+
 /// Reads lines on a thread of its own, so that the process never waits for its reader.
 fn read_lines(output: impl Read + Send + 'static) -> Receiver<String> {
     let (sender, lines) = channel();
