Say why no experiment pauses a daemon, and where pauses are tested

Cause: the list of experiments has no case `pause`, and nothing said why. Ruled out: stopping the threads of one daemon, which no call of the system does from the same process; a link that holds bytes back, since the daemon's clocks and timers would run on; daemons as processes, since the programs start no other program. Conclusion: pauses are proved by tests over processes, and have no figures of latency.

--- a/cli/src/experiment.rs
+++ b/cli/src/experiment.rs
@@ -7,6 +7,11 @@
 //! - [`spread`]: how a change of the configuration spreads over many control planes.
 //! - [`partition`]: the same while a data centre is cut off.
 //! - [`report`]: several runs of many cases, as tables and plots.
+//!
+//! There is no case `pause`: the daemons run as threads of this process, and threads can't be
+//! stopped alone. A link that holds bytes back would not show it, since a paused daemon's clocks
+//! and timers stand still as well. `cli/tests/process/daemon_faults.rs` pauses daemons that are
+//! processes of their own, and holds their callers' results against what the leafs ran.
 
 use std::io::IsTerminal;
 use std::time::Duration;
@@ -41,6 +46,8 @@
 NAME is a case of the list, or a pair such as crest+straggler: the fleet and the load of the
 first, with the faults of both. With --json each run prints one JSON object on one line.
 The report runs the named cases, or all, with several seeds, and writes report.md and plots.
+A pause of a daemon is no case: the daemons here are threads, which can't be stopped alone. The
+tests over processes stop and wake them: cargo test -p yuccalift --test process daemon_faults
 Exit status 1 if a run broke a promise.
 ";
 
