Count ejected targets anew where it matters

Change: the count is made when a target is to be ejected, which is rare, and a target without work is not ejected.

--- a/core/src/engine/collection.rs
+++ b/core/src/engine/collection.rs
@@ -17,8 +17,6 @@
     pub(crate) latencies: LatencyHistogram,
     /// The queries that wait for it.
     pub(crate) queue: AdmissionQueue,
-    /// How many of its targets are ejected.
-    pub(crate) ejected: u32,
 }
 
 impl CollectionState {
--- a/core/src/engine/ejection.rs
+++ b/core/src/engine/ejection.rs
@@ -10,6 +10,7 @@
 use crate::engine::SearchEngine;
 use crate::engine::latency::{LatencyAverage, LatencyQuantiles};
 use crate::engine::query::LiveAttempt;
+use crate::engine::slots::Slot;
 use crate::engine::target::TargetState;
 use crate::engine::timers::{TargetRef, TimerKind};
 use crate::ids::AttemptId;
@@ -25,7 +26,7 @@
 /// How long after its return a target is on probation, where one slow reply ejects it again.
 const PROBATION: Duration = Duration::from_secs(10);
 /// One in so many targets of a collection may be ejected at once.
-const GROUP_PART: u32 = 5;
+const GROUP_PART: usize = 5;
 
 impl SearchEngine {
     /// Learns from a reply that is there, wanted or not.
@@ -172,9 +173,6 @@
         let period = FIRST_EJECTION * (1 << state.ejections.min(MOST_DOUBLINGS));
         state.ejections += 1;
         state.ejected_until = Some(now + period);
-        if let Some(collection) = self.collections.get_mut(state.collection) {
-            collection.ejected += 1;
-        }
         self.timers.add(now + period, TimerKind::Target(target));
         self.look_at_flights(now, target);
         let target = target.target;
@@ -184,29 +182,41 @@
         }));
     }
 
-    /// Whether a target can be spared: by its group, and by each of its shards.
+    /// Whether a target can be spared: by each of its shards, and by its group.
     fn may_eject(&self, target: TargetRef) -> bool {
         let Some(state) = self.targets.get(target) else {
             return false;
         };
-        if state.is_ejected() {
-            return false;
-        }
-        let Some(collection) = self.collections.get(state.collection) else {
-            return false;
-        };
-        let group = collection
-            .current
-            .and_then(|plan| self.plans.get(plan))
-            .map_or(0, |plan| plan.map.targets.len() as u32);
-        if collection.ejected + 1 > (group / GROUP_PART).max(1) {
+        if state.is_ejected() || !state.is_usable() {
             return false;
         }
         let mean = state.latency.mean().unwrap_or_default();
-        state.hosted.iter().all(|hosted| {
+        let spared = state.hosted.iter().all(|hosted| {
             self.can_spare(target, hosted.plan, hosted.position)
                 && self.is_slowest(target, mean, hosted.plan, hosted.position)
-        })
+        });
+        spared && self.can_group_spare(state.collection)
+    }
+
+    /// Whether so few targets of a collection are ejected that it can be one more.
+    fn can_group_spare(&self, collection: Slot) -> bool {
+        let plan = self
+            .collections
+            .get(collection)
+            .and_then(|collection| collection.current)
+            .and_then(|plan| self.plans.get(plan));
+        let Some(plan) = plan else {
+            return false;
+        };
+        let group = plan.map.targets.len();
+        // Counted anew each time: it is rare, and a count kept beside the targets could go astray.
+        let ejected = plan
+            .map
+            .targets
+            .iter()
+            .filter_map(|entry| self.targets.get(self.targets.find(entry.target)?))
+            .filter(|state| state.is_ejected());
+        ejected.count() < (group / GROUP_PART).max(1)
     }
 
     /// Whether a target is far slower than each other replica of a shard that has work. Where they
@@ -269,9 +279,6 @@
             state.readmitted_at = Some(now);
             state.latency = LatencyAverage::default();
             state.limit.begin_gently();
-            if let Some(collection) = self.collections.get_mut(state.collection) {
-                collection.ejected -= 1;
-            }
             let target = target.target;
             actions.push(EngineAction::Decided(EngineDecision::Readmitted { target }));
         }
--- a/core/src/engine/maps.rs
+++ b/core/src/engine/maps.rs
@@ -86,7 +86,6 @@
         for entry in &map.targets {
             let home = &self.options.data_centre;
             let local = home.is_empty() || *home == entry.data_centre;
-            self.leave_other_group(entry.target, collection);
             let (target, fresh) = self.targets.learn(entry, collection, adaptive, local);
             targets.push(target);
             if let Some(state) = self.targets.get_mut(target) {
@@ -111,20 +110,6 @@
         slot
     }
 
-    /// Ends what a target's former collection counts of it, if it comes from another one.
-    fn leave_other_group(&mut self, target: TargetId, collection: Slot) {
-        let Some(target) = self.targets.find(target) else {
-            return;
-        };
-        let moved = self
-            .targets
-            .get(target)
-            .is_some_and(|state| state.collection != collection);
-        if moved {
-            self.leave_group(target);
-        }
-    }
-
     fn note_hosted(&mut self, slot: Slot) {
         let Some(plan) = self.plans.get(slot) else {
             return;
@@ -234,24 +219,10 @@
         };
         state.listed -= 1;
         if state.listed == 0 {
-            self.leave_group(target);
             self.note_changed(target);
         }
     }
 
-    /// Ends the ejection of a target that leaves its collection, which counts its ejected ones.
-    fn leave_group(&mut self, target: TargetRef) {
-        let Some(state) = self.targets.get_mut(target) else {
-            return;
-        };
-        if state.ejected_until.take().is_none() {
-            return;
-        }
-        if let Some(collection) = self.collections.get_mut(state.collection) {
-            collection.ejected -= 1;
-        }
-    }
-
     /// Ends one query's use of a plan.
     pub(super) fn release_plan(&mut self, slot: Slot) {
         let Some(plan) = self.plans.get_mut(slot) else {
--- a/core/src/engine/news.rs
+++ b/core/src/engine/news.rs
@@ -181,7 +181,6 @@
             state.forget_aged();
         }
         for (_, collection) in self.collections.iter_mut() {
-            collection.ejected = 0;
             collection.latencies.clear();
         }
         for (_, plan) in self.plans.iter_mut() {
