--- a/core/src/engine/mod.rs
+++ b/core/src/engine/mod.rs
@@ -56,7 +56,7 @@
 use crate::engine::slots::{KeyIndex, Slot, SlotTable};
 use crate::engine::target::{HostedShard, TargetTable};
 use crate::engine::timers::{QueryRef, TargetRef, TimerQueue};
-use crate::event::{EngineEvent, TargetShare};
+use crate::event::{AttemptFailure, EngineEvent, TargetShare};
 use crate::ids::{CollectionName, Fingerprint};
 
 pub use options::{EngineOptions, PolicyKind, ProtectionSet};
@@ -139,12 +139,33 @@
     /// [`EngineEvent::Failed`] of its attempt, also after [`EngineAction::Cancel`]; until then the
     /// attempt counts against its target's connections.
     pub fn handle(&mut self, now: Instant, event: EngineEvent, actions: &mut Vec<EngineAction>) {
-        if let EngineEvent::Paused(_) = event {
-            // Beliefs go first, so that no timer that came due in the pause acts on them.
-            self.forget_aged(now);
+        // News goes before the timers: what is due must not act on what is known to be over.
+        let news = is_news(&event);
+        if news {
+            self.take_event(now, event, actions);
+            self.run_timers(now, actions);
+        } else {
+            self.learn_draining(now, &event);
+            self.run_timers(now, actions);
+            self.settle(now, actions);
+            self.take_event(now, event, actions);
         }
-        self.run_timers(now, actions);
         self.settle(now, actions);
+        self.count_event();
+    }
+
+    /// A refusal that tells of a target's leaving is news as well.
+    fn learn_draining(&mut self, now: Instant, event: &EngineEvent) {
+        let EngineEvent::Failed { attempt, failure } = event else {
+            return;
+        };
+        let target = self.attempts.get(*attempt).map(|entry| entry.target);
+        if let (AttemptFailure::Draining, Some(target)) = (failure, target) {
+            self.set_draining(now, target);
+        }
+    }
+
+    fn take_event(&mut self, now: Instant, event: EngineEvent, actions: &mut Vec<EngineAction>) {
         match event {
             EngineEvent::Submit(request) => self.submit(now, request, actions),
             EngineEvent::CallerGone { query } => self.drop_caller(query, actions),
@@ -152,7 +173,7 @@
             EngineEvent::Failed { attempt, failure } => {
                 self.take_failure(now, attempt, &failure, actions);
             }
-            EngineEvent::Tick | EngineEvent::Paused(_) => {}
+            EngineEvent::Tick => {}
             EngineEvent::MapChanged(map) => self.put_map(now, &map),
             EngineEvent::MapRemoved(name) => self.remove_map(&name, actions),
             EngineEvent::AccountsChanged(accounts) => self.accounts.put(&accounts),
@@ -161,10 +182,9 @@
             EngineEvent::Quarantine { fingerprint, held } => {
                 self.put_quarantine(fingerprint, held, actions);
             }
+            EngineEvent::Paused(_) => self.forget_aged(now),
             EngineEvent::Stopping => self.stopping = true,
         }
-        self.settle(now, actions);
-        self.count_event();
     }
 
     /// When the engine wants the next [`EngineEvent::Tick`], if at all.
@@ -233,6 +253,25 @@
     }
 }
 
+/// Whether an event tells of a state that others depend on, and sends nothing by itself.
+fn is_news(event: &EngineEvent) -> bool {
+    match event {
+        EngineEvent::MapChanged(_)
+        | EngineEvent::MapRemoved(_)
+        | EngineEvent::AccountsChanged(_)
+        | EngineEvent::SharesChanged(_)
+        | EngineEvent::TargetNews(_)
+        | EngineEvent::Quarantine { .. }
+        | EngineEvent::Paused(_)
+        | EngineEvent::Stopping => true,
+        EngineEvent::Submit(_)
+        | EngineEvent::CallerGone { .. }
+        | EngineEvent::Reply(_)
+        | EngineEvent::Failed { .. }
+        | EngineEvent::Tick => false,
+    }
+}
+
 fn target_status(state: &target::TargetState) -> TargetStatus {
     TargetStatus {
         target: state.entry.target,
