--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -4,7 +4,7 @@
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
 
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
@@ -17,11 +17,10 @@
 use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine};
 
 use crate::control::AnnounceNews;
-use crate::control::force_service::DRAINING_LIFE;
 use crate::events::LogEvent;
 use crate::metrics::MetricsClient;
 use crate::quarantine_desk::{DeskStep, QuarantineDesk};
-use crate::target_links::TargetLinks;
+use crate::target_links::{DRAIN_NEWS_LIFE, TargetLinks};
 
 mod messages;
 mod notes;
@@ -191,11 +190,14 @@
     }
 
     /// Tells the other daemons that a target itself says that it drains.
-    fn announce_drain(&self, target: TargetId) {
+    fn announce_drain(&mut self, target: TargetId) {
+        if !self.links.note_drain(target, Instant::now()) {
+            return;
+        }
         if let Some(news) = &self.news {
             news.do_send(AnnounceNews {
                 kind: NewsKind::Draining(target),
-                life: DRAINING_LIFE,
+                life: DRAIN_NEWS_LIFE,
             });
         }
     }
--- a/daemon/src/listener.rs
+++ b/daemon/src/listener.rs
@@ -46,6 +46,10 @@
 
 /// Serves a bound listener on threads of its own; `routes` adds what it answers.
 ///
+/// A connection that its caller has closed ends its call at once, so that nobody works for a
+/// caller that has gone. A caller that closes only its half is taken for gone as well; the two
+/// can't be told apart before an answer is written.
+///
 /// # Errors
 ///
 /// [`DaemonError::Bind`] if the listener cannot be taken over.
@@ -69,6 +73,7 @@
     })
     .workers(spec.workers)
     .disable_signals()
+    .h1_allow_half_closed(false)
     .shutdown_timeout(spec.stop_timeout.as_secs())
     .client_request_timeout(spec.limits.header_timeout)
     .listen(listener)
