--- /dev/null
+++ b/daemon/tests/caller_gone.rs
@@ -0,0 +1,88 @@
+//! Callers that hang up, and daemons that stop, while requests run.
+
+#[allow(dead_code, reason = "each test file uses its own part of the support")]
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use support::{ACCOUNT, COLLECTION, TestSite};
+use yuccalift_core::SearchAnswer;
+use yuccalift_standins::LeafCommand;
+use yuccalift_testkit::cases;
+use yuccalift_wire::caller::SearchBody;
+
+/// The service time of the leafs.
+const SERVICE_TIME: Duration = Duration::from_millis(500);
+/// When the caller hangs up or the daemon is stopped.
+const SOON: Duration = Duration::from_millis(150);
+/// How long the leafs may take to hear of it.
+const HEAR_LIMIT: Duration = Duration::from_secs(5);
+
+fn slow_site() -> TestSite {
+    let site = TestSite::start(2, 1);
+    for leaf in site.leafs.leafs() {
+        leaf.command(LeafCommand::Slow(SERVICE_TIME.as_secs_f64() / 0.004));
+    }
+    site
+}
+
+async fn search(address: SocketAddr) -> (u16, Vec<u8>) {
+    let body = SearchBody {
+        request: "request-1".into(),
+        account: ACCOUNT.into(),
+        collection: COLLECTION.into(),
+        text: "ewe 4711".into(),
+        limit: 2,
+        time_left_ms: None,
+    };
+    let call = awc::Client::builder().disable_timeout().finish();
+    let call = call.post(format!("http://{address}/v1/search"));
+    let mut response = call.send_json(&body).await.expect("the daemon answers");
+    let status = response.status().as_u16();
+    let body = response.body().await.expect("the body is whole");
+    (status, body.to_vec())
+}
+
+fn cancelled(site: &TestSite) -> u64 {
+    let leafs = site.leafs.leafs().iter();
+    leafs.map(|leaf| leaf.counts().cancelled).sum()
+}
+
+fn a_gone_caller_is_noticed() {
+    let site = slow_site();
+    let daemon = site.start_daemon("entry-1");
+    let address = daemon.addresses().caller;
+    actix_rt::System::new().block_on(async {
+        let gone = tokio::time::timeout(SOON, search(address)).await;
+        assert!(gone.is_err(), "the caller hangs up before the answer");
+        let end = Instant::now() + HEAR_LIMIT;
+        while cancelled(&site) < 2 {
+            assert!(Instant::now() < end, "both leafs are told to stop");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    daemon.stop();
+}
+
+fn a_stop_finishes_what_runs() {
+    let site = slow_site();
+    let daemon = site.start_daemon("entry-1");
+    let address = daemon.addresses().caller;
+    let stopper = std::thread::spawn(move || {
+        std::thread::sleep(SOON);
+        daemon.stop()
+    });
+    let (status, body) = actix_rt::System::new().block_on(search(address));
+    let text = String::from_utf8_lossy(&body);
+    assert_eq!(status, 200, "the request is finished: {text}");
+    let answer: SearchAnswer = serde_json::from_slice(&body).expect("the answer is read");
+    assert!(answer.coverage.is_whole(), "{:?}", answer.coverage);
+    let report = stopper.join().expect("the daemon stops");
+    assert!(report.overdue.is_empty(), "in time: {report:?}");
+}
+
+cases! {
+    targets_are_told_that_the_caller_has_gone: a_gone_caller_is_noticed();
+    a_stop_cuts_off_no_request: a_stop_finishes_what_runs();
+}
