Drop an import that the merge left over

Cause: a merge left an import that nothing uses, which the linter refuses. Ruled out: nothing was tried beside it. Change: as the title says. Conclusion: it stands as it is.

--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -4,7 +4,7 @@
 //! [`EngineAction::Send`] is followed by just one reply or failure event, also after a cancel.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, Recipient, SpawnHandle};
 use tokio::sync::oneshot;
