Cut the daemons from the leafs of another data centre, and heal the cut

Cause: no experiment cut the data path; `partition` concerns the control planes alone. Ruled out: links of each daemon's own before the leafs, since a map gives a target one address and daemons have no setting for the address that they call from. So the cut is between all daemons and the leafs of a second data centre, which holds a replica of each shard and alone two of 30. Change: leafs can stand behind links; the case `data-partition` cuts them for 4 s. Its field near_whole_share says how many searches due in the cut were answered with all shards that have a near replica. Reports name the step of a refusal. Cause of that weakness, read in the code and fitting the step of the refusals: shard requests park at a shard whose targets all hang, and a plan counts as saturated for every search as soon as one shard has enough parked. So two cut shards hold up 28 that are well. It is left to the engine. Conclusion: answers in a cut are honest, and too few; the case shows it.

--- a/cli/src/experiment/case.rs
+++ b/cli/src/experiment/case.rs
@@ -77,6 +77,10 @@
     ChangeMap(fn(ShardMap) -> ShardMap),
     /// Marks the hosts of some leafs as leaving in the platform's list.
     MarkLeaving(Vec<usize>),
+    /// Cuts the daemons from the far leafs.
+    CutFar,
+    /// Heals that cut.
+    HealFar,
     /// Stops a daemon gracefully and starts another in its place.
     RestartDaemon(usize),
 }
--- a/cli/src/experiment/cases.rs
+++ b/cli/src/experiment/cases.rs
@@ -11,6 +11,7 @@
 
 mod at_most_once;
 mod crest;
+mod data_partition;
 mod drain;
 mod platform_outage;
 mod poison;
@@ -34,6 +35,7 @@
     &snapshot_change::CASE,
     &at_most_once::CASE,
     &platform_outage::CASE,
+    &data_partition::CASE,
 ];
 
 /// The account of urgent searches.
@@ -88,6 +90,7 @@
         shards: 30,
         replicas: 3,
         daemons: 3,
+        far_leafs: Vec::new(),
         leaf: LeafOptions {
             slots: 3,
             connections: 30,
--- a/cli/src/experiment/measure.rs
+++ b/cli/src/experiment/measure.rs
@@ -5,7 +5,7 @@
 
 use hdrhistogram::Histogram;
 use serde::{Serialize, Serializer};
-use yuccalift_core::PolicyKind;
+use yuccalift_core::{PolicyKind, Refusal};
 use yuccalift_standins::platform::PlatformCalls;
 use yuccalift_standins::{
     CallKind, CallRecord, CallResult, CheckViolation, LoadStream, RunEvidence,
@@ -240,7 +240,13 @@
             CallResult::Answered(_) | CallResult::Executed { .. } => None,
             CallResult::Lost { step, .. } => Some(format!("lost at {step}").into()),
             CallResult::Refused(refusal) => {
-                Some(format!("{:?} {:?}", refusal.code, refusal.outcome).into())
+                let Refusal {
+                    outcome,
+                    code,
+                    step,
+                    ..
+                } = refusal;
+                Some(format!("{code:?} {outcome:?} at {step}").into())
             }
         }
     };
--- a/cli/src/experiment/runner.rs
+++ b/cli/src/experiment/runner.rs
@@ -116,6 +116,8 @@
                 fleet.mark_leaving(leaf);
             }
         }
+        FaultAction::CutFar => fleet.cut_far(),
+        FaultAction::HealFar => fleet.heal_far(),
         FaultAction::RestartDaemon(position) => fleet.restart_daemon(*position)?,
     }
     Ok(())
--- a/cli/src/fleet.rs
+++ b/cli/src/fleet.rs
@@ -9,7 +9,8 @@
 use yuccalift_settings::{DaemonSettings, ListenerLimits, LogFormat, LogSettings};
 use yuccalift_standins::check::EpochShards;
 use yuccalift_standins::{
-    DaemonList, LeafFleet, LeafOptions, LeafRecord, PlatformOptions, PlatformStandin,
+    DaemonList, LeafFleet, LeafOptions, LeafRecord, LinkCut, LinkMesh, LinkZone, PlatformOptions,
+    PlatformStandin,
 };
 use yuccalift_wire::platform::{
     ACCOUNTS_KEY, FLEET_KEY, FleetBounds, HostEntry, HostList, HostState, MAP_PREFIX,
@@ -19,8 +20,14 @@
 
 /// The collection that a fleet serves.
 pub const COLLECTION: &str = "tags";
-/// The data centre of every host of a fleet.
+/// The data centre of every daemon, and of every leaf that is not far.
 const DATA_CENTRE: &str = "dc-1";
+/// The data centre of far leafs.
+const FAR_DATA_CENTRE: &str = "dc-2";
+/// The zone that the daemons' connections come from.
+const NEAR_ZONE: LinkZone = 0;
+/// The zone of the links before far leafs.
+const FAR_ZONE: LinkZone = 2;
 /// How many threads serve the leafs.
 const LEAF_THREADS: usize = 2;
 /// How long a fleet may take until each daemon answers that it is ready.
@@ -39,6 +46,8 @@
     pub replicas: u32,
     /// How many daemons there are.
     pub daemons: u32,
+    /// The places of the leafs that stand in another data centre, behind links.
+    pub far_leafs: Vec<u32>,
     /// What each leaf is like; seed, shards and spells are set for each.
     pub leaf: LeafOptions,
     /// The templates and accounts.
@@ -86,6 +95,7 @@
     shape: FleetShape,
     platform: PlatformStandin,
     leafs: LeafFleet,
+    links: LinkMesh,
     hosts: Vec<FleetHost>,
     list: DaemonList,
     map: ShardMap,
@@ -107,11 +117,14 @@
             .map_err(|error| CommandError::failed("start platform", &error))?;
         let leafs = LeafFleet::start(shape.leaf_options(), LEAF_THREADS)
             .map_err(|error| CommandError::failed("start leafs", &error))?;
-        let map = first_map(&shape, &leafs);
+        let links =
+            LinkMesh::start().map_err(|error| CommandError::failed("start links", &error))?;
+        let map = first_map(&shape, &leafs, &links)?;
         let target_hosts = map.targets.iter().map(target_host).collect();
         let mut fleet = Self {
             platform,
             leafs,
+            links,
             hosts: Vec::new(),
             list: DaemonList::default(),
             epochs: Vec::new(),
@@ -174,6 +187,19 @@
         Ok(())
     }
 
+    /// Cuts the daemons from the far leafs.
+    pub fn cut_far(&self) {
+        self.links.cut(vec![LinkCut {
+            from: NEAR_ZONE,
+            to: FAR_ZONE,
+        }]);
+    }
+
+    /// Heals that cut.
+    pub fn heal_far(&self) {
+        self.links.heal();
+    }
+
     /// Marks a target's host as leaving in the platform's list.
     pub fn mark_leaving(&mut self, leaf: usize) {
         self.target_hosts[leaf].state = HostState::Leaving;
@@ -341,26 +367,40 @@
 }
 
 /// The map in which each shard is on the leafs that were started for it.
-fn first_map(shape: &FleetShape, leafs: &LeafFleet) -> ShardMap {
-    let targets = leafs.leafs().iter().zip(0..);
-    let targets = targets.map(|(leaf, target)| TargetEntry {
-        target,
-        address: leaf.address(),
-        data_centre: DATA_CENTRE.into(),
-        host: format!("target-{target:04}").into(),
-        slots: shape.leaf.slots,
-        connections: shape.leaf.connections,
-        connect_ms: shape.leaf.connect_cost.as_millis() as u32,
-    });
+fn first_map(
+    shape: &FleetShape,
+    leafs: &LeafFleet,
+    links: &LinkMesh,
+) -> Result<ShardMap, CommandError> {
+    let mut targets = Vec::with_capacity(leafs.leafs().len());
+    for (leaf, target) in leafs.leafs().iter().zip(0..) {
+        let is_far = shape.far_leafs.contains(&target);
+        let address = if is_far {
+            let link = links.add(leaf.address(), FAR_ZONE);
+            link.map_err(|error| CommandError::failed("add link", &error))?
+        } else {
+            leaf.address()
+        };
+        let data_centre = if is_far { FAR_DATA_CENTRE } else { DATA_CENTRE };
+        targets.push(TargetEntry {
+            target,
+            address,
+            data_centre: data_centre.into(),
+            host: format!("target-{target:04}").into(),
+            slots: shape.leaf.slots,
+            connections: shape.leaf.connections,
+            connect_ms: shape.leaf.connect_cost.as_millis() as u32,
+        });
+    }
     let shards = (0..shape.shards).map(|shard: ShardId| ShardEntry {
         shard,
         replicas: (shard * shape.replicas..(shard + 1) * shape.replicas).collect(),
     });
     let epoch: MapEpoch = 1;
-    ShardMap {
+    Ok(ShardMap {
         collection: CollectionName::from(COLLECTION),
         epoch,
         shards: shards.collect(),
-        targets: targets.collect(),
-    }
+        targets,
+    })
 }
