Tell the engine in which data centre its daemon stands

Cause: the engine prefers replicas of its own data centre, but the lane made it without naming one, so that the preference never acted. Ruled out: a change of the engine, whose tests of the preference pass. Change: the lane is made from engine options, which name the settings' data centre. Before and after: no figure yet; the experiments run in one data centre, where nothing changes. Conclusion: the preference acts; a measurement over data centres is still to be made.

--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 use snafu::ResultExt;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
+use yuccalift_core::engine::EngineOptions;
 use yuccalift_core::event::EngineEvent;
 use yuccalift_core::ids::Incarnation;
 use yuccalift_kernel::{Kernel, StopReport};
@@ -253,12 +254,12 @@
     let guard = kernel.start(LANE_SERVICE);
     let metrics: MetricsClient = kernel.registry().find(METRICS_SERVICE)?;
     let sender = format!("{}/{incarnation}", settings.host).into_boxed_str();
-    let policy = settings.policy;
+    let options = EngineOptions::new(settings.policy, incarnation)
+        .in_data_centre(settings.data_centre.clone());
     let arbiter = Arbiter::new();
     let handle = arbiter.handle();
-    let lane = EngineLane::start_in_arbiter(&handle, move |_| {
-        EngineLane::new(policy, incarnation, sender, metrics)
-    });
+    let lane =
+        EngineLane::start_in_arbiter(&handle, move |_| EngineLane::new(options, sender, metrics));
     kernel.registry().publish(LANE_SERVICE, lane.clone())?;
     actix::spawn(async move {
         guard.token.cancelled().await;
--- a/daemon/src/lane.rs
+++ b/daemon/src/lane.rs
@@ -11,10 +11,11 @@
 use yuccalift_core::action::{AttemptPlan, EngineAction};
 use yuccalift_core::connection_watch::CHECK_PERIOD;
 use yuccalift_core::control::NewsKind;
+use yuccalift_core::engine::EngineOptions;
 use yuccalift_core::event::{AttemptFailure, EngineEvent, TargetNews, TargetNewsKind};
 use yuccalift_core::ids::{QueryId, TargetId};
 use yuccalift_core::stall_clock::StallClock;
-use yuccalift_core::{PolicyKind, Refusal, SearchAnswer, SearchEngine};
+use yuccalift_core::{Refusal, SearchAnswer, SearchEngine};
 
 use crate::control::AnnounceNews;
 use crate::events::LogEvent;
@@ -83,9 +84,9 @@
 
 impl EngineLane {
     /// Makes a lane; `sender` names the process to targets.
-    pub fn new(policy: PolicyKind, seed: u64, sender: Box<str>, metrics: MetricsClient) -> Self {
+    pub fn new(options: EngineOptions, sender: Box<str>, metrics: MetricsClient) -> Self {
         Self {
-            engine: SearchEngine::new(policy, seed),
+            engine: SearchEngine::with_options(options),
             desk: QuarantineDesk::new(metrics.clone()),
             events: VecDeque::new(),
             notes: LaneNotes::new(metrics),
