--- a/daemon/tests/peer_listener.rs
+++ b/daemon/tests/peer_listener.rs
@@ -7,9 +7,8 @@
 
 mod support;
 
-use support::{ACCOUNT, COLLECTION, TestSite};
+use support::{TestSite, search_status};
 use yuccalift_testkit::cases;
-use yuccalift_wire::caller::SearchBody;
 use yuccalift_wire::operator::KEY_HEADER;
 
 const KEY: &str = "test-key-test-key";
@@ -25,20 +24,6 @@
     response.expect("the daemon answers").status().as_u16()
 }
 
-async fn search(address: std::net::SocketAddr) -> u16 {
-    let body = SearchBody {
-        request: "request-1".into(),
-        account: ACCOUNT.into(),
-        collection: COLLECTION.into(),
-        text: "ewe 4711".into(),
-        limit: 1,
-        time_left_ms: None,
-    };
-    let request = awc::Client::default().post(format!("http://{address}/v1/search"));
-    let response = request.send_json(&body).await;
-    response.expect("the daemon answers").status().as_u16()
-}
-
 /// The daemon answers a bad call with a status, and serves callers as before.
 fn bad_call_is_refused(key: Option<&str>, length: usize, expected: u16) {
     let site = TestSite::start(1, 1);
@@ -47,7 +32,7 @@
     let system = actix_rt::System::new();
     let status = system.block_on(post(daemon.addresses().peer, key, body));
     assert_eq!(status, expected, "the call is refused as what it is");
-    let status = system.block_on(search(daemon.addresses().caller));
+    let status = system.block_on(search_status(daemon.addresses().caller));
     assert_eq!(status, 200, "a search is answered as before");
     assert_eq!(site.leafs.leafs()[0].runs().len(), 1, "it ran once");
     daemon.stop();
--- a/daemon/tests/support/mod.rs
+++ b/daemon/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use yuccalift_daemon::Daemon;
 use yuccalift_settings::{DaemonSettings, ListenerLimits, LogFormat, LogSettings};
 use yuccalift_standins::{LeafFleet, LeafOptions, PlatformOptions, PlatformStandin};
+use yuccalift_wire::caller::SearchBody;
 
 /// The client account that the site publishes for searches.
 pub const ACCOUNT: &str = "vets";
@@ -166,3 +167,18 @@
         response.is_ok_and(|response| response.status().is_success())
     })
 }
+
+/// The status with which the daemon at this address answers a search.
+pub async fn search_status(address: SocketAddr) -> u16 {
+    let body = SearchBody {
+        request: "request-1".into(),
+        account: ACCOUNT.into(),
+        collection: COLLECTION.into(),
+        text: "ewe 4711".into(),
+        limit: 1,
+        time_left_ms: None,
+    };
+    let request = awc::Client::default().post(format!("http://{address}/v1/search"));
+    let response = request.send_json(&body).await;
+    response.expect("the daemon answers").status().as_u16()
+}
