--- a/core/src/engine/mod.rs
+++ b/core/src/engine/mod.rs
@@ -21,7 +21,7 @@
 mod ejection;
 mod finish;
 mod hedge;
-mod latency;
+pub(crate) mod latency;
 mod ledger;
 mod limit;
 mod maps;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`connection_watch`], [`stall_clock`]: dead connections and pauses, found out.
 //! - [`ticket_ledger`]: what a daemon remembers of non-idempotent requests.
 //! - [`control`]: the control plane of one daemon.
+//! - [`relay`]: plain HTTP requests, passed on by published routes.
 
 pub mod account;
 pub mod action;
@@ -25,6 +26,7 @@
 pub mod ids;
 pub mod outcome;
 pub mod quarantine;
+pub mod relay;
 pub mod search;
 pub mod shard_map;
 pub mod stall_clock;
--- /dev/null
+++ b/core/src/relay/directory.rs
@@ -0,0 +1,163 @@
+//! Targets as they are listed, change and leave.
+//!
+//! See `docs/PLATFORM.md`, "A target's state".
+
+use std::time::{Duration, Instant};
+
+use super::action::{RelayAction, RelayDecision};
+use super::target::{RelayTarget, Standing};
+use super::target_record::{TargetPhase, TargetRecord};
+use super::timers::TimerKind;
+use super::{RelayEngine, TargetKey};
+
+/// How long an entry that may have lapsed with the list out of reach is taken for a living
+/// target's: living ones are back in the list within 2 s of the list's return, and half a second
+/// is for reading it.
+const LAPSED_GRACE: Duration = Duration::from_millis(2_500);
+/// The part of the drain time in which a leaving target is still asked for want of another. The
+/// rest is for the way of the news and of the request.
+const LAST_RESORT_SHARE: f64 = 0.4;
+
+impl RelayEngine {
+    /// Takes in a target's record.
+    pub(super) fn list_target(
+        &mut self,
+        now: Instant,
+        record: TargetRecord,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let known = self.targets.find_name(&record.name);
+        if let Some(key) = known {
+            if self.is_same_incarnation(key, &record) {
+                self.update_target(now, key, record, actions);
+                return;
+            }
+            self.forget_target(key, actions);
+        }
+        if record.phase == TargetPhase::Draining {
+            return;
+        }
+        let key = self.targets.next_key();
+        let local = record.data_centre == self.options.data_centre;
+        note_change(&record, "listed", actions);
+        self.services.get_or_add(&record.service).add_target(key);
+        let service = record.service.clone();
+        self.targets
+            .insert(RelayTarget::new(now, key, record, local));
+        self.serve_parked(now, &service, actions);
+    }
+
+    fn is_same_incarnation(&self, key: TargetKey, record: &TargetRecord) -> bool {
+        self.targets.get(key).is_some_and(|target| {
+            target.record.started_ms == record.started_ms
+                && target.record.address == record.address
+                && target.record.service == record.service
+        })
+    }
+
+    fn update_target(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        record: TargetRecord,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        match record.phase {
+            TargetPhase::Draining => self.begin_departure(now, key, actions),
+            TargetPhase::Serving => {
+                let Some(target) = self.targets.get_mut(key) else {
+                    return;
+                };
+                if target.standing != Standing::Listed {
+                    target.standing = Standing::Listed;
+                    note_change(&record, "back", actions);
+                }
+            }
+        }
+        if let Some(target) = self.targets.get_mut(key) {
+            target.record = record;
+        }
+    }
+
+    /// Takes in that a target is listed no longer.
+    pub(super) fn unlist_target(
+        &mut self,
+        now: Instant,
+        name: &str,
+        doubtful: bool,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(key) = self.targets.find_name(name) else {
+            return;
+        };
+        if !doubtful {
+            self.begin_departure(now, key, actions);
+            return;
+        }
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        if target.standing == Standing::Listed {
+            let until = now + LAPSED_GRACE;
+            target.standing = Standing::Doubtful { until };
+            note_change(&target.record, "doubtful", actions);
+            let due = TimerKind::Departure { target: key };
+            self.timers.add(until, due);
+        }
+    }
+
+    /// Takes a target out of the first choice; it is forgotten when its time is over.
+    fn begin_departure(&mut self, now: Instant, key: TargetKey, actions: &mut Vec<RelayAction>) {
+        let until = now + self.options.drain_time.mul_f64(LAST_RESORT_SHARE);
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        match target.standing {
+            Standing::Leaving { .. } | Standing::Replaced => return,
+            Standing::Listed | Standing::Doubtful { .. } => {}
+        }
+        target.standing = Standing::Leaving { until };
+        note_change(&target.record, "leaving", actions);
+        let due = TimerKind::Departure { target: key };
+        self.timers.add(until, due);
+    }
+
+    /// Forgets a target whose time is over, unless it has come back.
+    pub(super) fn end_departure(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(target) = self.targets.get(key) else {
+            return;
+        };
+        let over = match target.standing {
+            Standing::Listed => false,
+            Standing::Doubtful { until } | Standing::Leaving { until } => until <= now,
+            Standing::Replaced => true,
+        };
+        if over {
+            self.forget_target(key, actions);
+        }
+    }
+
+    /// Forgets a target; attempts in flight there end by themselves.
+    fn forget_target(&mut self, key: TargetKey, actions: &mut Vec<RelayAction>) {
+        let Some(target) = self.targets.remove(key) else {
+            return;
+        };
+        note_change(&target.record, "forgotten", actions);
+        if let Some(service) = self.services.get_mut(&target.record.service) {
+            service.remove_target(key);
+        }
+        actions.push(RelayAction::Forget { target: key });
+    }
+}
+
+fn note_change(record: &TargetRecord, state: &'static str, actions: &mut Vec<RelayAction>) {
+    actions.push(RelayAction::Decided(RelayDecision::TargetChanged {
+        target: record.name.clone(),
+        state,
+    }));
+}
--- /dev/null
+++ b/core/src/relay/dispatch.rs
@@ -0,0 +1,196 @@
+//! Asking a service: choosing its target, sending, or waiting for room.
+
+use std::time::{Duration, Instant};
+
+use super::action::{AttemptOrder, RelayAction, RelayDecision, SendCause};
+use super::choice::TargetChoice;
+use super::request::{LegStage, LiveAttempt};
+use super::service::ParkedLeg;
+use super::target::Flight;
+use super::{RelayEngine, RequestKey, TargetKey};
+
+impl RelayEngine {
+    /// Sends a leg, lets it wait for room, or gives it up.
+    pub(super) fn ask_leg(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        place: usize,
+        cause: SendCause,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        let leg = &state.legs[place];
+        match self.choose(now, &leg.service, &leg.tried, state.is_careful()) {
+            TargetChoice::Ask(target) => self.send(now, request, place, target, cause, actions),
+            TargetChoice::Wait => self.park(request, place),
+            TargetChoice::Unavailable { .. } => self.give_up(request, place, "no_target"),
+        }
+    }
+
+    /// Whether one more attempt of a leg is allowed, by the route and by the service's budget. It
+    /// takes the leave, so it is asked just before the send.
+    pub(super) fn take_leave(&mut self, now: Instant, request: RequestKey, place: usize) -> bool {
+        let Some(state) = self.requests.get(request) else {
+            return false;
+        };
+        let leg = &state.legs[place];
+        let used = leg.runs + leg.live.len() as u32;
+        if used >= state.route.attempts.max(1) {
+            return false;
+        }
+        if leg.arrivals == 0 {
+            return true;
+        }
+        let service = leg.service.clone();
+        let (window, share) = (self.options.retry_window, self.options.retry_share);
+        self.services
+            .get_or_add(&service)
+            .budget
+            .try_repeat(now, window, share)
+    }
+
+    /// Sends a leg to a target; every send goes through here.
+    pub(super) fn send(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        place: usize,
+        key: TargetKey,
+        cause: SendCause,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let attempt = self.requests.next_attempt();
+        let usual = self.usual_latency(request);
+        let (Some(state), Some(target)) =
+            (self.requests.get_mut(request), self.targets.get_mut(key))
+        else {
+            return;
+        };
+        let careful = state.is_careful();
+        let leg = &mut state.legs[place];
+        let paid = leg.arrivals > 0;
+        leg.arrivals += 1;
+        leg.parked = false;
+        leg.live.push(attempt);
+        if !leg.tried.contains(&key) {
+            leg.tried.push(key);
+        }
+        let first_sent = *leg.first_sent.get_or_insert(now);
+        leg.last_sent = Some(now);
+        target.start_flight(Flight {
+            attempt,
+            sent_at: now,
+            usual,
+        });
+        let order = AttemptOrder {
+            attempt,
+            request,
+            target: key,
+            name: target.record.name.clone(),
+            address: target.record.address,
+            deadline: state.deadline,
+            careful,
+        };
+        self.requests.add_attempt(LiveAttempt {
+            attempt,
+            request,
+            place,
+            target: key,
+            sent_at: now,
+            usual,
+            wanted: true,
+            paid,
+        });
+        if cause != SendCause::First {
+            actions.push(RelayAction::Decided(RelayDecision::SentAgain {
+                request,
+                target: order.name.clone(),
+                cause,
+                after: now.saturating_duration_since(first_sent),
+            }));
+        }
+        actions.push(RelayAction::Send(order));
+    }
+
+    /// What an attempt on a request's route usually takes.
+    pub(super) fn usual_latency(&self, request: RequestKey) -> Duration {
+        self.requests
+            .get(request)
+            .map_or(Duration::from_millis(10), |state| {
+                self.latencies.usual(&state.route)
+            })
+    }
+
+    /// Lets a leg wait for room at its service's targets.
+    fn park(&mut self, request: RequestKey, place: usize) {
+        let Some(state) = self.requests.get_mut(request) else {
+            return;
+        };
+        let entry = ParkedLeg {
+            priority: state.route.priority,
+            deadline: state.deadline,
+            request,
+            place,
+        };
+        let leg = &mut state.legs[place];
+        leg.parked = true;
+        let service = leg.service.clone();
+        self.services.get_or_add(&service).park(entry);
+    }
+
+    /// Serves the legs that wait for a service's targets, as far as there is room.
+    pub(super) fn serve_parked(
+        &mut self,
+        now: Instant,
+        service: &str,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        loop {
+            let Some(entry) = self
+                .services
+                .get(service)
+                .and_then(|service| service.parked.first().copied())
+            else {
+                return;
+            };
+            let state = self.requests.get(entry.request);
+            let waiting = state.filter(|state| state.legs[entry.place].parked);
+            let choice = waiting.map(|state| {
+                let leg = &state.legs[entry.place];
+                self.choose(now, service, &leg.tried, state.is_careful())
+            });
+            if choice == Some(TargetChoice::Wait) {
+                return;
+            }
+            if let Some(service) = self.services.get_mut(service) {
+                service.parked.remove(0);
+            }
+            match choice {
+                Some(TargetChoice::Ask(target)) => {
+                    let (request, place) = (entry.request, entry.place);
+                    self.send(now, request, place, target, SendCause::First, actions);
+                }
+                Some(TargetChoice::Unavailable { .. }) => {
+                    self.give_up(entry.request, entry.place, "no_target");
+                    self.finish_if_settled(now, entry.request, actions);
+                }
+                Some(TargetChoice::Wait) | None => {}
+            }
+        }
+    }
+
+    /// Gives a leg up, if nothing of it is in flight.
+    pub(super) fn give_up(&mut self, request: RequestKey, place: usize, reason: &'static str) {
+        let Some(state) = self.requests.get_mut(request) else {
+            return;
+        };
+        let leg = &mut state.legs[place];
+        if leg.is_open() && leg.live.is_empty() {
+            leg.parked = false;
+            leg.stage = LegStage::Missing(reason);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/relay/finish.rs
@@ -0,0 +1,182 @@
+//! The end of a request: its answer or its refusal, once.
+
+use std::time::Instant;
+
+use super::action::{RefusalCause, RelayAction, RelayAnswer, RelayDecision, RelayRefusal};
+use super::event::TargetReply;
+use super::merge::greatest_records;
+use super::request::{LegStage, RequestState};
+use super::route::RouteDestination;
+use super::{RelayEngine, RequestKey};
+
+/// Statuses that promise a caller that its request has not run.
+const PROMISING_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+impl RelayEngine {
+    /// Ends a request none of whose legs is open, or whose time for a whole answer is over and
+    /// which has enough.
+    pub(super) fn finish_if_settled(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        let enough = state.answered() >= state.least_answered();
+        let open = state.legs.iter().filter(|leg| leg.is_open()).count();
+        let possible = state.answered() + open >= state.least_answered();
+        if state.is_settled() || (state.overdue && enough) || !possible {
+            self.finish(now, request, actions);
+        }
+    }
+
+    /// Answers a request in part when a whole answer would come too late to be of full use.
+    pub(super) fn cut_answer(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        if let Some(state) = self.requests.get_mut(request) {
+            state.overdue = true;
+        }
+        self.finish_if_settled(now, request, actions);
+    }
+
+    /// Ends a request at its deadline, with what it has.
+    pub(super) fn end_deadline(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        self.finish(now, request, actions);
+    }
+
+    /// Ends a request with what it has.
+    fn finish(&mut self, now: Instant, request: RequestKey, actions: &mut Vec<RelayAction>) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        note_missing(state, actions);
+        if state.answered() >= state.least_answered() {
+            let answer = success(state);
+            self.close(now, request, actions);
+            actions.push(RelayAction::Answer { request, answer });
+            return;
+        }
+        if let Some(answer) = passable_failure(state) {
+            self.close(now, request, actions);
+            actions.push(RelayAction::Answer { request, answer });
+            return;
+        }
+        let refusal = self.failure(now, state);
+        self.refuse(request, refusal, actions);
+    }
+
+    fn failure(&self, now: Instant, state: &RequestState) -> RelayRefusal {
+        if state.legs.iter().all(|leg| !leg.may_have_run()) {
+            let asked = state.legs.iter().any(|leg| !leg.tried.is_empty());
+            let cause = if asked {
+                RefusalCause::Rejected
+            } else {
+                RefusalCause::NoTarget
+            };
+            let retry_after = self.retry_after(now, state);
+            return RelayRefusal::NotRun { retry_after, cause };
+        }
+        if now >= state.deadline {
+            return RelayRefusal::TimedOut;
+        }
+        RelayRefusal::Failed
+    }
+
+    /// Refuses a request and drops what it has under way.
+    pub(super) fn refuse(
+        &mut self,
+        request: RequestKey,
+        refusal: RelayRefusal,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.remove(request) else {
+            return;
+        };
+        for leg in &state.legs {
+            if leg.parked {
+                self.services.get_or_add(&leg.service).unpark(request);
+            }
+            for attempt in &leg.live {
+                if let Some(live) = self.requests.attempt_mut(*attempt) {
+                    live.wanted = false;
+                }
+                actions.push(RelayAction::Cancel { attempt: *attempt });
+            }
+        }
+        actions.push(RelayAction::Refuse { request, refusal });
+    }
+
+    /// Takes an answered request out; what is still in flight may end by itself.
+    fn close(&mut self, now: Instant, request: RequestKey, actions: &mut Vec<RelayAction>) {
+        let Some(state) = self.requests.remove(request) else {
+            return;
+        };
+        for leg in &state.legs {
+            if leg.parked {
+                self.services.get_or_add(&leg.service).unpark(request);
+            }
+            for attempt in &leg.live {
+                self.let_linger(now, *attempt, actions);
+            }
+        }
+    }
+}
+
+fn success(state: &RequestState) -> RelayAnswer {
+    let replies: Vec<&TargetReply> = state.legs.iter().filter_map(|leg| leg.answer()).collect();
+    match &state.route.destination {
+        RouteDestination::Split(_) => RelayAnswer::Whole(replies[0].clone()),
+        RouteDestination::Gather { merge, .. } => RelayAnswer::Merged {
+            signatures: replies
+                .iter()
+                .filter_map(|reply| reply.signature.clone())
+                .collect(),
+            missing: (state.legs.len() - replies.len()) as u32,
+            body: greatest_records(
+                replies.iter().map(|reply| reply.body.as_ref()),
+                merge.top_records as usize,
+            ),
+        },
+    }
+}
+
+/// A target's own failure that is passed on, since nothing better came. One whose status would
+/// promise that the request has not run is not, since the target did not promise it.
+fn passable_failure(state: &RequestState) -> Option<RelayAnswer> {
+    let leg = match &state.route.destination {
+        RouteDestination::Split(_) => state.legs.first()?,
+        RouteDestination::Gather { .. } => return None,
+    };
+    let failure = leg.failure.as_ref()?;
+    let passable = leg.live.is_empty()
+        && !PROMISING_STATUSES.contains(&failure.status)
+        && !(200..300).contains(&failure.status);
+    passable.then(|| RelayAnswer::Whole(failure.clone()))
+}
+
+fn note_missing(state: &RequestState, actions: &mut Vec<RelayAction>) {
+    for leg in &state.legs {
+        let reason = match leg.stage {
+            LegStage::Answered(_) => continue,
+            LegStage::Missing(reason) => reason,
+            LegStage::Open if leg.parked => "no_room",
+            LegStage::Open => "late",
+        };
+        actions.push(RelayAction::Decided(RelayDecision::Missed {
+            request: state.key,
+            service: leg.service.clone(),
+            reason,
+        }));
+    }
+}
--- /dev/null
+++ b/core/src/relay/hedging.rs
@@ -0,0 +1,115 @@
+//! Second sends beside slow first ones.
+//!
+//! A leg that has taken longer than nearly all of its route's recent ones is sent to a second
+//! target too, within the service's budget; the first answer counts.
+
+use std::time::{Duration, Instant};
+
+use super::action::{RelayAction, SendCause};
+use super::choice::TargetChoice;
+use super::request::RequestState;
+use super::submit::answer_by;
+use super::timers::TimerKind;
+use super::{RelayEngine, RequestKey};
+
+/// The shortest time between two looks at a request.
+const LEAST_LOOK: Duration = Duration::from_millis(4);
+/// How many usual latencies a second attempt needs to be of use before the answer is due.
+const NEEDED_LATENCIES: f64 = 1.6;
+/// The least delay, in usual latencies: sooner most first attempts are still on their way.
+const LEAST_LATENCIES: f64 = 1.3;
+/// How often a leg that could not be sent again is looked at, in parts of the delay.
+const LOOKS_PER_DELAY: u32 = 4;
+
+impl RelayEngine {
+    /// Arranges the first look at a request's legs.
+    pub(super) fn begin_look(&mut self, now: Instant, request: RequestKey) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        if state.is_careful() || state.route.attempts < 2 {
+            return;
+        }
+        let due = now + self.hedge_delay(state);
+        self.timers.add(due, TimerKind::Look { request });
+    }
+
+    /// After how long a leg is sent to a second target as well: late enough that few need it, and
+    /// soon enough that the second attempt can still be answered in time.
+    fn hedge_delay(&self, state: &RequestState) -> Duration {
+        let usual = self.latencies.usual(&state.route);
+        let slow = self.latencies.slow(&state.route);
+        let aim = state.route.latency_aim;
+        let due = answer_by(state.arrived, aim).saturating_duration_since(state.arrived);
+        let latest = due.saturating_sub(usual.mul_f64(NEEDED_LATENCIES));
+        slow.min(latest).max(usual.mul_f64(LEAST_LATENCIES))
+    }
+
+    /// Looks at a request's outstanding legs, and sends those again that have taken long.
+    pub(super) fn look_at_legs(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        let delay = self.hedge_delay(state);
+        let mut next: Option<Instant> = None;
+        let mut slow = Vec::new();
+        for (place, leg) in state.legs.iter().enumerate() {
+            if !leg.is_open() || leg.live.len() != 1 {
+                continue;
+            }
+            let Some(sent) = leg.last_sent else {
+                continue;
+            };
+            let due = self.resumed_at.map_or(sent, |resumed| resumed.max(sent)) + delay;
+            if due <= now {
+                slow.push(place);
+            } else {
+                next = next.into_iter().chain([due]).min();
+            }
+        }
+        for place in slow {
+            if !self.hedge(now, request, place, actions) {
+                let again = now + delay / LOOKS_PER_DELAY;
+                next = next.into_iter().chain([again]).min();
+            }
+        }
+        // Legs that wait for room, or were sent again after a failure, are looked at as well.
+        let open = self
+            .requests
+            .get(request)
+            .is_some_and(|state| !state.is_settled());
+        let next = next.or_else(|| open.then_some(now + delay));
+        if let Some(next) = next {
+            let due = next.max(now + LEAST_LOOK);
+            self.timers.add(due, TimerKind::Look { request });
+        }
+    }
+
+    /// Sends a slow leg to a second target; false if that can't be done now.
+    fn hedge(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        place: usize,
+        actions: &mut Vec<RelayAction>,
+    ) -> bool {
+        let Some(state) = self.requests.get(request) else {
+            return false;
+        };
+        let leg = &state.legs[place];
+        let choice = self.choose(now, &leg.service, &leg.tried, false);
+        let TargetChoice::Ask(target) = choice else {
+            return false;
+        };
+        if leg.tried.contains(&target) || !self.take_leave(now, request, place) {
+            return false;
+        }
+        self.send(now, request, place, target, SendCause::Hedge, actions);
+        true
+    }
+}
--- /dev/null
+++ b/core/src/relay/mod.rs
@@ -0,0 +1,174 @@
+//! The relay: callers' plain HTTP requests, passed on by published routes.
+//!
+//! The search engine of [`crate::engine`] speaks the product's own protocol with targets that know
+//! shards and index versions. The relay serves targets that know neither: a request is an opaque
+//! HTTP message, a route names the services that answer it, and a service is a set of targets
+//! that answer equally well. A route either passes the whole request to one target, or asks one
+//! target of each of several services and merges their records.
+//!
+//! Like the engine it is a function of (state, time, event): it owns no clock, socket or thread.
+//!
+//! - [`route`], [`target_record`]: what the operators and the targets publish.
+//! - [`event`], [`action`]: what the relay is told, and what it decides.
+//! - `request`: one request and its legs, a leg for each service that it asks.
+//! - `target`, `choice`: what is known of each target, and which one is asked.
+//! - `dispatch`, `replies`, `hedging`, `finish`: the passes over a request.
+//! - `budget`: how many second sends a service is given.
+//! - [`merge`]: the greatest records of several parts.
+//! - `verifier`: what must hold after each event.
+//!
+//! See `docs/PLATFORM.md`.
+
+pub mod action;
+mod budget;
+mod choice;
+mod directory;
+mod dispatch;
+pub mod event;
+mod finish;
+mod hedging;
+mod latencies;
+pub mod listing;
+pub mod merge;
+mod replies;
+mod request;
+pub mod route;
+mod service;
+mod submit;
+mod target;
+pub mod target_record;
+mod timers;
+mod verifier;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub use action::{AttemptOrder, RelayAction, RelayAnswer, RelayDecision, RelayRefusal};
+pub use event::{RelayEvent, RelayRequest, TargetOutcome, TargetReply};
+pub use listing::TargetListing;
+pub use route::{MergeRule, RepeatKind, RouteDestination, RouteEntry, RouteTable};
+pub use target_record::{TargetPhase, TargetRecord};
+
+use latencies::RouteLatencies;
+use request::RequestTable;
+use service::ServiceTable;
+use target::RelayTargets;
+use timers::{TimerKind, TimerQueue};
+
+use crate::ids::DataCentreName;
+
+/// The relay's own number of a request, counted up by the daemon.
+pub type RequestKey = u64;
+/// The relay's own number of an attempt at a target.
+pub type AttemptKey = u64;
+/// The relay's own number of one incarnation of a target.
+pub type TargetKey = u32;
+
+/// What a relay is set up with.
+#[derive(Clone, Debug)]
+pub struct RelayOptions {
+    /// The data centre of this daemon, whose targets are nearer.
+    pub data_centre: DataCentreName,
+    /// The share of a service's requests that may be sent a second time, over all daemons.
+    pub retry_share: f64,
+    /// The window over which that share is counted.
+    pub retry_window: Duration,
+    /// How long a target goes on serving after it was said to leave.
+    pub drain_time: Duration,
+}
+
+/// Every decision of the relay of one daemon.
+#[derive(Debug)]
+pub struct RelayEngine {
+    options: RelayOptions,
+    routes: Arc<RouteTable>,
+    services: ServiceTable,
+    targets: RelayTargets,
+    requests: RequestTable,
+    latencies: RouteLatencies,
+    timers: TimerQueue,
+    resumed_at: Option<Instant>,
+    split_turn: u64,
+}
+
+impl RelayEngine {
+    /// Makes a relay that knows no route and no target.
+    pub fn new(options: RelayOptions) -> Self {
+        Self {
+            options,
+            routes: Arc::new(RouteTable::default()),
+            services: ServiceTable::default(),
+            targets: RelayTargets::default(),
+            requests: RequestTable::default(),
+            latencies: RouteLatencies::default(),
+            timers: TimerQueue::default(),
+            resumed_at: None,
+            split_turn: 0,
+        }
+    }
+
+    /// Takes an event and appends what follows from it to `actions`, in the order to carry out.
+    ///
+    /// Each [`RelayAction::Send`] is followed by just one [`RelayEvent::AttemptEnded`], also after
+    /// [`RelayAction::Cancel`].
+    pub fn handle(&mut self, now: Instant, event: RelayEvent, actions: &mut Vec<RelayAction>) {
+        match event {
+            RelayEvent::RoutesChanged(table) => self.put_routes(table),
+            RelayEvent::TargetListed(record) => self.list_target(now, record, actions),
+            RelayEvent::TargetUnlisted { name, doubtful } => {
+                self.unlist_target(now, &name, doubtful, actions);
+            }
+            RelayEvent::Submit(request) => self.submit(now, request, actions),
+            RelayEvent::CallerGone { request } => self.drop_caller(now, request, actions),
+            RelayEvent::AttemptEnded { attempt, outcome } => {
+                self.end_attempt(now, attempt, outcome, actions);
+            }
+            RelayEvent::Paused => self.resumed_at = Some(now),
+            RelayEvent::Tick => {}
+        }
+        self.run_timers(now, actions);
+        verifier::check(self);
+    }
+
+    /// When the relay wants the next [`RelayEvent::Tick`], if at all.
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    /// The routes in force.
+    pub fn routes(&self) -> &Arc<RouteTable> {
+        &self.routes
+    }
+
+    /// How many requests are in work.
+    pub fn in_work(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// How many targets are known, leaving ones included.
+    pub fn known_targets(&self) -> usize {
+        self.targets.len()
+    }
+
+    fn put_routes(&mut self, table: Arc<RouteTable>) {
+        if table.version <= self.routes.version && self.routes.version > 0 {
+            return;
+        }
+        self.services.put_connection_limits(&table);
+        self.latencies.retain(&table);
+        self.routes = table;
+    }
+
+    fn run_timers(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
+        while let Some(kind) = self.timers.pop_due(now) {
+            match kind {
+                TimerKind::Look { request } => self.look_at_legs(now, request, actions),
+                TimerKind::Cut { request } => self.cut_answer(now, request, actions),
+                TimerKind::Room { request } => self.end_room_wait(now, request, actions),
+                TimerKind::Deadline { request } => self.end_deadline(now, request, actions),
+                TimerKind::Linger { attempt } => self.end_linger(attempt, actions),
+                TimerKind::Departure { target } => self.end_departure(now, target, actions),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/relay/replies.rs
@@ -0,0 +1,280 @@
+//! What comes back from targets: answers, rejections and losses.
+
+use std::time::{Duration, Instant};
+
+use super::action::{RelayAction, RelayDecision, SendCause};
+use super::event::{TargetOutcome, TargetReply};
+use super::request::{LegStage, LiveAttempt};
+use super::target::Standing;
+use super::timers::TimerKind;
+use super::{AttemptKey, RelayEngine, RequestKey};
+
+/// How long an attempt may go on that nobody waits for any more. Most end by themselves in that
+/// time, which saves the target a new connection; half a second of useless work is too much.
+const LINGER: Duration = Duration::from_millis(300);
+
+impl RelayEngine {
+    /// Takes the end of an attempt.
+    pub(super) fn end_attempt(
+        &mut self,
+        now: Instant,
+        attempt: AttemptKey,
+        outcome: TargetOutcome,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(attempt) = self.requests.remove_attempt(attempt) else {
+            return;
+        };
+        self.learn(now, &attempt, &outcome, actions);
+        self.note_end(now, &attempt, &outcome, actions);
+        if attempt.wanted {
+            self.settle_attempt(now, &attempt, outcome, actions);
+        }
+        self.serve_target_room(now, &attempt, actions);
+    }
+
+    fn serve_target_room(
+        &mut self,
+        now: Instant,
+        attempt: &LiveAttempt,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let service = self.targets.get(attempt.target);
+        let Some(service) = service.map(|target| target.record.service.clone()) else {
+            return;
+        };
+        self.serve_parked(now, &service, actions);
+    }
+
+    /// Updates what is known of the target and of the route.
+    fn learn(
+        &mut self,
+        now: Instant,
+        attempt: &LiveAttempt,
+        outcome: &TargetOutcome,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let paused = self
+            .resumed_at
+            .is_some_and(|resumed| attempt.sent_at < resumed);
+        let took = now.saturating_duration_since(attempt.sent_at);
+        let timed = (!paused).then_some(took);
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        target.end_flight(attempt.attempt);
+        let name = &target.record.name;
+        match outcome {
+            TargetOutcome::Replied(reply) if reply.is_success() => {
+                let name = name.clone();
+                if target.note_answer(now, timed, attempt.usual) {
+                    let decision = RelayDecision::Resumed { target: name };
+                    actions.push(RelayAction::Decided(decision));
+                }
+                self.learn_route(attempt, timed);
+            }
+            TargetOutcome::Replied(_) | TargetOutcome::Rejected => target.note_refused(now),
+            TargetOutcome::Misdirected => {
+                target.standing = Standing::Replaced;
+                let due = TimerKind::Departure {
+                    target: attempt.target,
+                };
+                self.timers.add(now, due);
+            }
+            TargetOutcome::NotSent | TargetOutcome::Lost | TargetOutcome::Garbled => {
+                let connected = *outcome != TargetOutcome::NotSent;
+                let name = name.clone();
+                if let Some(period) = target.note_broken(now, connected) {
+                    let decision = RelayDecision::Suspended {
+                        target: name,
+                        period,
+                    };
+                    actions.push(RelayAction::Decided(decision));
+                }
+            }
+            TargetOutcome::Abandoned { .. } => {
+                if took > attempt.usual && !paused {
+                    target.note_overdue(now, took, attempt.usual);
+                }
+            }
+        }
+    }
+
+    fn learn_route(&mut self, attempt: &LiveAttempt, took: Option<Duration>) {
+        let (Some(took), Some(state)) = (took, self.requests.get(attempt.request)) else {
+            return;
+        };
+        self.latencies.record(&state.route, took);
+    }
+
+    fn note_end(
+        &mut self,
+        now: Instant,
+        attempt: &LiveAttempt,
+        outcome: &TargetOutcome,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        if matches!(outcome, TargetOutcome::Replied(reply) if reply.is_success()) || !attempt.wanted
+        {
+            return;
+        }
+        let Some(target) = self.targets.get(attempt.target) else {
+            return;
+        };
+        actions.push(RelayAction::Decided(RelayDecision::AttemptFailed {
+            request: attempt.request,
+            target: target.record.name.clone(),
+            outcome: outcome.word(),
+            took: now.saturating_duration_since(attempt.sent_at),
+        }));
+    }
+
+    /// Takes what an attempt means for its leg.
+    fn settle_attempt(
+        &mut self,
+        now: Instant,
+        attempt: &LiveAttempt,
+        outcome: TargetOutcome,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get_mut(attempt.request) else {
+            return;
+        };
+        let leg = &mut state.legs[attempt.place];
+        leg.live.retain(|live| *live != attempt.attempt);
+        if !outcome.is_not_run() {
+            leg.runs += 1;
+        }
+        let unsent = matches!(
+            outcome,
+            TargetOutcome::NotSent | TargetOutcome::Abandoned { sent: false }
+        );
+        if unsent {
+            leg.arrivals = leg.arrivals.saturating_sub(1);
+        }
+        let service = leg.service.clone();
+        if unsent && attempt.paid {
+            self.services.get_or_add(&service).budget.refund();
+        }
+        match outcome {
+            TargetOutcome::Replied(reply) if reply.is_success() => {
+                self.answer_leg(now, attempt, reply, actions);
+            }
+            TargetOutcome::Replied(reply) => {
+                self.fail_leg(now, attempt, Some(reply), actions);
+            }
+            TargetOutcome::Rejected
+            | TargetOutcome::Misdirected
+            | TargetOutcome::NotSent
+            | TargetOutcome::Lost
+            | TargetOutcome::Garbled
+            | TargetOutcome::Abandoned { .. } => self.fail_leg(now, attempt, None, actions),
+        }
+    }
+
+    fn answer_leg(
+        &mut self,
+        now: Instant,
+        attempt: &LiveAttempt,
+        reply: TargetReply,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get_mut(attempt.request) else {
+            return;
+        };
+        let leg = &mut state.legs[attempt.place];
+        if !leg.is_open() {
+            return;
+        }
+        leg.stage = LegStage::Answered(reply);
+        let losers = std::mem::take(&mut leg.live);
+        for loser in losers {
+            self.let_linger(now, loser, actions);
+        }
+        self.finish_if_settled(now, attempt.request, actions);
+    }
+
+    /// Sends a leg again after a failure, where that is allowed, or gives it up.
+    fn fail_leg(
+        &mut self,
+        now: Instant,
+        attempt: &LiveAttempt,
+        failure: Option<TargetReply>,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let (request, place) = (attempt.request, attempt.place);
+        let Some(state) = self.requests.get_mut(request) else {
+            return;
+        };
+        let careful = state.is_careful();
+        let time_left = now < state.deadline;
+        let leg = &mut state.legs[place];
+        if failure.is_some() {
+            leg.failure = failure;
+        }
+        if !leg.is_open() || !leg.live.is_empty() {
+            return;
+        }
+        let repeatable = !careful || leg.runs == 0;
+        if time_left && repeatable && self.take_leave(now, request, place) {
+            self.ask_leg(now, request, place, SendCause::Retry, actions);
+        } else {
+            self.give_up(request, place, "failed");
+        }
+        self.finish_if_settled(now, request, actions);
+    }
+
+    /// Lets an attempt end by itself for a while, since nobody waits for it any more.
+    pub(super) fn let_linger(
+        &mut self,
+        now: Instant,
+        attempt: AttemptKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(live) = self.requests.attempt_mut(attempt) else {
+            return;
+        };
+        live.wanted = false;
+        let due = live.sent_at + LINGER;
+        if due <= now {
+            actions.push(RelayAction::Cancel { attempt });
+        } else {
+            self.timers.add(due, TimerKind::Linger { attempt });
+        }
+    }
+
+    /// Ends an attempt that has gone on for long enough.
+    pub(super) fn end_linger(&mut self, attempt: AttemptKey, actions: &mut Vec<RelayAction>) {
+        let live = self.requests.attempt(attempt);
+        if live.is_some_and(|live| !live.wanted) {
+            actions.push(RelayAction::Cancel { attempt });
+        }
+    }
+
+    /// Ends a request whose caller has gone. What can't be repeated goes on to its end: cutting it
+    /// off would leave its outcome unknown.
+    pub(super) fn drop_caller(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.remove(request) else {
+            return;
+        };
+        for leg in &state.legs {
+            if leg.parked {
+                self.services.get_or_add(&leg.service).unpark(request);
+            }
+            for attempt in &leg.live {
+                if state.is_careful() {
+                    if let Some(live) = self.requests.attempt_mut(*attempt) {
+                        live.wanted = false;
+                    }
+                } else {
+                    self.let_linger(now, *attempt, actions);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/relay/request.rs
@@ -0,0 +1,240 @@
+//! One request from its submission to its answer: [`RequestState`], its [`RequestLeg`]s and
+//! [`LiveAttempt`]s, kept in a [`RequestTable`].
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::event::TargetReply;
+use super::route::{RepeatKind, RouteDestination, RouteEntry, ServiceName};
+use super::{AttemptKey, RequestKey, TargetKey};
+
+/// What has become of a leg.
+#[derive(Clone, Debug)]
+pub(super) enum LegStage {
+    /// It may still be answered.
+    Open,
+    /// It was answered with success.
+    Answered(TargetReply),
+    /// It is given up, for a reason.
+    Missing(&'static str),
+}
+
+/// The part of a request that one service answers.
+#[derive(Debug)]
+pub(super) struct RequestLeg {
+    pub(super) service: ServiceName,
+    pub(super) stage: LegStage,
+    /// The attempts in flight.
+    pub(super) live: Vec<AttemptKey>,
+    /// The targets that were asked, in order.
+    pub(super) tried: Vec<TargetKey>,
+    /// How many ended attempts may have run.
+    pub(super) runs: u32,
+    /// How many attempts reached a target, or may have.
+    pub(super) arrivals: u32,
+    /// When the first attempt was sent.
+    pub(super) first_sent: Option<Instant>,
+    /// When the newest attempt was sent.
+    pub(super) last_sent: Option<Instant>,
+    /// Whether it waits for room.
+    pub(super) parked: bool,
+    /// The last failure that a target answered.
+    pub(super) failure: Option<TargetReply>,
+}
+
+impl RequestLeg {
+    /// A leg that nothing has been done for.
+    pub(super) fn new(service: ServiceName) -> Self {
+        Self {
+            service,
+            stage: LegStage::Open,
+            live: Vec::new(),
+            tried: Vec::new(),
+            runs: 0,
+            arrivals: 0,
+            first_sent: None,
+            last_sent: None,
+            parked: false,
+            failure: None,
+        }
+    }
+
+    /// Whether it may still be answered.
+    pub(super) fn is_open(&self) -> bool {
+        matches!(self.stage, LegStage::Open)
+    }
+
+    /// Its answer.
+    pub(super) fn answer(&self) -> Option<&TargetReply> {
+        match &self.stage {
+            LegStage::Answered(reply) => Some(reply),
+            LegStage::Open | LegStage::Missing(_) => None,
+        }
+    }
+
+    /// Whether a target may have run it, or may still.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.runs > 0 || !self.live.is_empty() || self.answer().is_some()
+    }
+}
+
+/// One request.
+#[derive(Debug)]
+pub(super) struct RequestState {
+    pub(super) key: RequestKey,
+    pub(super) route: Arc<RouteEntry>,
+    pub(super) arrived: Instant,
+    /// When it must have ended: the caller's deadline or the route's time-out.
+    pub(super) deadline: Instant,
+    pub(super) legs: Vec<RequestLeg>,
+    /// Whether the time for a whole answer is over, so that the first sufficient one is given.
+    pub(super) overdue: bool,
+}
+
+impl RequestState {
+    /// Whether it may run only once.
+    pub(super) fn is_careful(&self) -> bool {
+        self.route.repeat == RepeatKind::NonIdempotent
+    }
+
+    /// Whether its answer is merged from parts.
+    pub(super) fn is_gather(&self) -> bool {
+        matches!(self.route.destination, RouteDestination::Gather { .. })
+    }
+
+    /// How many legs are answered.
+    pub(super) fn answered(&self) -> usize {
+        self.legs
+            .iter()
+            .filter(|leg| leg.answer().is_some())
+            .count()
+    }
+
+    /// Whether no leg is open.
+    pub(super) fn is_settled(&self) -> bool {
+        self.legs.iter().all(|leg| !leg.is_open())
+    }
+
+    /// The least number of answered legs that make a success.
+    pub(super) fn least_answered(&self) -> usize {
+        match &self.route.destination {
+            RouteDestination::Split(_) => 1,
+            RouteDestination::Gather { services, merge } => {
+                let least = least_count(services.len(), merge.least_coverage);
+                least.max(1)
+            }
+        }
+    }
+}
+
+/// How many of the services make up at least the least coverage.
+fn least_count(services: usize, least_coverage: f64) -> usize {
+    (0..=services)
+        .find(|count| *count as f64 >= least_coverage * services as f64)
+        .unwrap_or(services)
+}
+
+/// One attempt that has not ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LiveAttempt {
+    pub(super) attempt: AttemptKey,
+    pub(super) request: RequestKey,
+    /// The leg's place in the request.
+    pub(super) place: usize,
+    pub(super) target: TargetKey,
+    pub(super) sent_at: Instant,
+    /// How long such an attempt usually takes.
+    pub(super) usual: Duration,
+    /// Whether its answer is still wanted.
+    pub(super) wanted: bool,
+    /// Whether it took leave from the service's budget.
+    pub(super) paid: bool,
+}
+
+/// All requests in work and all attempts in flight; both sorted by their keys, which count up.
+#[derive(Debug, Default)]
+pub(super) struct RequestTable {
+    requests: Vec<RequestState>,
+    attempts: Vec<LiveAttempt>,
+    last_attempt: AttemptKey,
+}
+
+impl RequestTable {
+    /// How many requests are in work.
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Adds a request.
+    pub(super) fn insert(&mut self, state: RequestState) {
+        let place = self.place(state.key).unwrap_or_else(|place| place);
+        self.requests.insert(place, state);
+    }
+
+    /// A request in work.
+    pub(super) fn get(&self, key: RequestKey) -> Option<&RequestState> {
+        let place = self.place(key).ok()?;
+        self.requests.get(place)
+    }
+
+    /// A request in work.
+    pub(super) fn get_mut(&mut self, key: RequestKey) -> Option<&mut RequestState> {
+        let place = self.place(key).ok()?;
+        self.requests.get_mut(place)
+    }
+
+    /// Takes a request out.
+    pub(super) fn remove(&mut self, key: RequestKey) -> Option<RequestState> {
+        let place = self.place(key).ok()?;
+        Some(self.requests.remove(place))
+    }
+
+    /// All requests in work.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &RequestState> {
+        self.requests.iter()
+    }
+
+    /// The key for the next attempt.
+    pub(super) fn next_attempt(&mut self) -> AttemptKey {
+        self.last_attempt += 1;
+        self.last_attempt
+    }
+
+    /// Adds an attempt in flight.
+    pub(super) fn add_attempt(&mut self, attempt: LiveAttempt) {
+        self.attempts.push(attempt);
+    }
+
+    /// An attempt in flight.
+    pub(super) fn attempt(&self, key: AttemptKey) -> Option<&LiveAttempt> {
+        let place = self.attempt_place(key)?;
+        self.attempts.get(place)
+    }
+
+    /// An attempt in flight.
+    pub(super) fn attempt_mut(&mut self, key: AttemptKey) -> Option<&mut LiveAttempt> {
+        let place = self.attempt_place(key)?;
+        self.attempts.get_mut(place)
+    }
+
+    /// Ends an attempt.
+    pub(super) fn remove_attempt(&mut self, key: AttemptKey) -> Option<LiveAttempt> {
+        let place = self.attempt_place(key)?;
+        Some(self.attempts.remove(place))
+    }
+
+    /// All attempts in flight.
+    pub(super) fn attempts(&self) -> impl Iterator<Item = &LiveAttempt> {
+        self.attempts.iter()
+    }
+
+    fn place(&self, key: RequestKey) -> Result<usize, usize> {
+        self.requests.binary_search_by_key(&key, |state| state.key)
+    }
+
+    fn attempt_place(&self, key: AttemptKey) -> Option<usize> {
+        self.attempts
+            .binary_search_by_key(&key, |attempt| attempt.attempt)
+            .ok()
+    }
+}
--- /dev/null
+++ b/core/src/relay/submit.rs
@@ -0,0 +1,180 @@
+//! A caller's request: the services that it asks, and its refusal where it can't be served.
+
+use std::time::{Duration, Instant};
+
+use super::action::{RefusalCause, RelayAction, RelayRefusal, SendCause};
+use super::choice::TargetChoice;
+use super::event::RelayRequest;
+use super::request::{RequestLeg, RequestState};
+use super::route::{RouteDestination, RouteEntry, ServiceName, WeightedService};
+use super::timers::TimerKind;
+use super::{RelayEngine, RequestKey};
+
+/// The part of the latency aim that is kept for the way back to the caller.
+const RETURN_SHARE: f64 = 0.08;
+/// What else is kept for the way back: the round trip to a caller outside the data centre, and a
+/// busy processor's delay.
+const RETURN_TIME: Duration = Duration::from_millis(8);
+/// The part of the latency aim that a request may wait for room before it is refused: a caller
+/// that is refused so early can still be answered in time elsewhere.
+const ROOM_SHARE: f64 = 0.2;
+/// The part of the time left after which a refused caller is asked to come back at the latest.
+const LATEST_RETURN: f64 = 0.25;
+/// The soonest that a refused caller is asked to come back.
+const SOONEST_RETURN: Duration = Duration::from_millis(20);
+
+impl RelayEngine {
+    /// Takes a caller's request: its legs are sent, or wait, or it is refused.
+    pub(super) fn submit(
+        &mut self,
+        now: Instant,
+        request: RelayRequest,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let key = request.key;
+        let route = request.route;
+        let deadline = request.deadline.min(now + route.timeout);
+        let services = self.asked_services(&route);
+        let state = RequestState {
+            key,
+            arrived: now,
+            deadline,
+            legs: services.into_iter().map(RequestLeg::new).collect(),
+            overdue: false,
+            route,
+        };
+        if let Some(cause) = self.refusal_cause(now, &state) {
+            let retry_after = self.retry_after(now, &state);
+            let refusal = RelayRefusal::NotRun { retry_after, cause };
+            actions.push(RelayAction::Refuse {
+                request: key,
+                refusal,
+            });
+            return;
+        }
+        for leg in &state.legs {
+            let window = self.options.retry_window;
+            self.services
+                .get_or_add(&leg.service)
+                .budget
+                .note_request(now, window);
+        }
+        let legs = state.legs.len();
+        self.add_timers(now, &state);
+        self.requests.insert(state);
+        for place in 0..legs {
+            self.ask_leg(now, key, place, SendCause::First, actions);
+        }
+        self.begin_look(now, key);
+        self.finish_if_settled(now, key, actions);
+    }
+
+    /// The services that a request asks.
+    fn asked_services(&mut self, route: &RouteEntry) -> Vec<ServiceName> {
+        match &route.destination {
+            RouteDestination::Gather { services, .. } => services.clone(),
+            RouteDestination::Split(parts) => {
+                self.split_turn = self.split_turn.wrapping_add(1);
+                let part = pick_part(parts, scramble(self.split_turn));
+                part.map(|part| part.service.clone()).into_iter().collect()
+            }
+        }
+    }
+
+    /// Why a request can't be served, where that is known before anything is sent.
+    fn refusal_cause(&self, now: Instant, state: &RequestState) -> Option<RefusalCause> {
+        if state.deadline <= now {
+            return Some(RefusalCause::NoTime);
+        }
+        let servable = state.legs.iter().filter(|leg| {
+            let choice = self.choose(now, &leg.service, &[], state.is_careful());
+            !matches!(choice, TargetChoice::Unavailable { .. })
+        });
+        (servable.count() < state.least_answered()).then_some(RefusalCause::NoTarget)
+    }
+
+    /// When a refused caller should come back: when the first suspended target is tried again.
+    pub(super) fn retry_after(&self, now: Instant, state: &RequestState) -> Duration {
+        let left = state.deadline.saturating_duration_since(now);
+        let latest = left.mul_f64(LATEST_RETURN);
+        let back = state
+            .legs
+            .iter()
+            .filter_map(
+                |leg| match self.choose(now, &leg.service, &[], state.is_careful()) {
+                    TargetChoice::Unavailable { back_at } => back_at,
+                    TargetChoice::Ask(_) | TargetChoice::Wait => None,
+                },
+            )
+            .max();
+        let wait = back.map_or(latest, |back| back.saturating_duration_since(now));
+        wait.max(SOONEST_RETURN).min(latest)
+    }
+
+    fn add_timers(&mut self, now: Instant, state: &RequestState) {
+        let request = state.key;
+        let aim = state.route.latency_aim;
+        self.timers
+            .add(state.deadline, TimerKind::Deadline { request });
+        if state.is_gather() {
+            let cut = answer_by(now, aim);
+            self.timers.add(cut, TimerKind::Cut { request });
+        }
+        let room = now + aim.mul_f64(ROOM_SHARE);
+        self.timers.add(room, TimerKind::Room { request });
+    }
+
+    /// Refuses a request of which nothing could be sent in time.
+    pub(super) fn end_room_wait(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        let waits = state
+            .legs
+            .iter()
+            .all(|leg| leg.parked && !leg.may_have_run());
+        if !waits {
+            return;
+        }
+        let retry_after = self.retry_after(now, state);
+        let cause = RefusalCause::NoRoom;
+        self.refuse(
+            request,
+            RelayRefusal::NotRun { retry_after, cause },
+            actions,
+        );
+    }
+}
+
+/// When an answer must leave here to reach its caller within the latency aim.
+pub(super) fn answer_by(arrived: Instant, aim: Duration) -> Instant {
+    let kept = aim.mul_f64(RETURN_SHARE) + RETURN_TIME;
+    arrived + aim.saturating_sub(kept).max(aim / 2)
+}
+
+/// The part of a split that a number in 0 to 1 falls on.
+fn pick_part(parts: &[WeightedService], number: f64) -> Option<&WeightedService> {
+    let total: f64 = parts.iter().map(|part| part.weight).sum();
+    let mut left = number * total;
+    let weighted = parts.iter().filter(|part| part.weight > 0.0);
+    let mut last = None;
+    for part in weighted {
+        last = Some(part);
+        if left < part.weight {
+            return last;
+        }
+        left -= part.weight;
+    }
+    last
+}
+
+/// Spreads consecutive numbers evenly over 0 to 1, by the golden ratio.
+fn scramble(turn: u64) -> f64 {
+    const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
+    (turn as f64 * GOLDEN_RATIO).fract()
+}
--- /dev/null
+++ b/core/src/relay/verifier.rs
@@ -0,0 +1,55 @@
+//! What must hold after each event.
+
+use super::RelayEngine;
+use super::request::RequestState;
+
+/// Asserts the invariants that are cheap to check.
+///
+/// # Panics
+///
+/// It panics with the invariant's name if one is broken.
+pub(super) fn check(relay: &RelayEngine) {
+    if !cfg!(debug_assertions) {
+        return;
+    }
+    for state in relay.requests.iter() {
+        check_request(relay, state);
+    }
+    let live = relay.requests.attempts().count();
+    let flights: usize = relay
+        .targets
+        .iter()
+        .map(|target| target.flights.len())
+        .sum();
+    assert!(
+        flights <= live,
+        "invariant: every flight at a target is a live attempt"
+    );
+    for service in relay.services.iter() {
+        assert!(
+            service.parked.is_sorted(),
+            "invariant: waiting legs are in order"
+        );
+    }
+}
+
+fn check_request(relay: &RelayEngine, state: &RequestState) {
+    for leg in &state.legs {
+        let used = leg.runs + leg.live.len() as u32;
+        assert!(
+            used <= state.route.attempts.max(1),
+            "invariant: no more attempts may run than the route allows"
+        );
+        assert!(
+            !state.is_careful() || used <= 1,
+            "invariant: a request that can't be repeated is in flight once at the most"
+        );
+        for attempt in &leg.live {
+            let known = relay.requests.attempt(*attempt);
+            assert!(
+                known.is_some_and(|live| live.wanted),
+                "invariant: a leg's attempts are live and wanted"
+            );
+        }
+    }
+}
--- a/daemon/src/bin/yuccaliftd.rs
+++ b/daemon/src/bin/yuccaliftd.rs
@@ -4,21 +4,22 @@
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 use tokio::signal::unix::{SignalKind, signal};
-use yuccalift_daemon::{Daemon, start_logging};
-use yuccalift_settings::DaemonSettings;
+use yuccalift_daemon::{Daemon, run_relay, start_logging};
+use yuccalift_settings::{DaemonSettings, RelaySettings};
 
 const HELP: &str = "\
 yuccaliftd: the daemon of yuccalift, the same on every entry host
 
-Usage: yuccaliftd [--check] SETTINGS.yaml
+Usage: yuccaliftd [--check] [--relay] SETTINGS.yaml
 
 Options:
+  --relay        relay plain HTTP requests by the routes that the users' platform publishes
   --check        check the settings and end
   -h, --help     print this text
   -V, --version  print the version
 
 Exit status: 0 good, 1 failed, 2 bad use or bad settings.
-SIGTERM and SIGINT start a graceful stop.
+SIGTERM and SIGINT start a graceful stop; SIGHUP reads the settings of a relay again.
 ";
 
 /// Bad use of the command line, or bad settings.
@@ -28,7 +29,11 @@
 enum Invocation {
     Help,
     Version,
-    Run { file: String, check_only: bool },
+    Run {
+        file: String,
+        check_only: bool,
+        relay: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -37,7 +42,16 @@
         Ok(Invocation::Version) => {
             print_and_end(concat!("yuccaliftd ", env!("CARGO_PKG_VERSION"), "\n"))
         }
-        Ok(Invocation::Run { file, check_only }) => run(&file, check_only),
+        Ok(Invocation::Run {
+            file,
+            check_only,
+            relay: true,
+        }) => start_relay(&file, check_only),
+        Ok(Invocation::Run {
+            file,
+            check_only,
+            relay: false,
+        }) => run(&file, check_only),
         Err(error) => {
             eprintln!("yuccaliftd: {error}; see yuccaliftd --help");
             ExitCode::from(EXIT_BAD_USE)
@@ -53,17 +67,23 @@
 fn read_invocation(mut parser: lexopt::Parser) -> Result<Invocation, lexopt::Error> {
     let mut file = None;
     let mut check_only = false;
+    let mut relay = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Short('h') | Long("help") => return Ok(Invocation::Help),
             Short('V') | Long("version") => return Ok(Invocation::Version),
             Long("check") => check_only = true,
+            Long("relay") => relay = true,
             Value(value) if file.is_none() => file = Some(value.string()?),
             other => return Err(other.unexpected()),
         }
     }
     let file = file.ok_or("the settings file is missing")?;
-    Ok(Invocation::Run { file, check_only })
+    Ok(Invocation::Run {
+        file,
+        check_only,
+        relay,
+    })
 }
 
 fn run(file: &str, check_only: bool) -> ExitCode {
@@ -86,6 +106,33 @@
     }
 }
 
+fn start_relay(file: &str, check_only: bool) -> ExitCode {
+    let settings = match read_relay(file) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprintln!("{message}");
+            return ExitCode::from(EXIT_BAD_USE);
+        }
+    };
+    if check_only {
+        return print_and_end(&format!("{file}: valid settings of a relay\n"));
+    }
+    let _log = start_logging(&settings.log);
+    match run_relay(settings, || read_relay(file)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("yuccaliftd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_relay(file: &str) -> Result<RelaySettings, String> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| format!("yuccaliftd: read settings, file {file}: {error}"))?;
+    yuccalift_settings::parse_relay(file, &text).map_err(|errors| errors.to_string())
+}
+
 fn read_settings(file: &str) -> Result<DaemonSettings, String> {
     let text = std::fs::read_to_string(file)
         .map_err(|error| format!("yuccaliftd: read settings, file {file}: {error}"))?;
--- a/daemon/src/error.rs
+++ b/daemon/src/error.rs
@@ -37,6 +37,12 @@
         /// What the registry says.
         source: RegistryError,
     },
+    /// A signal can't be waited for.
+    #[snafu(display("watch for signals: {source}"))]
+    Signal {
+        /// What the system says.
+        source: std::io::Error,
+    },
     /// Metrics could not be set up.
     #[snafu(display("open metrics socket, peer {address}: {source}"))]
     Metrics {
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -143,6 +143,47 @@
     504 WARN "connections_retired" ConnectionsRetired {
         target: &'a str, retired: u64, answered: bool,
     }
+    #[doc = "A relay accepts callers; it is not ready before 602."]
+    601 INFO "relay_started" RelayStarted {
+        host: &'a str, data_centre: &'a str, callers: &'a str, store: &'a str,
+    }
+    #[doc = "A version of the routes is in force; `revision` is the store's of its change."]
+    602 INFO "routes_in_force" RoutesInForce {
+        version: u64, routes: u64, services: u64, revision: u64,
+    }
+    #[doc = "An entry of the store can't be decoded and names nothing to use."]
+    603 WARN "entry_refused" EntryRefused { key: &'a str, fault: &'a str }
+    #[doc = "The store can't be read; what is known stays in force."]
+    604 WARN "store_lost" StoreLost { fault: &'a str }
+    #[doc = "The store can be read again after `outage_ms`."]
+    605 INFO "store_regained" StoreRegained { outage_ms: u64 }
+    #[doc = "A target is listed, doubtful, leaving, back or forgotten."]
+    606 INFO "target_changed" TargetChanged { target: &'a str, state: &'a str }
+    #[doc = "A target that broke attempts gets no work for a while."]
+    607 INFO "target_suspended" TargetSuspended { target: &'a str, period_ms: u64 }
+    #[doc = "A suspended target answered again."]
+    608 INFO "target_resumed" TargetResumed { target: &'a str }
+    #[doc = "A request was sent to another target as well, `after_ms` after its first send; `cause` is hedge or retry."]
+    609 INFO "attempt_repeated" AttemptRepeated {
+        request: &'a str, target: &'a str, cause: &'a str, after_ms: u64,
+    }
+    #[doc = "An attempt brought no success; `outcome` is what became of it."]
+    610 INFO "attempt_failed" AttemptFailed {
+        request: &'a str, target: &'a str, outcome: &'a str, took_ms: u64,
+    }
+    #[doc = "A service is left out of an answer."]
+    611 INFO "service_missed" ServiceMissed { request: &'a str, service: &'a str, reason: &'a str }
+    #[doc = "A request ended; of those that ended well and in time one in 16 is written."]
+    612 INFO "request_ended" RequestEnded {
+        request: &'a str, route: &'a str, version: u64, status: u64, cause: &'a str, parts: u64,
+        missing: u64, took_ms: u64,
+    }
+    #[doc = "A caller's connection ended before its answer; what can be repeated is given up."]
+    613 INFO "caller_left" CallerLeft { request: &'a str }
+    #[doc = "So many lines about requests were left out in the last second, to bound the log."]
+    614 WARN "lines_dropped" LinesDropped { lines: u64 }
+    #[doc = "The settings were read again; `fault` is empty if they are in force."]
+    615 INFO "settings_reloaded" SettingsReloaded { fault: &'a str }
     #[doc = "A target was lost while it ran a request; `blame` is its part of the blame so far, in thousandths of a target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is held back, since targets were lost whenever they ran it."]
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `operator`, [`status_board`]: the operators' listener and what it tells.
 //! - `listener`, [`rate_limit`]: the key, the limits and the typed errors of all listeners.
 //! - [`control`]: configuration, membership and news.
+//! - [`relay`]: plain HTTP requests, passed on by published routes.
 //! - `ready_flag`: whether the daemon takes requests.
 //! - [`events`], [`logging`], `decision_log`: the numbered events of the log.
 //! - [`metrics`]: what is sent as `StatsD`.
@@ -32,6 +33,7 @@
 mod quarantine_desk;
 pub mod rate_limit;
 mod ready_flag;
+pub mod relay;
 pub mod status_board;
 mod target_links;
 
@@ -41,3 +43,4 @@
 pub use logging::{LogGuard, start_logging};
 pub use metrics::{DaemonMetric, METRICS, MetricKind, MetricSpec, MetricsClient};
 pub use peer_directory::{PeerAddress, PeerDirectory};
+pub use relay::process::run_relay;
--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -13,14 +13,14 @@
     _worker: WorkerGuard,
 }
 
-/// Sends the process's log to standard error, by the settings; a second call changes nothing.
+/// Sends the process's log to standard output, by the settings; a second call changes nothing.
 ///
 /// Only the daemon's own events are written, so that every line has a number of the catalogue. A
 /// thread of its own writes them: a reader that stands still must not hold up a request, and lines
 /// beyond the queue are dropped instead.
 pub fn start_logging(settings: &LogSettings) -> LogGuard {
     let filter = EnvFilter::new(format!("off,{LOG_TARGET}={}", settings.level));
-    let (writer, worker) = NonBlocking::new(std::io::stderr());
+    let (writer, worker) = NonBlocking::new(std::io::stdout());
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_target(false)
--- /dev/null
+++ b/daemon/src/relay/hub.rs
@@ -0,0 +1,235 @@
+//! The engine of the relay, its timers, and who waits for it: [`RelayHub`].
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{Notify, oneshot};
+use tokio_util::sync::CancellationToken;
+use yuccalift_core::relay::{
+    AttemptKey, AttemptOrder, RelayAction, RelayAnswer, RelayEngine, RelayEvent, RelayRefusal,
+    RelayRequest, RequestKey, RouteTable,
+};
+
+use super::attempt::{CallerMessage, run_attempt};
+use super::pool::LinkPool;
+use super::report::RelayReport;
+
+/// A timer that fires this much later than it was due follows a pause of the process.
+const PAUSE_GAP: Duration = Duration::from_millis(250);
+
+/// What a request came to.
+pub(super) type RelayResult = Result<RelayAnswer, RelayRefusal>;
+
+/// A caller whose request is in the engine.
+struct WaitingCaller {
+    key: RequestKey,
+    message: Rc<CallerMessage>,
+    reply: oneshot::Sender<RelayResult>,
+}
+
+/// An attempt that has not ended.
+struct RunningAttempt {
+    key: AttemptKey,
+    cancel: CancellationToken,
+}
+
+/// The engine and what its actions need; shared by the tasks of the thread.
+pub(super) struct RelayHub {
+    engine: RefCell<RelayEngine>,
+    callers: RefCell<Vec<WaitingCaller>>,
+    attempts: RefCell<Vec<RunningAttempt>>,
+    pool: LinkPool,
+    pub(super) report: RelayReport,
+    last_request: Cell<RequestKey>,
+    wake: Notify,
+    wake_due: Cell<Option<Instant>>,
+}
+
+impl RelayHub {
+    /// Makes a hub; [`RelayHub::run_timers`] must run beside it.
+    pub(super) fn new(engine: RelayEngine, pool: LinkPool, report: RelayReport) -> Rc<Self> {
+        Rc::new(Self {
+            engine: RefCell::new(engine),
+            callers: RefCell::default(),
+            attempts: RefCell::default(),
+            pool,
+            report,
+            last_request: Cell::new(0),
+            wake: Notify::new(),
+            wake_due: Cell::new(None),
+        })
+    }
+
+    /// The routes in force.
+    pub(super) fn routes(&self) -> std::sync::Arc<RouteTable> {
+        std::sync::Arc::clone(self.engine.borrow().routes())
+    }
+
+    /// How many requests are in work.
+    pub(super) fn in_work(&self) -> usize {
+        self.engine.borrow().in_work()
+    }
+
+    /// Submits a request; the receiver gets its end.
+    pub(super) fn submit(
+        self: &Rc<Self>,
+        message: Rc<CallerMessage>,
+        mut request: RelayRequest,
+    ) -> (RequestKey, oneshot::Receiver<RelayResult>) {
+        let key = self.last_request.get() + 1;
+        self.last_request.set(key);
+        request.key = key;
+        let (reply, end) = oneshot::channel();
+        // Keys count up, so the list stays sorted.
+        self.callers.borrow_mut().push(WaitingCaller {
+            key,
+            message,
+            reply,
+        });
+        self.feed(RelayEvent::Submit(request));
+        (key, end)
+    }
+
+    /// Tells the engine that a caller has gone before its answer.
+    pub(super) fn drop_caller(self: &Rc<Self>, key: RequestKey) {
+        if let Some(caller) = self.take_caller(key) {
+            self.report.caller_left(&caller.message.request);
+            self.feed(RelayEvent::CallerGone { request: key });
+        }
+    }
+
+    /// Feeds the engine, and carries out what it decides.
+    pub(super) fn feed(self: &Rc<Self>, event: RelayEvent) {
+        let mut actions = Vec::new();
+        let now = Instant::now();
+        self.engine.borrow_mut().handle(now, event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+        self.schedule_wake();
+    }
+
+    /// Wakes the engine when it wants to be, until the token is cancelled.
+    pub(super) async fn run_timers(self: Rc<Self>, stop: CancellationToken) {
+        loop {
+            let due = self.wake_due.get();
+            let sleep = async {
+                match due {
+                    Some(due) => tokio::time::sleep_until(due.into()).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = self.wake.notified() => {}
+                () = sleep => {
+                    self.wake_due.set(None);
+                    self.notice_pause(due);
+                    self.feed(RelayEvent::Tick);
+                }
+            }
+        }
+    }
+
+    fn notice_pause(self: &Rc<Self>, due: Option<Instant>) {
+        let gap = due.map(|due| Instant::now().saturating_duration_since(due));
+        if let Some(gap) = gap.filter(|gap| *gap > PAUSE_GAP) {
+            self.report.paused(gap);
+            self.feed(RelayEvent::Paused);
+        }
+    }
+
+    fn schedule_wake(&self) {
+        let next = self.engine.borrow().next_wake();
+        let Some(next) = next else {
+            return;
+        };
+        // A wake that comes too early does no harm, and costs less than to be moved.
+        if self.wake_due.get().is_none_or(|due| next < due) {
+            self.wake_due.set(Some(next));
+            self.wake.notify_one();
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, action: RelayAction) {
+        match action {
+            RelayAction::Send(order) => self.send(order),
+            RelayAction::Cancel { attempt } => self.cancel(attempt),
+            RelayAction::Answer { request, answer } => self.reply(request, Ok(answer)),
+            RelayAction::Refuse { request, refusal } => self.reply(request, Err(refusal)),
+            RelayAction::Forget { target } => self.pool.forget(target),
+            RelayAction::Decided(decision) => {
+                self.report
+                    .decision(&decision, |key| self.request_name(key));
+            }
+        }
+    }
+
+    fn send(self: &Rc<Self>, order: AttemptOrder) {
+        let attempt = order.attempt;
+        let message = self.message(order.request);
+        let Some(message) = message else {
+            // The caller went while the engine decided; its request is dropped next.
+            self.end_later(attempt);
+            return;
+        };
+        let cancel = CancellationToken::new();
+        self.attempts.borrow_mut().push(RunningAttempt {
+            key: attempt,
+            cancel: cancel.clone(),
+        });
+        let hub = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let outcome = run_attempt(&hub.pool, &order, &message, cancel).await;
+            hub.forget_attempt(attempt);
+            hub.feed(RelayEvent::AttemptEnded { attempt, outcome });
+        });
+    }
+
+    fn end_later(self: &Rc<Self>, attempt: AttemptKey) {
+        let hub = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let outcome = yuccalift_core::relay::TargetOutcome::Abandoned { sent: false };
+            hub.feed(RelayEvent::AttemptEnded { attempt, outcome });
+        });
+    }
+
+    fn cancel(&self, attempt: AttemptKey) {
+        let attempts = self.attempts.borrow();
+        if let Ok(place) = attempts.binary_search_by_key(&attempt, |running| running.key) {
+            attempts[place].cancel.cancel();
+        }
+    }
+
+    fn forget_attempt(&self, attempt: AttemptKey) {
+        let mut attempts = self.attempts.borrow_mut();
+        if let Ok(place) = attempts.binary_search_by_key(&attempt, |running| running.key) {
+            attempts.remove(place);
+        }
+    }
+
+    fn reply(&self, request: RequestKey, result: RelayResult) {
+        if let Some(caller) = self.take_caller(request) {
+            let _caller_may_have_gone = caller.reply.send(result);
+        }
+    }
+
+    fn take_caller(&self, key: RequestKey) -> Option<WaitingCaller> {
+        let mut callers = self.callers.borrow_mut();
+        let place = callers.binary_search_by_key(&key, |caller| caller.key);
+        place.ok().map(|place| callers.remove(place))
+    }
+
+    fn message(&self, key: RequestKey) -> Option<Rc<CallerMessage>> {
+        let callers = self.callers.borrow();
+        let place = callers.binary_search_by_key(&key, |caller| caller.key);
+        place.ok().map(|place| Rc::clone(&callers[place].message))
+    }
+
+    /// The caller's name for a request, for the log.
+    fn request_name(&self, key: RequestKey) -> Box<str> {
+        self.message(key)
+            .map_or_else(Box::default, |message| message.request.clone())
+    }
+}
--- /dev/null
+++ b/daemon/src/relay/mod.rs
@@ -0,0 +1,23 @@
+//! The relay: callers' plain HTTP requests, passed on by the routes that the users' platform
+//! publishes.
+//!
+//! Everything runs on one thread: the entry hosts have a part of one core, and what the relay
+//! decides is decided in one place anyway.
+//!
+//! - [`process`]: one relay, its services and their order.
+//! - `front`: the callers' listener. `readiness`: the balancer's.
+//! - `hub`: the engine of [`yuccalift_core::relay`], its timers, and who waits for it.
+//! - `attempt`, `pool`: one request to one target, and the connections to targets.
+//! - `store_feed`: reads the platform's store.
+//! - `report`: the lines of the log.
+//!
+//! See `docs/PLATFORM.md`.
+
+mod attempt;
+mod front;
+mod hub;
+mod pool;
+pub mod process;
+mod readiness;
+mod report;
+mod store_feed;
--- /dev/null
+++ b/daemon/src/relay/process.rs
@@ -0,0 +1,212 @@
+//! One relay: its listeners, the reader of the store, and its stop.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Request, Response, ServiceConfig};
+use actix_service::{Service, ServiceFactory, fn_service};
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+use yuccalift_core::relay::{RelayEngine, RelayOptions};
+use yuccalift_exchange::{LinkOptions, listen};
+use yuccalift_settings::RelaySettings;
+
+use super::front::{FrontState, answer_caller};
+use super::hub::RelayHub;
+use super::pool::LinkPool;
+use super::readiness::{RelayReadiness, answer_balancer};
+use super::report::RelayReport;
+use super::store_feed::StoreFeed;
+use crate::error::{BindSnafu, DaemonError, SignalSnafu};
+use crate::events::LogEvent;
+
+/// How long a caller's connection may be idle. It is longer than any published limit, so that no
+/// caller has its connection closed while it sends.
+const CALLER_IDLE: Duration = Duration::from_secs(120);
+/// How long a caller may take to send a head; published limits are shorter, and callers keep them.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// How long a stopping relay goes on accepting: the balancer asks each second, and sends new
+/// callers until it has been told twice that the relay is not ready.
+const BALANCER_GRACE: Duration = Duration::from_secs(3);
+/// How long before the end of a stop its process ends by itself.
+const STOP_RESERVE: Duration = Duration::from_millis(500);
+/// How often a stopping relay looks whether it has nothing left to do.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+/// How a listener's connections find out that the caller is gone without a word.
+const CALLER_LINK: LinkOptions = LinkOptions {
+    connect_timeout: Duration::from_secs(1),
+    probe_interval: Duration::from_secs(5),
+    probes: 3,
+};
+
+/// Runs a relay until it is told to stop; `reload` reads its settings again.
+///
+/// # Errors
+///
+/// [`DaemonError`] if a listener's address or a signal can't be had.
+pub fn run_relay(
+    settings: RelaySettings,
+    reload: impl Fn() -> Result<RelaySettings, String>,
+) -> Result<(), DaemonError> {
+    actix_rt::System::new().block_on(serve(settings, reload))
+}
+
+async fn serve(
+    settings: RelaySettings,
+    reload: impl Fn() -> Result<RelaySettings, String>,
+) -> Result<(), DaemonError> {
+    let mut signals = StopSignals::new()?;
+    let callers = bind("callers", settings.caller_listen)?;
+    let balancer = bind("readiness", settings.readiness_listen)?;
+    let links = ServiceConfig::default();
+    let engine = RelayEngine::new(relay_options(&settings));
+    let report = RelayReport::new(Instant::now());
+    let hub = RelayHub::new(engine, LinkPool::new(links.clone()), report);
+    let readiness = Rc::new(RelayReadiness::default());
+    let stop = CancellationToken::new();
+    actix_rt::spawn(Rc::clone(&hub).run_timers(stop.clone()));
+    let feed = StoreFeed::new(
+        settings.store,
+        links,
+        Rc::clone(&hub),
+        Rc::clone(&readiness),
+    );
+    actix_rt::spawn(feed.run(stop.clone()));
+    let asked = Rc::clone(&readiness);
+    spawn_listener(balancer, stop.clone(), move |request| {
+        answer_balancer(Rc::clone(&asked), request)
+    });
+    let front = Rc::new(FrontState {
+        hub: Rc::clone(&hub),
+        readiness: Rc::clone(&readiness),
+    });
+    spawn_listener(callers, stop.clone(), move |request| {
+        answer_caller(Rc::clone(&front), request)
+    });
+    log_start(&settings);
+    signals.wait(&reload).await;
+    stop_gracefully(&settings, &hub, &readiness).await;
+    stop.cancel();
+    Ok(())
+}
+
+fn relay_options(settings: &RelaySettings) -> RelayOptions {
+    RelayOptions {
+        data_centre: settings.data_centre.clone(),
+        retry_share: settings.retry_share,
+        retry_window: settings.retry_window,
+        drain_time: settings.drain_time,
+    }
+}
+
+fn bind(listener: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    listen(address).context(BindSnafu { listener, address })
+}
+
+/// Serves a listener's connections, each as a task, until the token is cancelled.
+fn spawn_listener<F, Fut>(listener: TcpListener, stop: CancellationToken, handler: F)
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
+{
+    actix_rt::spawn(async move {
+        let factory = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(CALLER_IDLE))
+            .client_request_timeout(HEAD_TIMEOUT)
+            .h1_allow_half_closed(false)
+            .h1(fn_service(handler))
+            .tcp();
+        let Ok(service) = factory.new_service(()).await else {
+            return;
+        };
+        let service = Rc::new(service);
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = stop.cancelled() => return,
+            };
+            let Ok((stream, _peer)) = accepted else {
+                // Out of descriptors: some come free as connections end.
+                tokio::time::sleep(STOP_LOOK).await;
+                continue;
+            };
+            let _unset_options_do_no_harm = stream.set_nodelay(true);
+            let _unset_options_do_no_harm = CALLER_LINK.watch(&stream);
+            let service = Rc::clone(&service);
+            actix_rt::spawn(async move {
+                // A connection that breaks has ended its requests by itself.
+                let _broken = service.call(stream).await;
+            });
+        }
+    });
+}
+
+/// Says that no new callers are wanted, serves those that come, and waits until none is left.
+async fn stop_gracefully(settings: &RelaySettings, hub: &RelayHub, readiness: &RelayReadiness) {
+    readiness.stopping.set(true);
+    LogEvent::StopStarted {
+        host: &settings.host,
+        limit_ms: settings.stop_timeout.as_millis() as u64,
+    }
+    .emit();
+    let began = Instant::now();
+    let grace = BALANCER_GRACE.min(settings.stop_timeout / 2);
+    tokio::time::sleep(grace).await;
+    let end = settings.stop_timeout.saturating_sub(STOP_RESERVE);
+    while hub.in_work() > 0 && began.elapsed() < end {
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+    let overdue = if hub.in_work() > 0 { "requests" } else { "" };
+    LogEvent::DaemonStopped {
+        host: &settings.host,
+        overdue,
+    }
+    .emit();
+}
+
+fn log_start(settings: &RelaySettings) {
+    LogEvent::RelayStarted {
+        host: &settings.host,
+        data_centre: &settings.data_centre,
+        callers: &settings.caller_listen.to_string(),
+        store: &settings.store.to_string(),
+    }
+    .emit();
+}
+
+/// The signals that a relay heeds.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl StopSignals {
+    fn new() -> Result<Self, DaemonError> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).context(SignalSnafu)?,
+            interrupt: signal(SignalKind::interrupt()).context(SignalSnafu)?,
+            hang_up: signal(SignalKind::hangup()).context(SignalSnafu)?,
+        })
+    }
+
+    /// Waits for the signal to stop; meanwhile checks the settings whenever they are said to have
+    /// changed. What they set is in force from the next start, and a fault in them is told now.
+    async fn wait(&mut self, reload: &impl Fn() -> Result<RelaySettings, String>) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => {
+                    let fault = reload().err().unwrap_or_default();
+                    LogEvent::SettingsReloaded { fault: &fault }.emit();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/relay/report.rs
@@ -0,0 +1,223 @@
+//! The lines of the log that the relay writes: [`RelayReport`].
+//!
+//! The volume is bounded: lines about requests beyond [`MOST_LINES`] a second are left out and
+//! counted, and of requests that ended well only some are written. See `docs/OPERATIONS.md`.
+
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
+
+use yuccalift_core::relay::action::SendCause;
+use yuccalift_core::relay::{RelayDecision, RequestKey, RouteTable};
+use yuccalift_platform::DecodeError;
+use yuccalift_platform::store::StoreError;
+
+use crate::decision_log::millis;
+use crate::events::LogEvent;
+use crate::rate_limit::RateLimit;
+
+/// The most lines about requests in a second: at 300 bytes each, 120 KB/s.
+const MOST_LINES: u32 = 400;
+/// Of the requests that ended well, one in so many is written.
+const WRITTEN_SHARE: u64 = 16;
+/// How often left out lines are told of.
+const DROP_REPORT: Duration = Duration::from_secs(1);
+
+/// How a request ended.
+#[derive(Debug)]
+pub(super) struct RequestEnd {
+    request: Box<str>,
+    /// The route's name.
+    pub(super) route: Box<str>,
+    /// The version of the routes that it went by.
+    pub(super) version: u64,
+    /// The time within which an answer is of full use.
+    pub(super) latency_aim: Duration,
+    /// The status that the caller got.
+    pub(super) status: u16,
+    /// Why it ended so.
+    pub(super) cause: &'static str,
+    /// How many parts are in the answer.
+    pub(super) parts: u32,
+    /// How many are not.
+    pub(super) missing: u32,
+    /// How long it took.
+    pub(super) took: Duration,
+}
+
+impl RequestEnd {
+    /// A request that nothing is known of but its name.
+    pub(super) fn new(request: &str) -> Self {
+        Self {
+            request: request.into(),
+            route: Box::default(),
+            version: 0,
+            latency_aim: Duration::ZERO,
+            status: 0,
+            cause: "",
+            parts: 0,
+            missing: 0,
+            took: Duration::ZERO,
+        }
+    }
+
+    fn is_good(&self) -> bool {
+        self.status < 300 && self.missing == 0 && self.took <= self.latency_aim
+    }
+}
+
+/// Writes lines, and counts those that it leaves out.
+#[derive(Debug)]
+pub(super) struct RelayReport {
+    limit: RefCell<RateLimit>,
+    dropped: Cell<u64>,
+    told: Cell<Instant>,
+    good: Cell<u64>,
+    store_lost: Cell<Option<Instant>>,
+}
+
+impl RelayReport {
+    /// A report that has written nothing.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            limit: RefCell::new(RateLimit::new(now, MOST_LINES)),
+            dropped: Cell::new(0),
+            told: Cell::new(now),
+            good: Cell::new(0),
+            store_lost: Cell::new(None),
+        }
+    }
+
+    /// Writes a line about a request, if there is room.
+    fn write(&self, event: &LogEvent<'_>) {
+        let now = Instant::now();
+        if !self.limit.borrow_mut().try_take(now) {
+            self.dropped.set(self.dropped.get() + 1);
+            return;
+        }
+        if self.dropped.get() > 0 && now.saturating_duration_since(self.told.get()) >= DROP_REPORT {
+            let lines = self.dropped.replace(0);
+            self.told.set(now);
+            LogEvent::LinesDropped { lines }.emit();
+        }
+        event.emit();
+    }
+
+    /// Writes the end of a request; `name` of its caller's.
+    pub(super) fn request(&self, end: &RequestEnd) {
+        if end.is_good() {
+            self.good.set(self.good.get() + 1);
+            if !self.good.get().is_multiple_of(WRITTEN_SHARE) {
+                return;
+            }
+        }
+        self.write(&LogEvent::RequestEnded {
+            request: &end.request,
+            route: &end.route,
+            version: end.version,
+            status: u64::from(end.status),
+            cause: end.cause,
+            parts: u64::from(end.parts),
+            missing: u64::from(end.missing),
+            took_ms: millis(end.took),
+        });
+    }
+
+    /// Writes that a caller left before its answer.
+    pub(super) fn caller_left(&self, request: &str) {
+        self.write(&LogEvent::CallerLeft { request });
+    }
+
+    /// Writes a decision of the engine; `name` gives a request's name.
+    pub(super) fn decision(&self, decision: &RelayDecision, name: impl Fn(RequestKey) -> Box<str>) {
+        match decision {
+            RelayDecision::SentAgain {
+                request,
+                target,
+                cause,
+                after,
+            } => self.write(&LogEvent::AttemptRepeated {
+                request: &name(*request),
+                target,
+                cause: cause_word(*cause),
+                after_ms: millis(*after),
+            }),
+            RelayDecision::AttemptFailed {
+                request,
+                target,
+                outcome,
+                took,
+            } => self.write(&LogEvent::AttemptFailed {
+                request: &name(*request),
+                target,
+                outcome,
+                took_ms: millis(*took),
+            }),
+            RelayDecision::Missed {
+                request,
+                service,
+                reason,
+            } => self.write(&LogEvent::ServiceMissed {
+                request: &name(*request),
+                service,
+                reason,
+            }),
+            RelayDecision::Suspended { target, period } => LogEvent::TargetSuspended {
+                target,
+                period_ms: millis(*period),
+            }
+            .emit(),
+            RelayDecision::Resumed { target } => LogEvent::TargetResumed { target }.emit(),
+            RelayDecision::TargetChanged { target, state } => {
+                LogEvent::TargetChanged { target, state }.emit();
+            }
+        }
+    }
+
+    /// Writes that the process was paused.
+    pub(super) fn paused(&self, gap: Duration) {
+        LogEvent::LanePaused {
+            gap_ms: millis(gap),
+        }
+        .emit();
+    }
+
+    /// Writes that a version of the routes is in force.
+    pub(super) fn routes(&self, table: &RouteTable, revision: u64) {
+        LogEvent::RoutesInForce {
+            version: table.version,
+            routes: table.routes.len() as u64,
+            services: table.services.len() as u64,
+            revision,
+        }
+        .emit();
+    }
+
+    /// Writes that an entry of the store can't be used.
+    pub(super) fn bad_entry(&self, key: &str, error: &DecodeError) {
+        let fault = error.to_string();
+        self.write(&LogEvent::EntryRefused { key, fault: &fault });
+    }
+
+    /// Writes that the store can't be read.
+    pub(super) fn store_lost(&self, error: &StoreError) {
+        self.store_lost.set(Some(Instant::now()));
+        let fault = error.to_string();
+        LogEvent::StoreLost { fault: &fault }.emit();
+    }
+
+    /// Writes that the store can be read again.
+    pub(super) fn store_regained(&self) {
+        let since = self.store_lost.take();
+        let outage = since.map_or(Duration::ZERO, |since| since.elapsed());
+        let outage_ms = millis(outage);
+        LogEvent::StoreRegained { outage_ms }.emit();
+    }
+}
+
+fn cause_word(cause: SendCause) -> &'static str {
+    match cause {
+        SendCause::First => "first",
+        SendCause::Hedge => "hedge",
+        SendCause::Retry => "retry",
+    }
+}
--- /dev/null
+++ b/exchange/src/link.rs
@@ -0,0 +1,231 @@
+//! One connection and the exchanges over it: [`ExchangeLink`].
+
+use std::io;
+use std::net::SocketAddr;
+
+use actix_codec::{Framed, FramedParts};
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use snafu::ResultExt;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+use crate::answer::ExchangeAnswer;
+use crate::error::{BrokenSnafu, CutSnafu, ExchangeError, GarbledSnafu};
+use crate::socket::LinkOptions;
+
+/// The largest body of an answer, in bytes; far above what is served, to bound the memory that a
+/// faulty peer can take.
+const MOST_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// How many answers to other requests are passed over before the connection is given up.
+const MOST_FOREIGN_ANSWERS: u32 = 2;
+
+const SEND_STEP: &str = "send request";
+const READ_STEP: &str = "read answer";
+
+/// A request as it is written.
+#[derive(Debug)]
+pub struct OutgoingRequest {
+    /// Its head; the length of the body is added.
+    pub head: RequestHead,
+    /// Its body; nothing for a request without one.
+    pub body: Option<Bytes>,
+}
+
+/// One connection, used for one exchange after the other.
+#[derive(Debug)]
+pub struct ExchangeLink {
+    /// The stream; gone after an exchange that does not leave it reusable.
+    stream: Option<TcpStream>,
+    config: ServiceConfig,
+}
+
+type HeadFrames = Framed<TcpStream, ClientCodec>;
+type BodyFrames = Framed<TcpStream, ClientPayloadCodec>;
+
+impl ExchangeLink {
+    /// Opens a connection; `config` is shared by all links of a thread.
+    ///
+    /// # Errors
+    ///
+    /// The socket's error.
+    pub async fn open(
+        address: SocketAddr,
+        options: &LinkOptions,
+        config: &ServiceConfig,
+    ) -> io::Result<Self> {
+        let stream = options.connect(address).await?;
+        Ok(Self {
+            stream: Some(stream),
+            config: config.clone(),
+        })
+    }
+
+    /// Whether the other end has neither closed the connection nor sent anything unasked.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let read = self
+            .stream
+            .as_ref()
+            .map(|stream| stream.try_read(&mut byte));
+        matches!(read, Some(Err(error)) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads the answer whole. Answers for which `is_own` is false belong to
+    /// an earlier request and are passed over.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError`]; the request may have been read, and the link must be dropped.
+    pub async fn exchange(
+        &mut self,
+        request: OutgoingRequest,
+        is_own: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<ExchangeAnswer, ExchangeError> {
+        let Some(stream) = self.stream.take() else {
+            return CutSnafu { step: SEND_STEP }.fail();
+        };
+        let codec = ClientCodec::new(self.config.clone());
+        let mut frames = Framed::new(stream, codec);
+        send(&mut frames, request).await?;
+        let mut foreign = 0;
+        loop {
+            let head = read_head(&mut frames).await?;
+            let own = is_own(&head);
+            let (answer, parts) = read_body(frames, head).await?;
+            let Some(parts) = parts else {
+                return own.then_some(answer).ok_or(cut());
+            };
+            if own {
+                if answer.reusable {
+                    self.stream = Some(parts.io);
+                }
+                return Ok(answer);
+            }
+            foreign += 1;
+            if foreign > MOST_FOREIGN_ANSWERS {
+                return Err(garbled("too many answers to other requests"));
+            }
+            frames = Framed::from_parts(parts);
+        }
+    }
+}
+
+async fn send(frames: &mut HeadFrames, request: OutgoingRequest) -> Result<(), ExchangeError> {
+    let size = match &request.body {
+        Some(body) => BodySize::Sized(body.len() as u64),
+        None => BodySize::None,
+    };
+    let head = RequestHeadType::Owned(request.head);
+    let sent = async {
+        frames.feed(Message::Item((head, size))).await?;
+        if let Some(body) = request.body.filter(|body| !body.is_empty()) {
+            frames.feed(Message::Chunk(Some(body))).await?;
+        }
+        frames.flush().await
+    };
+    sent.await.context(BrokenSnafu { step: SEND_STEP })
+}
+
+/// Reads the head of the next final answer.
+async fn read_head(frames: &mut HeadFrames) -> Result<ResponseHead, ExchangeError> {
+    loop {
+        let Some(head) = frames.next().await else {
+            return CutSnafu { step: READ_STEP }.fail();
+        };
+        let head = head.map_err(|error| match error {
+            actix_http::error::ParseError::Io(source) => ExchangeError::Broken {
+                step: READ_STEP,
+                source,
+            },
+            other => garbled(&other.to_string()),
+        })?;
+        if !head.status.is_informational() {
+            return Ok(head);
+        }
+    }
+}
+
+/// Reads the body that belongs to a head; the parts of the connection are gone with a body that
+/// ends with it.
+async fn read_body(
+    frames: HeadFrames,
+    head: ResponseHead,
+) -> Result<(ExchangeAnswer, Option<FramedParts<TcpStream, ClientCodec>>), ExchangeError> {
+    let (body, parts) = match frames.codec_ref().message_type() {
+        MessageType::None if ends_with_connection(&head) => (read_to_end(frames).await?, None),
+        MessageType::None => (Bytes::new(), Some(frames.into_parts())),
+        MessageType::Payload | MessageType::Stream => {
+            let frames = frames.into_map_codec(ClientCodec::into_payload_codec);
+            let (body, frames) = read_framed(frames).await?;
+            let frames = frames.into_map_codec(ClientPayloadCodec::into_message_codec);
+            (body, Some(frames.into_parts()))
+        }
+    };
+    let reusable = parts
+        .as_ref()
+        .is_some_and(|parts| parts.codec.keep_alive() && parts.read_buf.is_empty());
+    let answer = ExchangeAnswer {
+        status: head.status,
+        headers: head.headers,
+        body,
+        reusable,
+    };
+    Ok((answer, parts))
+}
+
+/// Whether an answer without a length has a body all the same, which ends with the connection.
+fn ends_with_connection(head: &ResponseHead) -> bool {
+    let empty = head.status == StatusCode::NO_CONTENT || head.status == StatusCode::NOT_MODIFIED;
+    let framed =
+        head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+    !empty && !framed
+}
+
+async fn read_to_end(frames: HeadFrames) -> Result<Bytes, ExchangeError> {
+    let parts = frames.into_parts();
+    let (mut stream, mut body) = (parts.io, parts.read_buf);
+    loop {
+        let read = stream.read_buf(&mut body).await;
+        if read.context(BrokenSnafu { step: READ_STEP })? == 0 {
+            return Ok(body.freeze());
+        }
+        check_size(body.len())?;
+    }
+}
+
+async fn read_framed(mut frames: BodyFrames) -> Result<(Bytes, BodyFrames), ExchangeError> {
+    let mut body = BytesMut::new();
+    loop {
+        match frames.next().await {
+            Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+            Some(Ok(None)) => return Ok((body.freeze(), frames)),
+            Some(Err(error)) => return Err(garbled(&error.to_string())),
+            None => return CutSnafu { step: READ_STEP }.fail(),
+        }
+        check_size(body.len())?;
+    }
+}
+
+fn check_size(bytes: usize) -> Result<(), ExchangeError> {
+    if bytes > MOST_BODY_BYTES {
+        return Err(garbled("the body is too large"));
+    }
+    Ok(())
+}
+
+fn garbled(reason: &str) -> ExchangeError {
+    GarbledSnafu {
+        step: READ_STEP,
+        reason,
+    }
+    .build()
+}
+
+fn cut() -> ExchangeError {
+    CutSnafu { step: READ_STEP }.build()
+}
--- a/settings/src/daemon_file.rs
+++ b/settings/src/daemon_file.rs
@@ -22,6 +22,21 @@
 /// The shortest header time-out: the HTTP library counts in steps of half a second.
 const MIN_HEADER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The form of a log line, the same in every document of a daemon.
+pub(crate) const LOG_FORMAT: FieldSpec = FieldSpec {
+    name: "log.format",
+    kind: FieldKind::Choice(FORMATS),
+    default: FieldDefault::Value("text"),
+    help: "the form of a log line",
+};
+/// The least level that is logged, the same in every document of a daemon.
+pub(crate) const LOG_LEVEL: FieldSpec = FieldSpec {
+    name: "log.level",
+    kind: FieldKind::Choice(LEVELS),
+    default: FieldDefault::Value("info"),
+    help: "the least level that is logged",
+};
+
 /// The fields of a daemon's settings.
 pub const DAEMON_FIELDS: &[FieldSpec] = &[
     FieldSpec {
@@ -99,18 +114,8 @@
         default: FieldDefault::Value("20000"),
         help: "requests a second from all callers of one listener",
     },
-    FieldSpec {
-        name: "log.format",
-        kind: FieldKind::Choice(FORMATS),
-        default: FieldDefault::Value("text"),
-        help: "the form of a log line",
-    },
-    FieldSpec {
-        name: "log.level",
-        kind: FieldKind::Choice(LEVELS),
-        default: FieldDefault::Value("info"),
-        help: "the least level that is logged",
-    },
+    LOG_FORMAT,
+    LOG_LEVEL,
     FieldSpec {
         name: "statsd",
         kind: FieldKind::Address,
@@ -169,13 +174,7 @@
             header_timeout: reader.duration("limits.header_timeout")?,
             requests_per_second: reader.integer("limits.requests_per_second")? as u32,
         },
-        log: LogSettings {
-            format: match reader.text("log.format")?.as_ref() {
-                "json" => LogFormat::Json,
-                _ => LogFormat::Text,
-            },
-            level: reader.text("log.level")?,
-        },
+        log: log_settings(reader)?,
         statsd: reader.address("statsd"),
         policy: match reader.text("policy")?.as_ref() {
             "baseline" => PolicyKind::Baseline,
@@ -185,6 +184,17 @@
     })
 }
 
+/// How logs are written.
+pub(crate) fn log_settings(reader: FieldReader<'_>) -> Option<LogSettings> {
+    Some(LogSettings {
+        format: match reader.text("log.format")?.as_ref() {
+            "json" => LogFormat::Json,
+            _ => LogFormat::Text,
+        },
+        level: reader.text("log.level")?,
+    })
+}
+
 /// Refuses listeners that would collide, and a peer listener whose address peers cannot use.
 fn check_listeners(reader: FieldReader<'_>, errors: &mut ErrorList) {
     let listeners = [CALLERS, PEERS, OPERATORS];
--- a/settings/src/document_kind.rs
+++ b/settings/src/document_kind.rs
@@ -8,6 +8,8 @@
 pub enum DocumentKind {
     /// The settings of one daemon.
     Daemon,
+    /// The settings of a daemon that relays plain HTTP requests.
+    Relay,
     /// Templates and client accounts.
     Accounts,
     /// The shard map of a collection.
@@ -30,6 +32,8 @@
             .any(|line| line.starts_with("templates:") || line.starts_with("accounts:"));
         if has_accounts {
             Self::Accounts
+        } else if text.lines().any(|line| line.starts_with("store:")) {
+            Self::Relay
         } else {
             Self::Daemon
         }
@@ -39,6 +43,7 @@
     pub fn describe(self) -> &'static str {
         match self {
             Self::Daemon => "settings of a daemon",
+            Self::Relay => "settings of a relay",
             Self::Accounts => "templates and accounts",
             Self::ShardMap => "shard map",
             Self::Fleet => "bounds of the fleet",
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`daemon`]: the settings of one daemon, checked.
 //! - [`field`]: the table that describes a document; [`value`] reads and writes one value by it.
 //! - [`daemon_file`]: reads a daemon's settings, [`parse_daemon`].
+//! - [`relay`]: the settings of a daemon that relays plain HTTP requests, [`parse_relay`].
 //! - [`accounts`]: reads templates and accounts, [`parse_accounts`]; [`resolve_accounts`] keeps
 //!   where each value came from.
 //! - [`published`]: reads the JSON values of the platform.
@@ -24,6 +25,7 @@
 pub mod field;
 pub mod published;
 mod reader;
+pub mod relay;
 pub mod site_check;
 pub mod value;
 
@@ -37,4 +39,5 @@
 pub use error::{SettingsError, SettingsErrors};
 pub use field::{FieldDefault, FieldKind, FieldSpec, FieldValue};
 pub use published::{parse_fleet, parse_shard_map};
+pub use relay::{RELAY_FIELDS, RelaySettings, parse_relay};
 pub use site_check::SiteCheck;
--- a/settings/src/reader.rs
+++ b/settings/src/reader.rs
@@ -151,6 +151,14 @@
         }
     }
 
+    /// The value of a share.
+    pub(crate) fn share(&self, name: &str) -> Option<f64> {
+        match self.value(name)? {
+            FieldValue::Share(share) => Some(share),
+            _ => None,
+        }
+    }
+
     /// The value of an address.
     pub(crate) fn address(&self, name: &str) -> Option<SocketAddr> {
         match self.value(name)? {
--- /dev/null
+++ b/settings/src/relay.rs
@@ -0,0 +1,177 @@
+//! The settings of a daemon that relays plain HTTP requests, and how they are read.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use yuccalift_core::ids::{DataCentreName, HostName};
+
+use crate::daemon::LogSettings;
+use crate::daemon_file::{LOG_FORMAT, LOG_LEVEL, log_settings};
+use crate::document::load_mapping;
+use crate::error::{ErrorList, SettingsErrors};
+use crate::field::{FieldDefault, FieldKind, FieldSpec};
+use crate::reader::{FieldReader, GivenFields};
+
+const CALLERS: &str = "listen.callers";
+const READINESS: &str = "listen.readiness";
+const PEERS: &str = "listen.peers";
+const METRICS: &str = "listen.metrics";
+
+/// The settings of a relay, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelaySettings {
+    /// The entry host that the daemon runs on.
+    pub host: HostName,
+    /// The data centre of that host.
+    pub data_centre: DataCentreName,
+    /// Where callers are accepted.
+    pub caller_listen: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub readiness_listen: SocketAddr,
+    /// Where peers are accepted.
+    pub peer_listen: SocketAddr,
+    /// Where metrics are read as text; nowhere if absent.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Where the platform's store answers.
+    pub store: SocketAddr,
+    /// Peers to ask first.
+    pub seed_peers: Vec<SocketAddr>,
+    /// How long a target goes on serving after it was said to leave.
+    pub drain_time: Duration,
+    /// The share of a service's requests that all daemons may send a second time.
+    pub retry_share: f64,
+    /// The window over which that share is counted.
+    pub retry_window: Duration,
+    /// How long a graceful stop may take.
+    pub stop_timeout: Duration,
+    /// How logs are written.
+    pub log: LogSettings,
+}
+
+/// The fields of a relay's settings.
+pub const RELAY_FIELDS: &[FieldSpec] = &[
+    FieldSpec {
+        name: "host",
+        kind: FieldKind::Name,
+        default: FieldDefault::Required,
+        help: "the entry host",
+    },
+    FieldSpec {
+        name: "data_centre",
+        kind: FieldKind::Name,
+        default: FieldDefault::Required,
+        help: "the data centre of that host, as targets name theirs",
+    },
+    FieldSpec {
+        name: CALLERS,
+        kind: FieldKind::Listen,
+        default: FieldDefault::Required,
+        help: "where callers are accepted",
+    },
+    FieldSpec {
+        name: READINESS,
+        kind: FieldKind::Listen,
+        default: FieldDefault::Required,
+        help: "where the balancer asks whether the daemon takes requests",
+    },
+    FieldSpec {
+        name: PEERS,
+        kind: FieldKind::Listen,
+        default: FieldDefault::Required,
+        help: "where peers are accepted",
+    },
+    FieldSpec {
+        name: METRICS,
+        kind: FieldKind::Listen,
+        default: FieldDefault::Absent,
+        help: "where metrics are read as text",
+    },
+    FieldSpec {
+        name: "store",
+        kind: FieldKind::Address,
+        default: FieldDefault::Required,
+        help: "where the platform's store answers",
+    },
+    FieldSpec {
+        name: "seed_peers",
+        kind: FieldKind::AddressList { min: 0 },
+        default: FieldDefault::Absent,
+        help: "peers to ask first; its own address among them is passed over",
+    },
+    FieldSpec {
+        name: "drain_time",
+        kind: FieldKind::Duration {
+            min: Duration::from_millis(100),
+            max: Duration::from_secs(600),
+        },
+        default: FieldDefault::Value("3s"),
+        help: "how long a target goes on serving after it was said to leave",
+    },
+    FieldSpec {
+        name: "retries.share",
+        kind: FieldKind::Share { max: 1.0 },
+        default: FieldDefault::Value("0.2"),
+        help: "the share of a service's requests that all daemons may send a second time",
+    },
+    FieldSpec {
+        name: "retries.window",
+        kind: FieldKind::Duration {
+            min: Duration::from_secs(1),
+            max: Duration::from_secs(600),
+        },
+        default: FieldDefault::Value("10s"),
+        help: "the window over which that share is counted",
+    },
+    FieldSpec {
+        name: "stop_timeout",
+        kind: FieldKind::Duration {
+            min: Duration::from_secs(1),
+            max: Duration::from_secs(3600),
+        },
+        default: FieldDefault::Value("6s"),
+        help: "how long a graceful stop may take before the process ends all the same",
+    },
+    LOG_FORMAT,
+    LOG_LEVEL,
+];
+
+/// Reads and checks the settings of a relay.
+///
+/// # Errors
+///
+/// Every fault of the document, each with its line.
+pub fn parse_relay(file_name: &str, text: &str) -> Result<RelaySettings, SettingsErrors> {
+    let mut errors = ErrorList::new(file_name);
+    let Some(entries) = load_mapping(text, &mut errors) else {
+        return errors.finish(None);
+    };
+    let given = GivenFields::read(&entries, RELAY_FIELDS, "", &mut errors);
+    given.check_required(RELAY_FIELDS, 1, &mut errors);
+    let reader = FieldReader {
+        specs: RELAY_FIELDS,
+        given: &given,
+    };
+    let settings = assemble(reader);
+    errors.finish(settings)
+}
+
+fn assemble(reader: FieldReader<'_>) -> Option<RelaySettings> {
+    let peer_listen = reader.address(PEERS)?;
+    let mut seed_peers = reader.addresses("seed_peers");
+    seed_peers.retain(|seed| *seed != peer_listen);
+    Some(RelaySettings {
+        host: reader.text("host")?,
+        data_centre: reader.text("data_centre")?,
+        caller_listen: reader.address(CALLERS)?,
+        readiness_listen: reader.address(READINESS)?,
+        peer_listen,
+        metrics_listen: reader.address(METRICS),
+        store: reader.address("store")?,
+        seed_peers,
+        drain_time: reader.duration("drain_time")?,
+        retry_share: reader.share("retries.share")?,
+        retry_window: reader.duration("retries.window")?,
+        stop_timeout: reader.duration("stop_timeout")?,
+        log: log_settings(reader)?,
+    })
+}
--- a/settings/src/site_check.rs
+++ b/settings/src/site_check.rs
@@ -14,6 +14,7 @@
 use crate::document_kind::DocumentKind;
 use crate::error::{ErrorList, SettingsError, SettingsErrors};
 use crate::published::{field_line, parse_fleet, parse_shard_map, target_line};
+use crate::relay::parse_relay;
 
 /// A document with its file.
 #[derive(Clone, Debug)]
@@ -60,6 +61,10 @@
                 let settings = parse_daemon(file, text)?;
                 self.daemons.push(SiteFile::new(file, text, settings));
             }
+            // A relay shares no document with the rest of a site.
+            DocumentKind::Relay => {
+                parse_relay(file, text)?;
+            }
             DocumentKind::Accounts => {
                 let accounts = resolve_accounts(file, text, 0)?;
                 self.accounts.push(SiteFile::new(file, text, accounts));
