--- /dev/null
+++ b/core/tests/relay/departures.rs
@@ -0,0 +1,129 @@
+//! Targets that drain, leave, come back, start again or lose their address.
+
+use std::time::Duration;
+
+use yuccalift_core::relay::{RelayEvent, RepeatKind, TargetOutcome, TargetPhase, TargetRecord};
+use yuccalift_testkit::cases;
+
+use crate::support::{DRAIN_TIME, RelayStage, TIMEOUT, forward_route, ms, success, target};
+
+fn stage(names: &[&str]) -> RelayStage {
+    let route = forward_route("orders", RepeatKind::Idempotent, 2);
+    let targets = names.iter().map(|name| target(name, "orders"));
+    RelayStage::new(vec![route], targets.collect())
+}
+
+fn draining(name: &str) -> RelayEvent {
+    RelayEvent::TargetListed(TargetRecord {
+        phase: TargetPhase::Draining,
+        ..target(name, "orders")
+    })
+}
+
+fn unlisted(name: &str, doubtful: bool) -> RelayEvent {
+    let name = name.into();
+    RelayEvent::TargetUnlisted { name, doubtful }
+}
+
+/// The target that the next request is sent to.
+fn next_target(stage: &mut RelayStage) -> Option<Box<str>> {
+    let sent = stage.sends.len();
+    stage.submit("to-orders", TIMEOUT);
+    let (_, order) = stage.sends.get(sent)?.clone();
+    stage.end(order.attempt, success(b""));
+    Some(order.name)
+}
+
+/// A target that leaves gets nothing while another can answer.
+fn leaving_gets_nothing(event: RelayEvent) {
+    let mut stage = stage(&["a", "b"]);
+    stage.feed(event);
+    for _ in 0..20 {
+        assert_eq!(next_target(&mut stage).as_deref(), Some("b"));
+        stage.pass(ms(10));
+    }
+}
+
+/// Alone, it is asked for a while after the news, and never after its drain time.
+fn leaving_is_the_last_resort(event: RelayEvent) {
+    let mut stage = stage(&["a"]);
+    stage.feed(event);
+    assert_eq!(next_target(&mut stage).as_deref(), Some("a"));
+    stage.pass(DRAIN_TIME / 2);
+    assert_eq!(next_target(&mut stage), None, "its time is over");
+}
+
+/// Where the list was out of reach an absent target may live on: it is asked as before, and
+/// forgotten if it does not come back.
+fn lapsed_is_asked_on() {
+    let mut stage = stage(&["a"]);
+    stage.feed(unlisted("a", true));
+    stage.pass(ms(2_400));
+    assert_eq!(next_target(&mut stage).as_deref(), Some("a"));
+    stage.pass(ms(200));
+    assert_eq!(next_target(&mut stage), None);
+}
+
+fn lapsed_comes_back() {
+    let mut stage = stage(&["a"]);
+    stage.feed(unlisted("a", true));
+    stage.pass(ms(1_000));
+    stage.feed(RelayEvent::TargetListed(target("a", "orders")));
+    stage.pass(ms(5_000));
+    assert_eq!(next_target(&mut stage).as_deref(), Some("a"));
+}
+
+/// A target that started again under its name knows nothing of before.
+fn started_again_is_another() {
+    let mut stage = stage(&["a"]);
+    stage.submit("to-orders", TIMEOUT);
+    let first = stage.last_send().target;
+    stage.feed(RelayEvent::TargetListed(TargetRecord {
+        started_ms: Some(2),
+        ..target("a", "orders")
+    }));
+    stage.submit("to-orders", TIMEOUT);
+    assert_ne!(stage.last_send().target, first);
+}
+
+/// Another target answers at the address: it is not asked there again until it is listed anew.
+fn replaced_is_not_asked() {
+    let mut stage = stage(&["a", "b"]);
+    stage.submit("to-orders", TIMEOUT);
+    let order = stage.last_send().clone();
+    stage.end(order.attempt, TargetOutcome::Misdirected);
+    for _ in 0..10 {
+        let next = next_target(&mut stage);
+        assert_ne!(next.as_deref(), Some(order.name.as_ref()));
+    }
+}
+
+/// A target that can't be reached is not asked for a while, and is tried again.
+fn unreachable_is_suspended() {
+    let mut stage = stage(&["a", "b"]);
+    stage.submit("to-orders", TIMEOUT);
+    let order = stage.last_send().clone();
+    stage.end(order.attempt, TargetOutcome::NotSent);
+    for _ in 0..5 {
+        let next = next_target(&mut stage);
+        assert_ne!(next.as_deref(), Some(order.name.as_ref()));
+    }
+    let mut tried = false;
+    for _ in 0..200 {
+        stage.pass(Duration::from_millis(50));
+        tried |= next_target(&mut stage).as_deref() == Some(order.name.as_ref());
+    }
+    assert!(tried, "it gets another chance");
+}
+
+cases! {
+    a_draining_target_gets_nothing: leaving_gets_nothing(draining("a"));
+    a_removed_target_gets_nothing: leaving_gets_nothing(unlisted("a", false));
+    a_draining_target_is_the_last_resort: leaving_is_the_last_resort(draining("a"));
+    a_removed_target_is_the_last_resort: leaving_is_the_last_resort(unlisted("a", false));
+    a_lapsed_target_is_asked_on: lapsed_is_asked_on();
+    a_lapsed_target_comes_back: lapsed_comes_back();
+    a_target_that_started_again_is_another: started_again_is_another();
+    a_target_whose_address_is_another_is_not_asked: replaced_is_not_asked();
+    a_target_out_of_reach_is_suspended: unreachable_is_suspended();
+}
--- /dev/null
+++ b/core/tests/relay/main.rs
@@ -0,0 +1,10 @@
+//! The relay, played without a network.
+
+mod budget;
+mod departures;
+mod forwarding;
+mod gathering;
+mod listing;
+mod random_runs;
+mod routes;
+mod support;
--- /dev/null
+++ b/core/tests/relay/support.rs
@@ -0,0 +1,239 @@
+//! A relay with time of its own, and what it sent and answered.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use yuccalift_core::relay::route::{CallerLimits, ServiceEntry, WeightedService};
+use yuccalift_core::relay::{
+    AttemptKey, AttemptOrder, MergeRule, RelayAction, RelayAnswer, RelayDecision, RelayEngine,
+    RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RepeatKind, RequestKey, RouteDestination,
+    RouteEntry, RouteTable, TargetOutcome, TargetPhase, TargetRecord, TargetReply,
+};
+
+pub const LATENCY_AIM: Duration = Duration::from_millis(100);
+pub const TIMEOUT: Duration = Duration::from_millis(800);
+pub const DRAIN_TIME: Duration = Duration::from_secs(3);
+
+/// A whole number of milliseconds.
+pub fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+/// A route to one service.
+pub fn forward_route(service: &str, repeat: RepeatKind, attempts: u32) -> RouteEntry {
+    RouteEntry {
+        name: format!("to-{service}").into(),
+        host: "shop.example".into(),
+        prefix: format!("/{service}/").into(),
+        destination: RouteDestination::Split(vec![WeightedService {
+            service: service.into(),
+            weight: 1.0,
+        }]),
+        repeat,
+        attempts,
+        timeout: TIMEOUT,
+        latency_aim: LATENCY_AIM,
+        priority: 1,
+    }
+}
+
+/// A route to all of several services.
+pub fn gather_route(services: &[&str], least_coverage: f64) -> RouteEntry {
+    RouteEntry {
+        destination: RouteDestination::Gather {
+            services: services.iter().map(|name| Box::from(*name)).collect(),
+            merge: MergeRule {
+                top_records: 3,
+                least_coverage,
+            },
+        },
+        name: "gather".into(),
+        prefix: "/gather/".into(),
+        ..forward_route("gather", RepeatKind::Idempotent, 2)
+    }
+}
+
+/// A target in the daemon's data centre.
+pub fn target(name: &str, service: &str) -> TargetRecord {
+    TargetRecord {
+        name: name.into(),
+        service: service.into(),
+        address: ([10, 0, 0, 1], 8080).into(),
+        data_centre: "here".into(),
+        slots: 4,
+        phase: TargetPhase::Serving,
+        cold_left: Duration::ZERO,
+        started_ms: Some(1),
+    }
+}
+
+/// A success with a body.
+pub fn success(body: &[u8]) -> TargetOutcome {
+    TargetOutcome::Replied(TargetReply {
+        status: 200,
+        signature: Some("signed".into()),
+        headers: Vec::new(),
+        body: body.into(),
+    })
+}
+
+/// A target's own failure.
+pub fn failure(status: u16) -> TargetOutcome {
+    TargetOutcome::Replied(TargetReply {
+        status,
+        signature: Some("signed".into()),
+        headers: Vec::new(),
+        body: Box::default(),
+    })
+}
+
+/// How a request ended, and when.
+#[derive(Clone, Debug)]
+pub struct RequestEnd {
+    pub request: RequestKey,
+    pub at: Instant,
+    pub result: Result<RelayAnswer, RelayRefusal>,
+}
+
+/// A relay with time of its own.
+pub struct RelayStage {
+    pub engine: RelayEngine,
+    pub now: Instant,
+    pub sends: Vec<(Instant, AttemptOrder)>,
+    pub cancels: Vec<AttemptKey>,
+    pub ends: Vec<RequestEnd>,
+    pub decisions: Vec<RelayDecision>,
+    routes: Vec<Arc<RouteEntry>>,
+    requests: RequestKey,
+}
+
+impl RelayStage {
+    /// A relay that knows these routes and targets.
+    pub fn new(routes: Vec<RouteEntry>, targets: Vec<TargetRecord>) -> Self {
+        let mut stage = Self {
+            engine: RelayEngine::new(RelayOptions {
+                data_centre: "here".into(),
+                retry_share: 0.2,
+                retry_window: Duration::from_secs(10),
+                drain_time: DRAIN_TIME,
+            }),
+            now: Instant::now(),
+            sends: Vec::new(),
+            cancels: Vec::new(),
+            ends: Vec::new(),
+            decisions: Vec::new(),
+            routes: Vec::new(),
+            requests: 0,
+        };
+        let mut services: Vec<ServiceEntry> = targets
+            .iter()
+            .map(|target| ServiceEntry {
+                name: target.service.clone(),
+                connections: 30,
+            })
+            .collect();
+        services.dedup();
+        let table = RouteTable::new(1, routes, services, CallerLimits::default());
+        stage.routes = table.routes.clone();
+        stage.feed(RelayEvent::RoutesChanged(Arc::new(table)));
+        for target in targets {
+            stage.feed(RelayEvent::TargetListed(target));
+        }
+        stage
+    }
+
+    /// Feeds the relay.
+    pub fn feed(&mut self, event: RelayEvent) {
+        let mut actions = Vec::new();
+        self.engine.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.take(action);
+        }
+    }
+
+    fn take(&mut self, action: RelayAction) {
+        let at = self.now;
+        match action {
+            RelayAction::Send(order) => self.sends.push((at, order)),
+            RelayAction::Cancel { attempt } => self.cancels.push(attempt),
+            RelayAction::Answer { request, answer } => self.ends.push(RequestEnd {
+                request,
+                at,
+                result: Ok(answer),
+            }),
+            RelayAction::Refuse { request, refusal } => self.ends.push(RequestEnd {
+                request,
+                at,
+                result: Err(refusal),
+            }),
+            RelayAction::Forget { .. } => {}
+            RelayAction::Decided(decision) => self.decisions.push(decision),
+        }
+    }
+
+    /// Submits a request on the first route whose name begins so.
+    pub fn submit(&mut self, route: &str, time_left: Duration) -> RequestKey {
+        self.requests += 1;
+        let found = self
+            .routes
+            .iter()
+            .find(|entry| entry.name.starts_with(route));
+        let route = Arc::clone(found.expect("the route is known"));
+        self.feed(RelayEvent::Submit(RelayRequest {
+            key: self.requests,
+            route,
+            deadline: self.now + time_left,
+        }));
+        self.requests
+    }
+
+    /// Lets time pass, with every timer in its turn.
+    pub fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(due) = self.engine.next_wake().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            self.feed(RelayEvent::Tick);
+        }
+        self.now = end;
+    }
+
+    /// Ends an attempt.
+    pub fn end(&mut self, attempt: AttemptKey, outcome: TargetOutcome) {
+        self.feed(RelayEvent::AttemptEnded { attempt, outcome });
+    }
+
+    /// The last attempt that was sent.
+    pub fn last_send(&self) -> &AttemptOrder {
+        &self.sends.last().expect("something was sent").1
+    }
+
+    /// The one end of a request.
+    pub fn end_of(&self, request: RequestKey) -> &RequestEnd {
+        let mut ends = self.ends.iter().filter(|end| end.request == request);
+        let end = ends.next().expect("the request has ended");
+        assert!(ends.next().is_none(), "a request ends once");
+        end
+    }
+
+    /// Whether a request has ended.
+    pub fn has_ended(&self, request: RequestKey) -> bool {
+        self.ends.iter().any(|end| end.request == request)
+    }
+
+    /// Answers requests one after the other so that the relay knows what is usual.
+    pub fn warm_up(&mut self, route: &str, requests: u32, took: Duration) {
+        for _ in 0..requests {
+            let from = self.sends.len();
+            self.submit(route, TIMEOUT);
+            self.pass(took);
+            let sent: Vec<AttemptKey> = self.sends[from..]
+                .iter()
+                .map(|(_, order)| order.attempt)
+                .collect();
+            for attempt in sent {
+                self.end(attempt, success(b"0123456789abcdef"));
+            }
+            self.pass(ms(1));
+        }
+    }
+}
--- /dev/null
+++ b/exchange/tests/exchange.rs
@@ -0,0 +1,105 @@
+//! What a scripted peer sends, and what the exchange makes of it.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use actix_http::{Method, RequestHead, ServiceConfig};
+use yuccalift_exchange::{
+    ExchangeAnswer, ExchangeError, ExchangeLink, LinkOptions, OutgoingRequest,
+};
+use yuccalift_testkit::cases;
+
+const LINKS: LinkOptions = LinkOptions {
+    connect_timeout: Duration::from_secs(5),
+    probe_interval: Duration::from_secs(1),
+    probes: 2,
+};
+/// Longer than a peer on the same machine needs for anything.
+const SETTLE: Duration = Duration::from_millis(50);
+
+/// A peer that answers the first request with some bytes, and then closes or stays.
+fn peer(answer: &'static [u8], closes: bool) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
+    let address = listener.local_addr().expect("a bound listener has one");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("someone connects");
+        let mut head = [0; 4096];
+        let _length = stream.read(&mut head).expect("a request comes");
+        stream.write_all(answer).expect("the answer is written");
+        if !closes {
+            let _rest = stream.read(&mut head);
+        }
+    });
+    address
+}
+
+fn exchange(answer: &'static [u8], closes: bool) -> (Result<ExchangeAnswer, ExchangeError>, bool) {
+    let address = peer(answer, closes);
+    actix_rt::System::new().block_on(async move {
+        let config = ServiceConfig::default();
+        let mut link = ExchangeLink::open(address, &LINKS, &config)
+            .await
+            .expect("the peer accepts");
+        let mut head = RequestHead::default();
+        head.method = Method::GET;
+        head.uri = "/path?query".parse().expect("a valid path");
+        let request = OutgoingRequest { head, body: None };
+        let own = |head: &actix_http::ResponseHead| {
+            head.headers
+                .get("id")
+                .is_none_or(|id| id.as_bytes() == b"own")
+        };
+        let answer = link.exchange(request, own).await;
+        tokio::time::sleep(SETTLE).await;
+        let quiet = link.is_quiet();
+        (answer, quiet)
+    })
+}
+
+fn is_whole(answer: &'static [u8], closes: bool, body: &[u8], reusable: bool) {
+    let (result, quiet) = exchange(answer, closes);
+    let result = result.expect("the answer is whole");
+    assert_eq!(result.body.as_ref(), body);
+    assert_eq!(result.reusable && quiet, reusable, "may be used again");
+}
+
+fn is_refused(answer: &'static [u8], closes: bool) {
+    let (result, _) = exchange(answer, closes);
+    assert!(result.is_err(), "it is no whole answer: {result:?}");
+}
+
+cases! {
+    a_body_of_its_length_is_whole:
+        is_whole(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false, b"body", true);
+    an_empty_body_is_whole:
+        is_whole(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, b"", true);
+    a_chunked_body_is_whole:
+        is_whole(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            false, b"body", true);
+    a_body_without_a_length_ends_with_its_connection:
+        is_whole(b"HTTP/1.1 200 OK\r\n\r\nbody", true, b"body", false);
+    a_closing_peer_is_not_used_again:
+        is_whole(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
+            false, b"body", false);
+    bytes_after_an_answer_end_the_connection:
+        is_whole(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n", false,
+            b"body", false);
+    an_answer_to_another_request_is_passed_over:
+        is_whole(b"HTTP/1.1 200 OK\r\nid: other\r\nContent-Length: 3\r\n\r\nold\
+            HTTP/1.1 200 OK\r\nid: own\r\nContent-Length: 4\r\n\r\nbody", false, b"body", true);
+    an_interim_answer_is_passed_over:
+        is_whole(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+            false, b"body", true);
+    a_cut_body_is_refused:
+        is_refused(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", true);
+    a_cut_chunk_is_refused:
+        is_refused(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbody", true);
+    a_missing_last_chunk_is_refused:
+        is_refused(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", true);
+    a_cut_head_is_refused: is_refused(b"HTTP/1.1 200 OK\r\nContent-", true);
+    a_close_without_an_answer_is_refused: is_refused(b"", true);
+    what_is_no_answer_is_refused: is_refused(b"\x00\x01 garbage\r\n\r\n", false);
+    only_foreign_answers_are_refused:
+        is_refused(b"HTTP/1.1 200 OK\r\nid: other\r\nContent-Length: 3\r\n\r\nold", true);
+}
