Read the store with a few daemons of each data centre

Ruled out: stale reads, whose revision may be the present one. Change: the control plane that the product has carries the store's entries; its pace is now a setting, and a daemon that is alone on its host claims succession where an earlier clock was ahead. What an absence means is by drain time alone.

--- a/core/src/control/config_store.rs
+++ b/core/src/control/config_store.rs
@@ -92,6 +92,14 @@
             .filter(|value| value.value.is_some())
     }
 
+    /// The keys that have a value, sorted; refused values count.
+    pub fn keys(&self) -> impl Iterator<Item = &ValueKey> {
+        self.entries
+            .iter()
+            .filter(|entry| entry.newest.value.is_some())
+            .map(|entry| &entry.newest.key)
+    }
+
     /// Every refused value that is the newest of its key, sorted by key.
     pub fn refused(&self) -> Vec<RefusedValue> {
         self.entries.iter().filter_map(refused_value).collect()
--- a/core/src/control/member_table.rs
+++ b/core/src/control/member_table.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::member_record::{MemberRecord, MemberState};
-use crate::ids::{ConfigVersion, HostName};
+use crate::ids::{ConfigVersion, HostName, Incarnation};
 
 /// How long a suspected member has to refute the suspicion.
 pub const SUSPICION_TIMEOUT: Duration = Duration::from_secs(5);
@@ -105,6 +105,11 @@
             .filter(|record| record.state == MemberState::Alive)
     }
 
+    /// Makes this daemon a later process than one that its host is said to run.
+    pub fn succeed(&mut self, incarnation: Incarnation) {
+        self.own.incarnation = self.own.incarnation.max(incarnation + 1);
+    }
+
     /// The others that are gone but remembered.
     pub fn gone(&self) -> impl Iterator<Item = &MemberRecord> {
         self.records()
--- a/core/src/control/mod.rs
+++ b/core/src/control/mod.rs
@@ -37,5 +37,5 @@
 pub use member_record::{MemberRecord, MemberState};
 pub use member_table::MemberTable;
 pub use news::{NewsBoard, NewsItem, NewsKind};
-pub use node::{ControlNode, ControlSettings};
+pub use node::{ControlNode, ControlSettings, ReadingPace, Succession};
 pub use reader_beat::{BeatBoard, ReaderBeat};
--- a/core/src/control/node/messages.rs
+++ b/core/src/control/node/messages.rs
@@ -4,7 +4,7 @@
 
 use rand::seq::IteratorRandom;
 
-use super::ControlNode;
+use super::{ControlNode, Succession};
 use crate::control::config_store::OfferVerdict;
 use crate::control::event::{ControlAction, ControlNotice, HostHint};
 use crate::control::exchange::{
@@ -98,7 +98,14 @@
                 self.exchange_plan.push_now();
                 actions.push(ControlAction::Noticed(ControlNotice::Refuted));
             }
-            MergeOutcome::Replaced => actions.push(ControlAction::Replaced),
+            MergeOutcome::Replaced => match self.succession {
+                Succession::Yield => actions.push(ControlAction::Replaced),
+                Succession::Claim => {
+                    self.members.succeed(record.incarnation);
+                    self.own_beat.incarnation = self.members.own().incarnation;
+                    self.exchange_plan.push_now();
+                }
+            },
         }
     }
 
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -20,6 +20,7 @@
 
 use self::exchanging::{ExchangePlan, PendingExchange};
 use self::reading::ReadingPlan;
+pub use self::reading::{ReadingPace, WATCH_WAIT};
 use super::config_store::{ConfigStore, StoreChange, ValueCheck};
 use super::contact_table::ContactTable;
 use super::event::{ControlAction, ControlEvent, ControlNotice, HostHint};
@@ -48,6 +49,20 @@
     pub seed: u64,
     /// The check that a value must pass before it is in force.
     pub check: ValueCheck,
+    /// How fast the platform is read.
+    pub pace: ReadingPace,
+    /// What to do when a later process seems to run on this host.
+    pub succession: Succession,
+}
+
+/// What a daemon does when it hears of a process on its host that seems to have started later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Succession {
+    /// It takes the other's word and stops.
+    Yield,
+    /// It knows that it is the only one on its host, and that the other must be an earlier one
+    /// that started by a clock which was ahead; it tells the others that it is the later one.
+    Claim,
 }
 
 /// Whether what is known has been confirmed since the start or the last pause.
@@ -63,6 +78,7 @@
 /// The control plane of one daemon.
 #[derive(Debug)]
 pub struct ControlNode {
+    succession: Succession,
     seeds: Vec<SocketAddr>,
     hints: Vec<HostHint>,
     listed: bool,
@@ -91,8 +107,9 @@
             incarnation: settings.own.incarnation,
             count: 0,
         };
-        let reading = ReadingPlan::new(now, settings.seeds.is_empty(), &mut rng);
+        let reading = ReadingPlan::new(now, settings.pace, settings.seeds.is_empty(), &mut rng);
         Self {
+            succession: settings.succession,
             seeds: settings.seeds,
             hints: Vec::new(),
             listed: false,
--- a/core/src/control/node/reading.rs
+++ b/core/src/control/node/reading.rs
@@ -15,28 +15,51 @@
 
 /// How long a reader lets the platform wait for a change.
 pub const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// The least time between a reader's answer and its next watch.
-const WATCH_GAP: Duration = Duration::from_millis(250);
 /// How often a reader reads the list of hosts.
 const HOSTS_PERIOD: Duration = Duration::from_secs(2);
-/// The first wait of a reader whose call failed; it doubles with each further failure.
-const FIRST_BACKOFF: Duration = Duration::from_millis(500);
-/// The longest wait of a reader whose calls fail.
-const MAX_BACKOFF: Duration = Duration::from_secs(4);
 /// How long without a sign of a reader a daemon takes it that nobody relays.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(6);
 /// Over which time the first calls of daemons without peers to ask are spread.
 const LONE_WINDOW: Duration = Duration::from_secs(2);
-/// Over which time the first calls of daemons that ask peers first are spread.
-const START_WINDOW: Duration = Duration::from_secs(7);
 /// When a fresh daemon that has found peers looks whether it is the first among them.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 /// Over which time the first calls of the first of each view are spread.
 const SETTLE_WINDOW: Duration = Duration::from_secs(1);
 
+/// How fast the platform is read: what its own promises ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadingPace {
+    /// How long a reader lets the platform wait for a change.
+    pub watch_wait: Duration,
+    /// The least time between a reader's answer and its next watch.
+    pub watch_gap: Duration,
+    /// The first wait of a reader whose call failed; it doubles with each further failure.
+    pub first_backoff: Duration,
+    /// The longest wait of a reader whose calls fail.
+    pub longest_backoff: Duration,
+    /// Over which time the first calls of daemons that ask peers first are spread.
+    pub start_window: Duration,
+    /// Whether the platform lists the daemons.
+    pub lists_hosts: bool,
+}
+
+impl Default for ReadingPace {
+    fn default() -> Self {
+        Self {
+            watch_wait: WATCH_WAIT,
+            watch_gap: Duration::from_millis(250),
+            first_backoff: Duration::from_millis(500),
+            longest_backoff: Duration::from_secs(4),
+            start_window: Duration::from_secs(7),
+            lists_hosts: true,
+        }
+    }
+}
+
 /// When the next calls are due.
 #[derive(Debug)]
 pub(super) struct ReadingPlan {
+    pace: ReadingPace,
     is_reader: bool,
     in_flight: bool,
     failures: u32,
@@ -49,10 +72,15 @@
 }
 
 impl ReadingPlan {
-    pub(super) fn new(now: Instant, is_alone: bool, rng: &mut impl Rng) -> Self {
-        let window = if is_alone { LONE_WINDOW } else { START_WINDOW };
+    pub(super) fn new(now: Instant, pace: ReadingPace, is_alone: bool, rng: &mut impl Rng) -> Self {
+        let window = if is_alone {
+            LONE_WINDOW.min(pace.start_window)
+        } else {
+            pace.start_window
+        };
         let settled = SETTLE_TIME + SETTLE_WINDOW.mul_f64(rng.random());
         Self {
+            pace,
             is_reader: false,
             in_flight: false,
             failures: 0,
@@ -83,12 +111,12 @@
                 due
             };
         }
-        let values = if plan.in_flight {
-            plan.next_hosts
-        } else {
-            plan.next_read
-        };
-        values.min(plan.next_hosts).max(now + plan.budget.wait(now))
+        let values = (!plan.in_flight).then_some(plan.next_read);
+        let hosts = plan.pace.lists_hosts.then_some(plan.next_hosts);
+        let due = values.into_iter().chain(hosts).min();
+        due.map_or(plan.next_poll.max(now + HOSTS_PERIOD), |due| {
+            due.max(now + plan.budget.wait(now))
+        })
     }
 
     pub(super) fn drive_reading(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
@@ -120,7 +148,7 @@
         let plan = &mut self.reading;
         plan.in_flight = false;
         plan.failures = 0;
-        plan.next_read = now + WATCH_GAP;
+        plan.next_read = now + plan.pace.watch_gap;
         self.raise_beat(now);
         let before = self.store.version();
         let mut changes = Vec::new();
@@ -133,16 +161,16 @@
             };
             actions.push(ControlAction::Noticed(notice));
         }
-        self.reading.wants_hosts = !self.knows_peers();
+        self.reading.wants_hosts = self.reading.pace.lists_hosts && !self.knows_peers();
     }
 
     pub(super) fn take_read_failure(&mut self, now: Instant) {
         let plan = &mut self.reading;
         plan.in_flight = false;
-        let backoff = FIRST_BACKOFF * 2_u32.saturating_pow(plan.failures.min(8));
+        let backoff = plan.pace.first_backoff * 2_u32.saturating_pow(plan.failures.min(8));
         plan.failures += 1;
         let jitter = self.rng.random_range(0.5..1.5);
-        plan.next_read = now + backoff.min(MAX_BACKOFF).mul_f64(jitter);
+        plan.next_read = now + backoff.min(plan.pace.longest_backoff).mul_f64(jitter);
     }
 
     pub(super) fn take_hosts(
@@ -182,11 +210,11 @@
             let wait = if after == 0 {
                 Duration::ZERO
             } else {
-                WATCH_WAIT
+                plan.pace.watch_wait
             };
             actions.push(ControlAction::ReadValues { after, wait });
         }
-        if now >= plan.next_hosts && plan.budget.take(now) {
+        if plan.pace.lists_hosts && now >= plan.next_hosts && plan.budget.take(now) {
             plan.next_hosts = now + HOSTS_PERIOD;
             actions.push(ControlAction::ReadHosts);
         }
--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -89,13 +89,13 @@
         Standing::Replaced => None,
         Standing::Leaving { until } if now >= until || suspended => None,
         Standing::Leaving { .. } => Some(CandidateTier::Leaving),
-        Standing::Listed | Standing::Doubtful { .. } if suspended => target
+        Standing::Listed | Standing::Unlisted { .. } if suspended => target
             .is_first_suspension()
             .then_some(CandidateTier::Suspended),
-        Standing::Listed | Standing::Doubtful { .. } if tried.contains(&target.key) => {
+        Standing::Listed | Standing::Unlisted { .. } if tried.contains(&target.key) => {
             Some(CandidateTier::Tried)
         }
-        Standing::Listed | Standing::Doubtful { .. } => Some(CandidateTier::Ready),
+        Standing::Listed | Standing::Unlisted { .. } => Some(CandidateTier::Ready),
     }
 }
 
--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -2,7 +2,7 @@
 //!
 //! See `docs/PLATFORM.md`, "A target's state".
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::action::{RelayAction, RelayDecision};
 use super::target::{RelayTarget, Standing};
@@ -10,10 +10,10 @@
 use super::timers::TimerKind;
 use super::{RelayEngine, TargetKey};
 
-/// How long an entry that may have lapsed with the list out of reach is taken for a living
-/// target's: living ones are back in the list within 2 s of the list's return, and half a second
-/// is for reading it.
-const LAPSED_GRACE: Duration = Duration::from_millis(2_500);
+/// The part of the drain time in which a target that is listed no longer is asked as before. It
+/// goes on serving for the drain time if it is leaving, and may only have lapsed while the list
+/// was out of reach; then it is listed again soon.
+const UNLISTED_SHARE: f64 = 0.35;
 /// The part of the drain time in which a leaving target is still asked for want of another. The
 /// rest is for the way of the news and of the request.
 const LAST_RESORT_SHARE: f64 = 0.4;
@@ -84,23 +84,18 @@
         &mut self,
         now: Instant,
         name: &str,
-        doubtful: bool,
         actions: &mut Vec<RelayAction>,
     ) {
         let Some(key) = self.targets.find_name(name) else {
             return;
         };
-        if !doubtful {
-            self.begin_departure(now, key, actions);
-            return;
-        }
+        let until = now + self.options.drain_time.mul_f64(UNLISTED_SHARE);
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
         if target.standing == Standing::Listed {
-            let until = now + LAPSED_GRACE;
-            target.standing = Standing::Doubtful { until };
-            note_change(&target.record, "doubtful", actions);
+            target.standing = Standing::Unlisted { until };
+            note_change(&target.record, "unlisted", actions);
             let due = TimerKind::Departure { target: key };
             self.timers.add(until, due);
         }
@@ -114,7 +109,7 @@
         };
         match target.standing {
             Standing::Leaving { .. } | Standing::Replaced => return,
-            Standing::Listed | Standing::Doubtful { .. } => {}
+            Standing::Listed | Standing::Unlisted { .. } => {}
         }
         target.standing = Standing::Leaving { until };
         note_change(&target.record, "leaving", actions);
@@ -132,13 +127,13 @@
         let Some(target) = self.targets.get(key) else {
             return;
         };
-        let over = match target.standing {
-            Standing::Listed => false,
-            Standing::Doubtful { until } | Standing::Leaving { until } => until <= now,
-            Standing::Replaced => true,
-        };
-        if over {
-            self.forget_target(key, actions);
+        match target.standing {
+            Standing::Unlisted { until } if until <= now => {
+                self.begin_departure(now, key, actions);
+            }
+            Standing::Leaving { until } if until <= now => self.forget_target(key, actions),
+            Standing::Replaced => self.forget_target(key, actions),
+            Standing::Listed | Standing::Unlisted { .. } | Standing::Leaving { .. } => {}
         }
     }
 
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -18,8 +18,6 @@
     TargetUnlisted {
         /// Its name.
         name: TargetName,
-        /// Whether it may only have lapsed while the list was out of reach, and may come back.
-        doubtful: bool,
     },
     /// A caller's request arrived.
     Submit(RelayRequest),
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -28,7 +28,6 @@
 mod finish;
 mod hedging;
 mod latencies;
-pub mod listing;
 pub mod merge;
 mod replies;
 mod request;
@@ -45,7 +44,6 @@
 
 pub use action::{AttemptOrder, RelayAction, RelayAnswer, RelayDecision, RelayRefusal};
 pub use event::{RelayEvent, RelayRequest, TargetOutcome, TargetReply};
-pub use listing::TargetListing;
 pub use route::{MergeRule, RepeatKind, RouteDestination, RouteEntry, RouteTable};
 pub use target_record::{TargetPhase, TargetRecord};
 
@@ -115,9 +113,7 @@
         match event {
             RelayEvent::RoutesChanged(table) => self.put_routes(table),
             RelayEvent::TargetListed(record) => self.list_target(now, record, actions),
-            RelayEvent::TargetUnlisted { name, doubtful } => {
-                self.unlist_target(now, &name, doubtful, actions);
-            }
+            RelayEvent::TargetUnlisted { name } => self.unlist_target(now, &name, actions),
             RelayEvent::Submit(request) => self.submit(now, request, actions),
             RelayEvent::CallerGone { request } => self.drop_caller(now, request, actions),
             RelayEvent::AttemptEnded { attempt, outcome } => {
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -29,8 +29,8 @@
     /// Listed.
     Listed,
     /// No longer listed, but perhaps only lapsed while the list was out of reach.
-    Doubtful {
-        /// When it is forgotten unless it comes back.
+    Unlisted {
+        /// When it counts as leaving unless it comes back.
         until: Instant,
     },
     /// Said to leave; asked only if nobody else can answer.
--- a/daemon/src/control/notice_log.rs
+++ b/daemon/src/control/notice_log.rs
@@ -17,39 +17,47 @@
     metrics: &MetricsClient,
 ) {
     match notice {
-        ControlNotice::ConfigAdvanced { version, peer } => {
-            let source = peer.as_deref().unwrap_or(PLATFORM_SOURCE);
+        ControlNotice::ConfigAdvanced { version, .. } => {
             board.set_config_version(*version);
             metrics.gauge(DaemonMetric::ConfigVersion, *version);
-            LogEvent::ConfigurationInForce {
-                version: *version,
-                source,
-            }
-            .emit();
         }
         ControlNotice::ValueRefused(refused) => {
             board.note_refused(&refused.key, &refused.reason);
-            LogEvent::ValueRefused {
-                key: &refused.key,
-                version: refused.version,
-                fault: &refused.reason,
-            }
-            .emit();
         }
-        ControlNotice::PlatformStale { offered, known } => {
-            LogEvent::PlatformStale {
-                offered: *offered,
-                known: *known,
-            }
-            .emit();
+        ControlNotice::PlatformStale { .. }
+        | ControlNotice::ConfigDiverged { .. }
+        | ControlNotice::PeerSuspected(_)
+        | ControlNotice::PeerGone(_)
+        | ControlNotice::Refuted
+        | ControlNotice::ReaderChanged(_) => {}
+    }
+    log_notice(host, notice);
+}
+
+/// Writes a notice to the log.
+pub(crate) fn log_notice(host: &str, notice: &ControlNotice) {
+    match notice {
+        ControlNotice::ConfigAdvanced { version, peer } => LogEvent::ConfigurationInForce {
+            version: *version,
+            source: peer.as_deref().unwrap_or(PLATFORM_SOURCE),
+        }
+        .emit(),
+        ControlNotice::ValueRefused(refused) => LogEvent::ValueRefused {
+            key: &refused.key,
+            version: refused.version,
+            fault: &refused.reason,
+        }
+        .emit(),
+        ControlNotice::PlatformStale { offered, known } => LogEvent::PlatformStale {
+            offered: *offered,
+            known: *known,
         }
-        ControlNotice::ConfigDiverged { peer, version } => {
-            LogEvent::ConfigurationDiverged {
-                peer,
-                version: *version,
-            }
-            .emit();
+        .emit(),
+        ControlNotice::ConfigDiverged { peer, version } => LogEvent::ConfigurationDiverged {
+            peer,
+            version: *version,
         }
+        .emit(),
         ControlNotice::PeerSuspected(peer) => LogEvent::PeerSuspected { peer }.emit(),
         ControlNotice::PeerGone(peer) => LogEvent::PeerGone { peer }.emit(),
         ControlNotice::Refuted => LogEvent::SuspicionRefuted { host }.emit(),
--- a/daemon/src/control/probe_slot.rs
+++ b/daemon/src/control/probe_slot.rs
@@ -6,7 +6,9 @@
 
 use actix::{Actor, Addr, ArbiterHandle};
 use tokio::sync::mpsc;
-use yuccalift_core::control::{ControlSettings, MemberRecord, MemberState};
+use yuccalift_core::control::{
+    ControlSettings, MemberRecord, MemberState, ReadingPace, Succession,
+};
 use yuccalift_core::ids::{ConfigVersion, Incarnation};
 use yuccalift_wire::platform::FLEET_KEY;
 
@@ -102,6 +104,8 @@
                 seeds: daemon.seeds.clone(),
                 seed: incarnation,
                 check: check_value,
+                pace: ReadingPace::default(),
+                succession: Succession::Yield,
             },
             key: PROBE_KEY.into(),
             platform: vec![daemon.platform],
--- a/daemon/src/control/start.rs
+++ b/daemon/src/control/start.rs
@@ -9,7 +9,9 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::control::exchange::MAX_MESSAGE_BYTES;
-use yuccalift_core::control::{ControlSettings, DaemonPlace, MemberRecord, MemberState};
+use yuccalift_core::control::{
+    ControlSettings, DaemonPlace, MemberRecord, MemberState, ReadingPace, Succession,
+};
 use yuccalift_core::event::EngineEvent;
 use yuccalift_core::ids::Incarnation;
 use yuccalift_kernel::{Kernel, watch_pauses};
@@ -160,6 +162,8 @@
             seeds: settings.seed_peers.clone(),
             seed: parts.incarnation,
             check: check_value,
+            pace: ReadingPace::default(),
+            succession: Succession::Yield,
         },
         key: settings.shared_key.clone(),
         platform: settings.platform.clone(),
--- a/daemon/src/relay/front.rs
+++ b/daemon/src/relay/front.rs
@@ -141,7 +141,7 @@
     copy
 }
 
-async fn read_body(payload: Payload, limit: usize) -> Result<Bytes, StatusCode> {
+pub(super) async fn read_body(payload: Payload, limit: usize) -> Result<Bytes, StatusCode> {
     let mut payload = payload;
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -8,16 +8,18 @@
 //! - `front`: the callers' listener. `readiness`: the balancer's.
 //! - `hub`: the engine of [`yuccalift_core::relay`], its timers, and who waits for it.
 //! - `attempt`, `pool`: one request to one target, and the connections to targets.
-//! - `store_feed`: reads the platform's store.
+//! - `control`: the control plane of [`yuccalift_core::control`], its exchanges with peers, and what
+//!   it puts in force; `store_reader` reads the platform's store for it.
 //! - `report`: the lines of the log.
 //!
 //! See `docs/PLATFORM.md`.
 
 mod attempt;
+mod control;
 mod front;
 mod hub;
 mod pool;
 pub mod process;
 mod readiness;
 mod report;
-mod store_feed;
+mod store_reader;
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -16,12 +16,12 @@
 use yuccalift_exchange::{LinkOptions, listen};
 use yuccalift_settings::RelaySettings;
 
+use super::control::{RelayControl, answer_peer};
 use super::front::{FrontState, answer_caller};
 use super::hub::RelayHub;
 use super::pool::LinkPool;
 use super::readiness::{RelayReadiness, answer_balancer};
 use super::report::RelayReport;
-use super::store_feed::StoreFeed;
 use crate::error::{BindSnafu, DaemonError, SignalSnafu};
 use crate::events::LogEvent;
 
@@ -63,6 +63,7 @@
     let mut signals = StopSignals::new()?;
     let callers = bind("callers", settings.caller_listen)?;
     let balancer = bind("readiness", settings.readiness_listen)?;
+    let peers = bind("peers", settings.peer_listen)?;
     let links = ServiceConfig::default();
     let engine = RelayEngine::new(relay_options(&settings));
     let report = RelayReport::new(Instant::now());
@@ -70,13 +71,12 @@
     let readiness = Rc::new(RelayReadiness::default());
     let stop = CancellationToken::new();
     actix_rt::spawn(Rc::clone(&hub).run_timers(stop.clone()));
-    let feed = StoreFeed::new(
-        settings.store,
-        links,
-        Rc::clone(&hub),
-        Rc::clone(&readiness),
-    );
-    actix_rt::spawn(feed.run(stop.clone()));
+    let control = RelayControl::new(&settings, links, Rc::clone(&hub), Rc::clone(&readiness));
+    actix_rt::spawn(Rc::clone(&control).run(stop.clone()));
+    let answering = Rc::clone(&control);
+    spawn_listener(peers, stop.clone(), move |request| {
+        answer_peer(Rc::clone(&answering), request)
+    });
     let asked = Rc::clone(&readiness);
     spawn_listener(balancer, stop.clone(), move |request| {
         answer_balancer(Rc::clone(&asked), request)
@@ -90,6 +90,7 @@
     });
     log_start(&settings);
     signals.wait(&reload).await;
+    control.leave();
     stop_gracefully(&settings, &hub, &readiness).await;
     stop.cancel();
     Ok(())
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -198,19 +198,21 @@
         self.write(&LogEvent::EntryRefused { key, fault: &fault });
     }
 
-    /// Writes that the store can't be read.
-    pub(super) fn store_lost(&self, error: &StoreError) {
-        self.store_lost.set(Some(Instant::now()));
-        let fault = error.to_string();
-        LogEvent::StoreLost { fault: &fault }.emit();
+    /// Writes that the store can't be read, the first time.
+    pub(super) fn store_failed(&self, error: &StoreError) {
+        if self.store_lost.get().is_none() {
+            self.store_lost.set(Some(Instant::now()));
+            let fault = error.to_string();
+            LogEvent::StoreLost { fault: &fault }.emit();
+        }
     }
 
-    /// Writes that the store can be read again.
-    pub(super) fn store_regained(&self) {
-        let since = self.store_lost.take();
-        let outage = since.map_or(Duration::ZERO, |since| since.elapsed());
-        let outage_ms = millis(outage);
-        LogEvent::StoreRegained { outage_ms }.emit();
+    /// Writes that the store can be read again, if it could not.
+    pub(super) fn store_answered(&self) {
+        if let Some(since) = self.store_lost.take() {
+            let outage_ms = millis(since.elapsed());
+            LogEvent::StoreRegained { outage_ms }.emit();
+        }
     }
 }
 
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -17,6 +17,10 @@
 const PEERS: &str = "listen.peers";
 const METRICS: &str = "listen.metrics";
 
+/// Calls a second that the store grants for each daemon at the least. The fleet's size is not
+/// published; its store's rate grows with it, and on the present sites is 67 or more a daemon.
+const CALLS_PER_DAEMON: u64 = 10;
+
 /// The settings of a relay, checked.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RelaySettings {
@@ -36,6 +40,8 @@
     pub store: SocketAddr,
     /// Peers to ask first.
     pub seed_peers: Vec<SocketAddr>,
+    /// How many daemons the fleet has at the most; how many of them read the store rests on it.
+    pub fleet_daemons: u32,
     /// How long a target goes on serving after it was said to leave.
     pub drain_time: Duration,
     /// The share of a service's requests that all daemons may send a second time.
@@ -98,6 +104,15 @@
         default: FieldDefault::Absent,
         help: "peers to ask first; its own address among them is passed over",
     },
+    FieldSpec {
+        name: "store_calls_per_second",
+        kind: FieldKind::Integer {
+            min: 10,
+            max: 10_000_000,
+        },
+        default: FieldDefault::Value("2000"),
+        help: "reading calls a second that the store takes from all daemons; one daemon is taken to be granted ten",
+    },
     FieldSpec {
         name: "drain_time",
         kind: FieldKind::Duration {
@@ -168,6 +183,7 @@
         metrics_listen: reader.address(METRICS),
         store: reader.address("store")?,
         seed_peers,
+        fleet_daemons: (reader.integer("store_calls_per_second")? / CALLS_PER_DAEMON) as u32,
         drain_time: reader.duration("drain_time")?,
         retry_share: reader.share("retries.share")?,
         retry_window: reader.duration("retries.window")?,
