--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -6,6 +6,7 @@
 use super::event::TargetReply;
 use super::target_record::TargetName;
 use super::{AttemptKey, RequestKey, TargetKey};
+use crate::quarantine::QuarantineNotice;
 
 /// Something the relay decided, for the daemon to carry out.
 #[derive(Clone, Debug)]
@@ -31,6 +32,10 @@
         /// The refusal.
         refusal: RelayRefusal,
     },
+    /// Ask a target for a connection, and report whether it gave one.
+    Probe(ProbeOrder),
+    /// Tell the peers of a request that crashes targets.
+    Tell(QuarantineNotice),
     /// Close the idle connections to a target that has left.
     Forget {
         /// The target.
@@ -59,6 +64,15 @@
     pub careful: bool,
 }
 
+/// A question to a target whether it accepts connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeOrder {
+    /// The target.
+    pub target: TargetKey,
+    /// Where it accepts HTTP.
+    pub address: SocketAddr,
+}
+
 /// An answer to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RelayAnswer {
@@ -102,6 +116,8 @@
     Rejected,
     /// The time left is too short for any target.
     NoTime,
+    /// It has crashed targets, and is held back.
+    Quarantined,
 }
 
 impl RefusalCause {
@@ -112,6 +128,7 @@
             Self::NoRoom => "no_room",
             Self::Rejected => "rejected",
             Self::NoTime => "no_time",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -6,8 +6,10 @@
 use super::choice::TargetChoice;
 use super::request::{LegStage, LiveAttempt};
 use super::service::ParkedLeg;
+use super::suspicion::run_of;
 use super::target::Flight;
 use super::{RelayEngine, RequestKey, TargetKey};
+use crate::quarantine::TrialVerdict;
 
 impl RelayEngine {
     /// Sends a leg, lets it wait for room, or gives it up.
@@ -24,7 +26,14 @@
         };
         let leg = &state.legs[place];
         match self.choose(now, &leg.service, &leg.tried, state.is_careful()) {
-            TargetChoice::Ask(target) => self.send(now, request, place, target, cause, actions),
+            TargetChoice::Ask(target) => match self.admit(now, request, place, target) {
+                TrialVerdict::Send => self.send(now, request, place, target, cause, actions),
+                TrialVerdict::Wait => {
+                    self.give_leave_back(request, place);
+                    self.try_again_soon(now, request, place);
+                }
+                TrialVerdict::Refuse => self.give_up(request, place, "quarantined"),
+            },
             TargetChoice::Wait => self.park(request, place),
             TargetChoice::Unavailable { .. } => self.give_up(request, place, "no_target"),
         }
@@ -52,6 +61,18 @@
             .try_repeat(now, window, share)
     }
 
+    /// Gives back the leave for an attempt that was not sent.
+    fn give_leave_back(&mut self, request: RequestKey, place: usize) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        let leg = &state.legs[place];
+        if leg.arrivals > 0 {
+            let service = leg.service.clone();
+            self.services.get_or_add(&service).budget.refund();
+        }
+    }
+
     /// Sends a leg to a target; every send goes through here.
     pub(super) fn send(
         &mut self,
@@ -70,6 +91,7 @@
             return;
         };
         let careful = state.is_careful();
+        let run = run_of(state, place);
         let leg = &mut state.legs[place];
         let paid = leg.arrivals > 0;
         leg.arrivals += 1;
@@ -99,6 +121,7 @@
             request,
             place,
             target: key,
+            run,
             sent_at: now,
             usual,
             wanted: true,
@@ -169,9 +192,11 @@
                 service.parked.remove(0);
             }
             match choice {
-                Some(TargetChoice::Ask(target)) => {
+                Some(TargetChoice::Ask(_)) => {
                     let (request, place) = (entry.request, entry.place);
-                    self.send(now, request, place, target, SendCause::First, actions);
+                    self.unmark_parked(request, place);
+                    self.ask_leg(now, request, place, SendCause::First, actions);
+                    self.finish_if_settled(now, request, actions);
                 }
                 Some(TargetChoice::Unavailable { .. }) => {
                     self.give_up(entry.request, entry.place, "no_target");
@@ -182,6 +207,12 @@
         }
     }
 
+    fn unmark_parked(&mut self, request: RequestKey, place: usize) {
+        if let Some(state) = self.requests.get_mut(request) {
+            state.legs[place].parked = false;
+        }
+    }
+
     /// Gives a leg up, if nothing of it is in flight.
     pub(super) fn give_up(&mut self, request: RequestKey, place: usize, reason: &'static str) {
         let Some(state) = self.requests.get_mut(request) else {
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -5,7 +5,9 @@
 
 use super::route::{RouteEntry, RouteTable};
 use super::target_record::{TargetName, TargetRecord};
-use super::{AttemptKey, RequestKey};
+use super::{AttemptKey, RequestKey, TargetKey};
+use crate::ids::Fingerprint;
+use crate::quarantine::QuarantineNotice;
 
 /// Something that happened, told to the relay.
 #[derive(Clone, Debug)]
@@ -33,6 +35,17 @@
         /// What became of it.
         outcome: TargetOutcome,
     },
+    /// A target was asked for a connection; just one such event follows each probe.
+    Probed {
+        /// The target.
+        target: TargetKey,
+        /// Whether it gave one.
+        reachable: bool,
+    },
+    /// A peer says something of a request that crashes targets.
+    Noticed(QuarantineNotice),
+    /// What peers said of such a request is over.
+    NoticeEnded(Fingerprint),
     /// The process was paused; what looks late may not be.
     Paused,
     /// The time that [`super::RelayEngine::next_wake`] asked for has come.
@@ -46,6 +59,8 @@
     pub key: RequestKey,
     /// The route that it goes by, also after the table changes.
     pub route: Arc<RouteEntry>,
+    /// A hash of all that is asked, equal for the same request sent again.
+    pub fingerprint: Fingerprint,
     /// When its caller stops waiting.
     pub deadline: Instant,
 }
--- a/core/src/relay/hedging.rs
+++ b/core/src/relay/hedging.rs
@@ -106,7 +106,8 @@
         let TargetChoice::Ask(target) = choice else {
             return false;
         };
-        if leg.tried.contains(&target) || !self.take_leave(now, request, place) {
+        let suspected = self.suspicion.table.is_suspected(state.fingerprint);
+        if suspected || leg.tried.contains(&target) || !self.take_leave(now, request, place) {
             return false;
         }
         self.send(now, request, place, target, SendCause::Hedge, actions);
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -13,6 +13,7 @@
 //! - `request`: one request and its legs, a leg for each service that it asks.
 //! - `target`, `choice`: what is known of each target, and which one is asked.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the passes over a request.
+//! - `suspicion`: requests that crash their targets.
 //! - `budget`: how many second sends a service is given.
 //! - [`merge`]: the greatest records of several parts.
 //! - `verifier`: what must hold after each event.
@@ -34,6 +35,7 @@
 pub mod route;
 mod service;
 mod submit;
+mod suspicion;
 mod target;
 pub mod target_record;
 mod timers;
@@ -42,7 +44,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-pub use action::{AttemptOrder, RelayAction, RelayAnswer, RelayDecision, RelayRefusal};
+pub use action::{
+    AttemptOrder, ProbeOrder, RefusalCause, RelayAction, RelayAnswer, RelayDecision, RelayRefusal,
+};
 pub use event::{RelayEvent, RelayRequest, TargetOutcome, TargetReply};
 pub use route::{MergeRule, RepeatKind, RouteDestination, RouteEntry, RouteTable};
 pub use target_record::{TargetPhase, TargetRecord};
@@ -50,6 +54,7 @@
 use latencies::RouteLatencies;
 use request::RequestTable;
 use service::ServiceTable;
+use suspicion::SuspicionBoard;
 use target::RelayTargets;
 use timers::{TimerKind, TimerQueue};
 
@@ -84,6 +89,7 @@
     targets: RelayTargets,
     requests: RequestTable,
     latencies: RouteLatencies,
+    suspicion: SuspicionBoard,
     timers: TimerQueue,
     resumed_at: Option<Instant>,
     split_turn: u64,
@@ -99,6 +105,7 @@
             targets: RelayTargets::default(),
             requests: RequestTable::default(),
             latencies: RouteLatencies::default(),
+            suspicion: SuspicionBoard::default(),
             timers: TimerQueue::default(),
             resumed_at: None,
             split_turn: 0,
@@ -119,6 +126,11 @@
             RelayEvent::AttemptEnded { attempt, outcome } => {
                 self.end_attempt(now, attempt, outcome, actions);
             }
+            RelayEvent::Probed { target, reachable } => {
+                self.end_doubt(now, target, reachable, actions);
+            }
+            RelayEvent::Noticed(notice) => self.learn_notice(now, &notice),
+            RelayEvent::NoticeEnded(fingerprint) => self.lift_notice(now, fingerprint),
             RelayEvent::Paused => self.resumed_at = Some(now),
             RelayEvent::Tick => {}
         }
@@ -128,7 +140,8 @@
 
     /// When the relay wants the next [`RelayEvent::Tick`], if at all.
     pub fn next_wake(&self) -> Option<Instant> {
-        self.timers.next()
+        let hold = self.suspicion.table.next_end();
+        self.timers.next().into_iter().chain(hold).min()
     }
 
     /// The routes in force.
@@ -156,6 +169,7 @@
     }
 
     fn run_timers(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
+        self.suspicion.table.expire(now);
         while let Some(kind) = self.timers.pop_due(now) {
             match kind {
                 TimerKind::Look { request } => self.look_at_legs(now, request, actions),
@@ -163,6 +177,7 @@
                 TimerKind::Room { request } => self.end_room_wait(now, request, actions),
                 TimerKind::Deadline { request } => self.end_deadline(now, request, actions),
                 TimerKind::Linger { attempt } => self.end_linger(attempt, actions),
+                TimerKind::Trial { request, place } => self.ask_again(now, request, place, actions),
                 TimerKind::Departure { target } => self.end_departure(now, target, actions),
             }
         }
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -25,6 +25,10 @@
         let Some(attempt) = self.requests.remove_attempt(attempt) else {
             return;
         };
+        self.end_trial(&attempt, &outcome);
+        if outcome == TargetOutcome::Lost {
+            self.doubt_target(&attempt, actions);
+        }
         self.learn(now, &attempt, &outcome, actions);
         self.note_end(now, &attempt, &outcome, actions);
         if attempt.wanted {
@@ -163,6 +167,10 @@
             TargetOutcome::Replied(reply) => {
                 self.fail_leg(now, attempt, Some(reply), actions);
             }
+            // The target may have crashed: it is asked before the request goes elsewhere.
+            TargetOutcome::Lost if self.may_repeat(now, attempt) => {
+                self.try_again_soon(now, attempt.request, attempt.place);
+            }
             TargetOutcome::Rejected
             | TargetOutcome::Misdirected
             | TargetOutcome::NotSent
@@ -206,16 +214,37 @@
         let Some(state) = self.requests.get_mut(request) else {
             return;
         };
-        let careful = state.is_careful();
-        let time_left = now < state.deadline;
-        let leg = &mut state.legs[place];
         if failure.is_some() {
-            leg.failure = failure;
+            state.legs[place].failure = failure;
         }
-        if !leg.is_open() || !leg.live.is_empty() {
+        self.ask_again(now, request, place, actions);
+    }
+
+    /// Whether a failed attempt's request may be sent again as far as its kind and its time go.
+    fn may_repeat(&self, now: Instant, attempt: &LiveAttempt) -> bool {
+        self.requests.get(attempt.request).is_some_and(|state| {
+            let runs = state.legs[attempt.place].runs;
+            now < state.deadline && (!state.is_careful() || runs == 0)
+        })
+    }
+
+    /// Asks for a leg again of which nothing is under way, where that is allowed, or gives it up.
+    pub(super) fn ask_again(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        place: usize,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        let leg = &state.legs[place];
+        if !leg.is_open() || !leg.live.is_empty() || leg.parked {
             return;
         }
-        let repeatable = !careful || leg.runs == 0;
+        let repeatable = !state.is_careful() || leg.runs == 0;
+        let time_left = now < state.deadline;
         if time_left && repeatable && self.take_leave(now, request, place) {
             self.ask_leg(now, request, place, SendCause::Retry, actions);
         } else {
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -7,6 +7,8 @@
 use super::event::TargetReply;
 use super::route::{RepeatKind, RouteDestination, RouteEntry, ServiceName};
 use super::{AttemptKey, RequestKey, TargetKey};
+use crate::ids::Fingerprint;
+use crate::quarantine::RunningRequest;
 
 /// What has become of a leg.
 #[derive(Clone, Debug)]
@@ -83,6 +85,7 @@
 pub(super) struct RequestState {
     pub(super) key: RequestKey,
     pub(super) route: Arc<RouteEntry>,
+    pub(super) fingerprint: Fingerprint,
     pub(super) arrived: Instant,
     /// When it must have ended: the caller's deadline or the route's time-out.
     pub(super) deadline: Instant,
@@ -142,6 +145,8 @@
     /// The leg's place in the request.
     pub(super) place: usize,
     pub(super) target: TargetKey,
+    /// What it runs, for the quarantine.
+    pub(super) run: RunningRequest,
     pub(super) sent_at: Instant,
     /// How long such an attempt usually takes.
     pub(super) usual: Duration,
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -37,6 +37,7 @@
         let services = self.asked_services(&route);
         let state = RequestState {
             key,
+            fingerprint: request.fingerprint,
             arrived: now,
             deadline,
             legs: services.into_iter().map(RequestLeg::new).collect(),
@@ -86,6 +87,9 @@
         if state.deadline <= now {
             return Some(RefusalCause::NoTime);
         }
+        if self.is_held(now, state.fingerprint) {
+            return Some(RefusalCause::Quarantined);
+        }
         let servable = state.legs.iter().filter(|leg| {
             let choice = self.choose(now, &leg.service, &[], state.is_careful());
             !matches!(choice, TargetChoice::Unavailable { .. })
--- /dev/null
+++ b/core/src/relay/suspicion.rs
@@ -0,0 +1,176 @@
+//! Requests that crash the targets that run them.
+//!
+//! A connection that breaks while a request is in flight says little: answers are lost on the way
+//! as well. So the target is asked for another connection first; one that refuses it has crashed,
+//! and the requests that it ran are suspected. See [`crate::quarantine`] for what follows, and
+//! `docs/PLATFORM.md`, "Crashing requests".
+
+use std::time::Instant;
+
+use super::action::{ProbeOrder, RelayAction};
+use super::event::TargetOutcome;
+use super::request::{LiveAttempt, RequestState};
+use super::timers::TimerKind;
+use super::{RelayEngine, RequestKey, TargetKey};
+use crate::ids::{Fingerprint, ShardId};
+use crate::quarantine::table::TRIAL_WAIT;
+use crate::quarantine::{
+    QuarantineNotice, QuarantineTable, RunningRequest, TrialRequest, TrialVerdict,
+};
+
+/// A target that broke attempts and is being asked for a connection.
+#[derive(Debug)]
+struct DoubtedTarget {
+    target: TargetKey,
+    /// What it ran when it broke them.
+    runs: Vec<RunningRequest>,
+    /// The legs that wait for what it says before they are sent elsewhere.
+    legs: Vec<(RequestKey, usize)>,
+}
+
+/// What is held against requests, and the targets that are being asked.
+#[derive(Debug, Default)]
+pub(super) struct SuspicionBoard {
+    pub(super) table: QuarantineTable,
+    doubted: Vec<DoubtedTarget>,
+}
+
+impl RelayEngine {
+    /// Whether a request may be sent to a target now.
+    pub(super) fn admit(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        place: usize,
+        target: TargetKey,
+    ) -> TrialVerdict {
+        let Some(state) = self.requests.get(request) else {
+            return TrialVerdict::Refuse;
+        };
+        let RunningRequest { fingerprint, shard } = run_of(state, place);
+        if !self.suspicion.table.is_suspected(fingerprint) {
+            return TrialVerdict::Send;
+        }
+        let asked = state.arrived;
+        let beside = self.fingerprints_at(target);
+        let trial = TrialRequest {
+            fingerprint,
+            shard,
+            target,
+            asked,
+            beside: &beside,
+        };
+        self.suspicion.table.admit(now, &trial)
+    }
+
+    /// The requests that a target runs for this daemon now.
+    fn fingerprints_at(&self, target: TargetKey) -> Vec<Fingerprint> {
+        self.requests
+            .attempts()
+            .filter(|attempt| attempt.target == target)
+            .map(|attempt| attempt.run.fingerprint)
+            .collect()
+    }
+
+    /// Arranges that a leg which waits for the end of a trial or a doubt is looked at again.
+    pub(super) fn try_again_soon(&mut self, now: Instant, request: RequestKey, place: usize) {
+        let due = now + TRIAL_WAIT;
+        self.timers.add(due, TimerKind::Trial { request, place });
+    }
+
+    /// Notes that a target broke an attempt, and asks it for a connection.
+    pub(super) fn doubt_target(&mut self, attempt: &LiveAttempt, actions: &mut Vec<RelayAction>) {
+        let (target, run) = (attempt.target, attempt.run);
+        let leg = (attempt.request, attempt.place);
+        let doubted = &mut self.suspicion.doubted;
+        if let Some(entry) = doubted.iter_mut().find(|entry| entry.target == target) {
+            entry.runs.push(run);
+            entry.legs.push(leg);
+            return;
+        }
+        let Some(state) = self.targets.get(target) else {
+            self.end_run(target, run);
+            return;
+        };
+        doubted.push(DoubtedTarget {
+            target,
+            runs: vec![run],
+            legs: vec![leg],
+        });
+        actions.push(RelayAction::Probe(ProbeOrder {
+            target,
+            address: state.record.address,
+        }));
+    }
+
+    /// Takes the answer of a doubted target: one that can't be connected to has crashed.
+    pub(super) fn end_doubt(
+        &mut self,
+        now: Instant,
+        target: TargetKey,
+        reachable: bool,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let doubted = &mut self.suspicion.doubted;
+        let Some(place) = doubted.iter().position(|entry| entry.target == target) else {
+            return;
+        };
+        let entry = doubted.swap_remove(place);
+        if !reachable {
+            let notices = self.suspicion.table.target_lost(now, target, &entry.runs);
+            actions.extend(notices.into_iter().map(RelayAction::Tell));
+        }
+        for run in entry.runs {
+            self.end_run(target, run);
+        }
+        for (request, place) in entry.legs {
+            self.ask_again(now, request, place, actions);
+        }
+    }
+
+    /// Notes that an attempt ended, and whether the target answered it. The trial of one that the
+    /// target broke goes on until the target has been asked.
+    pub(super) fn end_trial(&mut self, attempt: &LiveAttempt, outcome: &TargetOutcome) {
+        let run = attempt.run;
+        match outcome {
+            TargetOutcome::Lost => return,
+            TargetOutcome::Replied(_) => {
+                self.suspicion.table.succeeded(run.fingerprint, run.shard);
+            }
+            TargetOutcome::Rejected
+            | TargetOutcome::Misdirected
+            | TargetOutcome::NotSent
+            | TargetOutcome::Garbled
+            | TargetOutcome::Abandoned { .. } => {}
+        }
+        self.end_run(attempt.target, run);
+    }
+
+    fn end_run(&mut self, target: TargetKey, run: RunningRequest) {
+        let RunningRequest { fingerprint, shard } = run;
+        self.suspicion.table.ended(fingerprint, shard, target);
+    }
+
+    /// Takes what a peer says of a request.
+    pub(super) fn learn_notice(&mut self, now: Instant, notice: &QuarantineNotice) {
+        self.suspicion.table.learn(now, notice);
+    }
+
+    /// Takes the end of what a peer said.
+    pub(super) fn lift_notice(&mut self, now: Instant, fingerprint: Fingerprint) {
+        self.suspicion.table.lift(now, fingerprint);
+    }
+
+    /// Whether requests of a fingerprint are held back.
+    pub(super) fn is_held(&self, now: Instant, fingerprint: Fingerprint) -> bool {
+        self.suspicion.table.held(now, fingerprint)
+    }
+}
+
+/// What an attempt runs: the request, and the service by its place among the request's.
+pub(super) fn run_of(state: &RequestState, place: usize) -> RunningRequest {
+    RunningRequest {
+        fingerprint: state.fingerprint,
+        shard: place as ShardId,
+    }
+}
--- a/core/src/relay/timers.rs
+++ b/core/src/relay/timers.rs
@@ -19,6 +19,8 @@
     Deadline { request: RequestKey },
     /// End an attempt that nobody waits for any more.
     Linger { attempt: AttemptKey },
+    /// Ask for a leg again that waited for another trial's end.
+    Trial { request: RequestKey, place: usize },
     /// Forget a target that has left.
     Departure { target: TargetKey },
 }
--- a/core/tests/relay/forwarding.rs
+++ b/core/tests/relay/forwarding.rs
@@ -26,6 +26,8 @@
     stage.submit("to-orders", TIMEOUT);
     let first = stage.last_send().clone();
     stage.end(first.attempt, outcome);
+    // A target that broke the attempt is asked first whether it has crashed.
+    stage.pass(ms(25));
     let again = stage.sends.len() == 2;
     assert_eq!(again, expected, "sent again");
     if again {
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! The relay, played without a network.
 
 mod budget;
+mod crashing;
 mod departures;
 mod forwarding;
 mod gathering;
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry, WeightedService};
 use yuccalift_core::relay::{
-    AttemptKey, AttemptOrder, MergeRule, RelayAction, RelayAnswer, RelayDecision, RelayEngine,
-    RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RepeatKind, RequestKey, RouteDestination,
-    RouteEntry, RouteTable, TargetOutcome, TargetPhase, TargetRecord, TargetReply,
+    AttemptKey, AttemptOrder, MergeRule, ProbeOrder, RelayAction, RelayAnswer, RelayDecision,
+    RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RepeatKind, RequestKey,
+    RouteDestination, RouteEntry, RouteTable, TargetOutcome, TargetPhase, TargetRecord,
+    TargetReply,
 };
 
 pub const LATENCY_AIM: Duration = Duration::from_millis(100);
@@ -103,6 +105,10 @@
     pub cancels: Vec<AttemptKey>,
     pub ends: Vec<RequestEnd>,
     pub decisions: Vec<RelayDecision>,
+    /// The fingerprint of the next requests; each has its own if there is none.
+    pub fingerprint: Option<u64>,
+    pub notices: Vec<QuarantineNotice>,
+    pub probes: Vec<ProbeOrder>,
     routes: Vec<Arc<RouteEntry>>,
     requests: RequestKey,
 }
@@ -122,6 +128,9 @@
             cancels: Vec::new(),
             ends: Vec::new(),
             decisions: Vec::new(),
+            fingerprint: None,
+            notices: Vec::new(),
+            probes: Vec::new(),
             routes: Vec::new(),
             requests: 0,
         };
@@ -167,6 +176,8 @@
                 result: Err(refusal),
             }),
             RelayAction::Forget { .. } => {}
+            RelayAction::Probe(probe) => self.probes.push(probe),
+            RelayAction::Tell(notice) => self.notices.push(notice),
             RelayAction::Decided(decision) => self.decisions.push(decision),
         }
     }
@@ -181,6 +192,7 @@
         let route = Arc::clone(found.expect("the route is known"));
         self.feed(RelayEvent::Submit(RelayRequest {
             key: self.requests,
+            fingerprint: self.fingerprint.unwrap_or(self.requests),
             route,
             deadline: self.now + time_left,
         }));
--- a/daemon/src/caller.rs
+++ b/daemon/src/caller.rs
@@ -122,7 +122,11 @@
 }
 
 fn search_request(body: SearchBody) -> SearchRequest {
-    let fingerprint = fingerprint(&[&body.account, &body.collection, &body.text]);
+    let fingerprint = fingerprint(&[
+        body.account.as_bytes(),
+        body.collection.as_bytes(),
+        body.text.as_bytes(),
+    ]);
     SearchRequest {
         query: rand::random::<QueryId>(),
         request: body.request,
@@ -175,11 +179,11 @@
 }
 
 /// A hash over parts whose borders count, equal for a resent request.
-pub(crate) fn fingerprint(parts: &[&str]) -> Fingerprint {
+pub(crate) fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
     let mut hasher = Xxh3::new();
     for part in parts {
         hasher.update(&part.len().to_le_bytes());
-        hasher.update(part.as_bytes());
+        hasher.update(part);
     }
     hasher.digest()
 }
--- a/daemon/src/execute/run.rs
+++ b/daemon/src/execute/run.rs
@@ -94,7 +94,12 @@
         kind: RequestKind::Execute { shard: body.shard },
         text: body.text.clone(),
         limit: 1,
-        fingerprint: fingerprint(&[&body.account, &body.collection, &shard, &body.text]),
+        fingerprint: fingerprint(&[
+            body.account.as_bytes(),
+            body.collection.as_bytes(),
+            shard.as_bytes(),
+            body.text.as_bytes(),
+        ]),
         time_left: match (asked, longest) {
             (Some(asked), Some(longest)) => Some(asked.min(longest)),
             (asked, longest) => asked.or(longest),
--- a/daemon/src/quarantine_desk.rs
+++ b/daemon/src/quarantine_desk.rs
@@ -1,7 +1,7 @@
 //! Carries out what the gate of attempts decides: lines in the log and news to the peers.
 //! What is left for the lane are attempts to send and events for the engine.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix::Recipient;
 use yuccalift_core::action::AttemptPlan;
@@ -146,27 +146,9 @@
     }
 
     fn tell(&self, notice: &QuarantineNotice) {
-        let fingerprint = notice.fingerprint;
-        let (kind, life) = match notice.kind {
-            NoticeKind::Suspected { shard, wide, blame } => {
-                let text = hexadecimal(fingerprint);
-                LogEvent::RequestSuspected {
-                    fingerprint: &text,
-                    shard,
-                    blame,
-                }
-                .emit();
-                let suspect = NewsKind::Suspect {
-                    fingerprint,
-                    shard,
-                    wide,
-                    blame,
-                };
-                (suspect, SUSPICION_LIFE)
-            }
-            NoticeKind::Held { left } => (NewsKind::Quarantine(fingerprint), left),
-        };
+        log_suspicion(notice);
         if let Some(news) = &self.news {
+            let (kind, life) = news_of(notice);
             news.do_send(AnnounceNews { kind, life });
         }
     }
@@ -190,6 +172,46 @@
     }
 }
 
+/// What peers are told by a notice, and for how long it is true.
+pub(crate) fn news_of(notice: &QuarantineNotice) -> (NewsKind, Duration) {
+    let fingerprint = notice.fingerprint;
+    match notice.kind {
+        NoticeKind::Suspected { shard, wide, blame } => {
+            let suspect = NewsKind::Suspect {
+                fingerprint,
+                shard,
+                wide,
+                blame,
+            };
+            (suspect, SUSPICION_LIFE)
+        }
+        NoticeKind::Held { left } => (NewsKind::Quarantine(fingerprint), left),
+    }
+}
+
+/// Writes the line of a notice.
+pub(crate) fn log_notice(notice: &QuarantineNotice) {
+    log_suspicion(notice);
+    if let NoticeKind::Held { left } = notice.kind {
+        LogEvent::RequestQuarantined {
+            fingerprint: &hexadecimal(notice.fingerprint),
+            left_ms: millis(left),
+        }
+        .emit();
+    }
+}
+
+fn log_suspicion(notice: &QuarantineNotice) {
+    if let NoticeKind::Suspected { shard, blame, .. } = notice.kind {
+        LogEvent::RequestSuspected {
+            fingerprint: &hexadecimal(notice.fingerprint),
+            shard,
+            blame,
+        }
+        .emit();
+    }
+}
+
 fn hexadecimal(fingerprint: Fingerprint) -> String {
     format!("{fingerprint:016x}")
 }
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -6,11 +6,13 @@
 use actix_http::header::HeaderMap;
 use actix_web::web::Bytes;
 use tokio_util::sync::CancellationToken;
+use yuccalift_core::ids::Fingerprint;
 use yuccalift_core::relay::{AttemptOrder, TargetOutcome};
 use yuccalift_exchange::{ExchangeError, ExchangeLink, OutgoingRequest};
 use yuccalift_platform::target;
 
 use super::pool::LinkPool;
+use crate::caller::fingerprint;
 
 /// What a caller sent, as it is passed on to each target.
 pub(super) struct CallerMessage {
@@ -24,6 +26,19 @@
     pub(super) body: Option<Bytes>,
 }
 
+impl CallerMessage {
+    /// A hash of all that is asked of a host, equal for the same request sent again.
+    pub(super) fn fingerprint(&self, host: &str) -> Fingerprint {
+        let path = self.head.uri.path_and_query();
+        fingerprint(&[
+            host.as_bytes(),
+            self.head.method.as_str().as_bytes(),
+            path.map_or(&[], |path| path.as_str().as_bytes()),
+            self.body.as_deref().unwrap_or_default(),
+        ])
+    }
+}
+
 /// Sends a request to a target and waits for what becomes of it.
 pub(super) async fn run_attempt(
     pool: &LinkPool,
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -13,14 +13,16 @@
 use actix_http::body::BoxBody;
 use actix_http::header::{HOST, HeaderValue};
 use actix_http::{Method, Request, RequestHead, Response, ServiceConfig, StatusCode, Uri};
-use tokio::sync::{Mutex, Notify};
+use tokio::sync::{Mutex, Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::control::exchange::MAX_MESSAGE_BYTES;
+use yuccalift_core::control::news::MAX_LIFE;
 use yuccalift_core::control::{
     ConfigValue, ControlAction, ControlEvent, ControlNode, ControlSettings, ExchangeMessage,
-    FleetBounds, MemberRecord, MemberState, ReadingPace, Succession,
+    FleetBounds, MemberRecord, MemberState, NewsKind, ReadingPace, Succession,
 };
 use yuccalift_core::ids::{ConfigVersion, HostName};
+use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
 use yuccalift_core::relay::RelayEvent;
 use yuccalift_exchange::{ExchangeLink, LinkOptions, OutgoingRequest};
 use yuccalift_platform::caller::plain_answer;
@@ -37,6 +39,7 @@
 use super::store_reader::StoreReader;
 use crate::control::log_notice;
 use crate::events::LogEvent;
+use crate::quarantine_desk::news_of;
 
 /// How long one exchange may take.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -101,13 +104,21 @@
         control
     }
 
-    /// Wakes the control plane when it wants to be, until the token is cancelled.
-    pub(super) async fn run(self: Rc<Self>, stop: CancellationToken) {
+    /// Wakes the control plane when it wants to be and passes news on, until the token is cancelled.
+    pub(super) async fn run(
+        self: Rc<Self>,
+        mut news: mpsc::UnboundedReceiver<QuarantineNotice>,
+        stop: CancellationToken,
+    ) {
         loop {
             let due = tokio::time::Instant::from_std(self.wake_due.get());
             tokio::select! {
                 () = stop.cancelled() => return,
                 () = self.wake.notified() => {}
+                Some(notice) = news.recv() => {
+                    let (kind, life) = news_of(&notice);
+                    self.feed(ControlEvent::Announce { kind, life });
+                }
                 () = tokio::time::sleep_until(due) => self.feed(ControlEvent::Tick),
             }
         }
@@ -156,7 +167,7 @@
             ControlAction::Noticed(notice) => log_notice(&self.host, &notice),
             // The platform lists no daemons, a host runs one, and readiness is by what is in force.
             ControlAction::ReadHosts | ControlAction::Replaced | ControlAction::Ready(_) => {}
-            ControlAction::News { .. } => {}
+            ControlAction::News { kind, active } => self.pass_on(kind, active),
         }
     }
 
@@ -204,6 +215,29 @@
         });
     }
 
+    /// Tells the engine what peers say of requests that crash targets.
+    fn pass_on(&self, kind: NewsKind, active: bool) {
+        let event = match kind {
+            NewsKind::Quarantine(fingerprint) if active => RelayEvent::Noticed(QuarantineNotice {
+                fingerprint,
+                kind: NoticeKind::Held { left: MAX_LIFE },
+            }),
+            NewsKind::Quarantine(fingerprint) => RelayEvent::NoticeEnded(fingerprint),
+            NewsKind::Suspect {
+                fingerprint,
+                shard,
+                wide,
+                blame,
+            } if active => RelayEvent::Noticed(QuarantineNotice {
+                fingerprint,
+                kind: NoticeKind::Suspected { shard, wide, blame },
+            }),
+            // Suspicions end by themselves, and targets' states come from the store.
+            NewsKind::Suspect { .. } | NewsKind::Draining(_) => return,
+        };
+        self.hub.feed(event);
+    }
+
     fn put_in_force(&self, value: &ConfigValue) {
         match subject_of(&value.key) {
             StoreSubject::Config => self.put_routes(value),
--- a/daemon/src/relay/front.rs
+++ b/daemon/src/relay/front.rs
@@ -92,6 +92,7 @@
     ) -> RelayResult {
         let request = RelayRequest {
             key: 0,
+            fingerprint: message.fingerprint(&route.host),
             route: Arc::clone(route),
             deadline,
         };
--- a/daemon/src/relay/hub.rs
+++ b/daemon/src/relay/hub.rs
@@ -4,16 +4,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
+use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::relay::{
-    AttemptKey, AttemptOrder, RelayAction, RelayAnswer, RelayEngine, RelayEvent, RelayRefusal,
-    RelayRequest, RequestKey, RouteTable,
+    AttemptKey, AttemptOrder, ProbeOrder, RelayAction, RelayAnswer, RelayEngine, RelayEvent,
+    RelayRefusal, RelayRequest, RequestKey, RouteTable,
 };
 
 use super::attempt::{CallerMessage, run_attempt};
 use super::pool::LinkPool;
 use super::report::RelayReport;
+use crate::quarantine_desk::log_notice;
 
 /// A timer that fires this much later than it was due follows a pause of the process.
 const PAUSE_GAP: Duration = Duration::from_millis(250);
@@ -41,15 +43,23 @@
     attempts: RefCell<Vec<RunningAttempt>>,
     pool: LinkPool,
     pub(super) report: RelayReport,
+    news: mpsc::UnboundedSender<QuarantineNotice>,
     last_request: Cell<RequestKey>,
     wake: Notify,
     wake_due: Cell<Option<Instant>>,
 }
 
 impl RelayHub {
-    /// Makes a hub; [`RelayHub::run_timers`] must run beside it.
-    pub(super) fn new(engine: RelayEngine, pool: LinkPool, report: RelayReport) -> Rc<Self> {
+    /// Makes a hub; [`RelayHub::run_timers`] must run beside it. `news` takes what peers must know
+    /// of requests that crash targets.
+    pub(super) fn new(
+        engine: RelayEngine,
+        pool: LinkPool,
+        report: RelayReport,
+        news: mpsc::UnboundedSender<QuarantineNotice>,
+    ) -> Rc<Self> {
         Rc::new(Self {
+            news,
             engine: RefCell::new(engine),
             callers: RefCell::default(),
             attempts: RefCell::default(),
@@ -158,6 +168,8 @@
             RelayAction::Cancel { attempt } => self.cancel(attempt),
             RelayAction::Answer { request, answer } => self.reply(request, Ok(answer)),
             RelayAction::Refuse { request, refusal } => self.reply(request, Err(refusal)),
+            RelayAction::Probe(probe) => self.probe(probe),
+            RelayAction::Tell(notice) => self.tell(notice),
             RelayAction::Forget { target } => self.pool.forget(target),
             RelayAction::Decided(decision) => {
                 self.report
@@ -187,6 +199,21 @@
         });
     }
 
+    /// Asks a target for a connection; what it says of it is worth a request's time.
+    fn probe(self: &Rc<Self>, probe: ProbeOrder) {
+        let hub = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let reachable = hub.pool.probe(&probe).await;
+            let target = probe.target;
+            hub.feed(RelayEvent::Probed { target, reachable });
+        });
+    }
+
+    fn tell(&self, notice: QuarantineNotice) {
+        log_notice(&notice);
+        let _control_may_have_ended = self.news.send(notice);
+    }
+
     fn end_later(self: &Rc<Self>, attempt: AttemptKey) {
         let hub = Rc::clone(self);
         actix_rt::spawn(async move {
--- a/daemon/src/relay/pool.rs
+++ b/daemon/src/relay/pool.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::ServiceConfig;
-use yuccalift_core::relay::{AttemptOrder, TargetKey};
+use yuccalift_core::relay::{AttemptOrder, ProbeOrder, TargetKey};
 use yuccalift_exchange::{ExchangeLink, LinkOptions};
 
 /// How long a connection stays idle where the target says nothing of it.
@@ -56,6 +56,16 @@
         ExchangeLink::open(order.address, &TARGET_LINKS, &self.config).await
     }
 
+    /// Whether a target gives a connection, which is kept.
+    pub(super) async fn probe(&self, probe: &ProbeOrder) -> bool {
+        let link = ExchangeLink::open(probe.address, &TARGET_LINKS, &self.config).await;
+        let reachable = link.is_ok();
+        if let Ok(link) = link {
+            self.put_back(probe.target, link, None);
+        }
+        reachable
+    }
+
     fn take_idle(&self, order: &AttemptOrder) -> Option<ExchangeLink> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -11,6 +11,7 @@
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::relay::{RelayEngine, RelayOptions};
 use yuccalift_exchange::{LinkOptions, listen};
@@ -67,12 +68,13 @@
     let links = ServiceConfig::default();
     let engine = RelayEngine::new(relay_options(&settings));
     let report = RelayReport::new(Instant::now());
-    let hub = RelayHub::new(engine, LinkPool::new(links.clone()), report);
+    let (sender, news) = mpsc::unbounded_channel();
+    let hub = RelayHub::new(engine, LinkPool::new(links.clone()), report, sender);
     let readiness = Rc::new(RelayReadiness::default());
     let stop = CancellationToken::new();
     actix_rt::spawn(Rc::clone(&hub).run_timers(stop.clone()));
     let control = RelayControl::new(&settings, links, Rc::clone(&hub), Rc::clone(&readiness));
-    actix_rt::spawn(Rc::clone(&control).run(stop.clone()));
+    actix_rt::spawn(Rc::clone(&control).run(news, stop.clone()));
     let answering = Rc::clone(&control);
     spawn_listener(peers, stop.clone(), move |request| {
         answer_peer(Rc::clone(&answering), request)
