--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -26,6 +26,11 @@
         };
         let leg = &state.legs[place];
         match self.choose(now, &leg.service, &leg.tried, state.is_careful()) {
+            TargetChoice::Ask(target) if leg.tried.contains(&target) && leg.is_recent(now) => {
+                // Nobody else can answer, and this one has just failed to.
+                self.give_leave_back(request, place);
+                self.try_again_soon(now, request, place);
+            }
             TargetChoice::Ask(target) => match self.admit(now, request, place, target) {
                 TrialVerdict::Send => self.send(now, request, place, target, cause, actions),
                 TrialVerdict::Wait => {
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -10,6 +10,9 @@
 use crate::ids::Fingerprint;
 use crate::quarantine::RunningRequest;
 
+/// How long after an attempt the same target is not asked again: one that is full needs a moment.
+const REPEAT_PAUSE: Duration = Duration::from_millis(15);
+
 /// What has become of a leg.
 #[derive(Clone, Debug)]
 pub(super) enum LegStage {
@@ -66,6 +69,12 @@
         matches!(self.stage, LegStage::Open)
     }
 
+    /// Whether its last attempt was sent just now.
+    pub(super) fn is_recent(&self, now: Instant) -> bool {
+        self.last_sent
+            .is_some_and(|sent| now.saturating_duration_since(sent) < REPEAT_PAUSE)
+    }
+
     /// Its answer.
     pub(super) fn answer(&self) -> Option<&TargetReply> {
         match &self.stage {
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -68,6 +68,8 @@
     failure_share: f64,
     failure_noted: Option<Instant>,
     strikes: u32,
+    /// Whether the last connection to it could be had.
+    reachable: bool,
     suspended_until: Option<Instant>,
 }
 
@@ -86,6 +88,7 @@
             failure_share: 0.0,
             failure_noted: None,
             strikes: 0,
+            reachable: true,
             suspended_until: None,
         }
     }
@@ -100,9 +103,10 @@
         self.suspended_until
     }
 
-    /// Whether it has failed only once so far, so that it may be tried for want of a better one.
+    /// Whether it accepted connections and has only just been suspended, so that it may be tried
+    /// for want of a better one.
     pub(super) fn is_first_suspension(&self) -> bool {
-        self.strikes <= STRIKES_TO_SUSPEND
+        self.reachable && self.strikes <= STRIKES_TO_SUSPEND
     }
 
     /// Begins an attempt.
@@ -150,6 +154,7 @@
     pub(super) fn note_broken(&mut self, now: Instant, connected: bool) -> Option<Duration> {
         self.note_outcome(now, 1.0);
         self.strikes += 1;
+        self.reachable = connected;
         if connected && self.strikes < STRIKES_TO_SUSPEND {
             return None;
         }
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -36,6 +36,7 @@
 use super::front::read_body;
 use super::hub::RelayHub;
 use super::readiness::RelayReadiness;
+use super::report::RelayReport;
 use super::store_reader::StoreReader;
 use crate::control::log_notice;
 use crate::events::LogEvent;
@@ -252,7 +253,7 @@
         };
         match decode_routes(text) {
             Ok(table) => {
-                self.hub.report.routes(&table, value.version);
+                RelayReport::routes(&table, value.version);
                 self.hub.feed(RelayEvent::RoutesChanged(Arc::new(table)));
                 self.readiness.configured.set(true);
             }
--- a/daemon/src/relay/hub.rs
+++ b/daemon/src/relay/hub.rs
@@ -145,7 +145,7 @@
     fn notice_pause(self: &Rc<Self>, due: Option<Instant>) {
         let gap = due.map(|due| Instant::now().saturating_duration_since(due));
         if let Some(gap) = gap.filter(|gap| *gap > PAUSE_GAP) {
-            self.report.paused(gap);
+            RelayReport::paused(gap);
             self.feed(RelayEvent::Paused);
         }
     }
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -174,7 +174,7 @@
     }
 
     /// Writes that the process was paused.
-    pub(super) fn paused(&self, gap: Duration) {
+    pub(super) fn paused(gap: Duration) {
         LogEvent::LanePaused {
             gap_ms: millis(gap),
         }
@@ -182,7 +182,7 @@
     }
 
     /// Writes that a version of the routes is in force.
-    pub(super) fn routes(&self, table: &RouteTable, revision: u64) {
+    pub(super) fn routes(table: &RouteTable, revision: u64) {
         LogEvent::RoutesInForce {
             version: table.version,
             routes: table.routes.len() as u64,
--- a/daemon/src/relay/store_reader.rs
+++ b/daemon/src/relay/store_reader.rs
@@ -16,7 +16,7 @@
 const CALL_SLACK: Duration = Duration::from_millis(1_500);
 /// How the connection to the store finds out that the other end is gone.
 const STORE_LINK: LinkOptions = LinkOptions {
-    connect_timeout: Duration::from_millis(1_000),
+    connect_timeout: Duration::from_secs(1),
     probe_interval: Duration::from_secs(1),
     probes: 2,
 };
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -58,13 +58,13 @@
 pub const RELAY_FIELDS: &[FieldSpec] = &[
     FieldSpec {
         name: "host",
-        kind: FieldKind::Name,
+        kind: FieldKind::Text { min: 1, max: 255 },
         default: FieldDefault::Required,
         help: "the entry host",
     },
     FieldSpec {
         name: "data_centre",
-        kind: FieldKind::Name,
+        kind: FieldKind::Text { min: 1, max: 255 },
         default: FieldDefault::Required,
         help: "the data centre of that host, as targets name theirs",
     },
