--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -16,9 +16,11 @@
 mod input;
 mod operator_client;
 mod processor;
+mod soak;
 mod standin;
 mod status;
 mod table;
+mod trace;
 
 const HELP: &str = "\
 yuccalift: the operators' command line of yuccalift
@@ -33,6 +35,8 @@
   demo        start stand-ins and three daemons in this process, and answer real queries
   standin     run one stand-in: platform, leaf or callers
   experiment  run a case against stand-ins and print what was measured
+  soak        play random faults on real daemons and check the promises
+  trace       print the course of one request from the logs of several daemons
 
 Options:
   -h, --help     print this text; after a command, that command's
@@ -73,6 +77,8 @@
         "demo" => demo::run(parser),
         "standin" => standin::run(parser),
         "experiment" => experiment::run(parser),
+        "soak" => soak::run(parser),
+        "trace" => trace::run(parser),
         other => Err(lexopt::Error::from(format!("no command is named {other:?}")).into()),
     }
 }
--- /dev/null
+++ b/cli/src/trace.rs
@@ -0,0 +1,150 @@
+//! `yuccalift trace`: the course of one request, from the logs of several daemons.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+
+use lexopt::prelude::{Long, Short, Value, ValueExt};
+use serde_json::Value as JsonValue;
+
+use crate::error::CommandError;
+
+const HELP: &str = "\
+yuccalift trace: the course of one request, from the logs of several daemons
+
+Usage: yuccalift trace ID FILE...
+
+The lines about the request are printed in the order of their time, each with the file that it is
+from. Whatever stands before a line's object, such as a collector's prefix, is passed over. Lines
+that are cut or of another kind are skipped and counted.
+
+Exit status: 0 found, 1 nothing found or a file can't be read, 2 bad use.
+";
+
+/// The fields in which a line names a request.
+const NAMING_FIELDS: [&str; 2] = ["request", "query"];
+/// The fields that every line has, which are printed first or not at all.
+const COMMON_FIELDS: [&str; 4] = ["timestamp", "level", "number", "event"];
+
+/// A line about the request.
+struct FoundLine {
+    time: String,
+    text: String,
+}
+
+/// What was found in the files.
+#[derive(Default)]
+pub(crate) struct TraceSearch {
+    found: Vec<FoundLine>,
+    skipped: u64,
+}
+
+impl TraceSearch {
+    /// Takes a line of a file.
+    pub(crate) fn take(&mut self, request: &str, file: &str, line: &str) {
+        let object = line.find('{').map(|start| &line[start..]);
+        let parsed = object.and_then(|text| serde_json::from_str::<JsonValue>(text).ok());
+        let Some(fields) = parsed.filter(|fields| fields.get("event").is_some()) else {
+            self.skipped += 1;
+            return;
+        };
+        if names_request(&fields, request) {
+            self.found.push(FoundLine {
+                time: text_of(&fields["timestamp"]),
+                text: describe(file, &fields),
+            });
+        }
+    }
+
+    fn print(&mut self) {
+        self.found.sort_by(|left, right| left.time.cmp(&right.time));
+        for line in &self.found {
+            println!("{}", line.text);
+        }
+        println!(
+            "{} lines, {} skipped as no lines of a daemon",
+            self.found.len(),
+            self.skipped
+        );
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// [`CommandError::Failed`] if a file can't be read or nothing is found.
+pub fn run(mut parser: lexopt::Parser) -> Result<(), CommandError> {
+    let mut arguments = Vec::new();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Short('h') | Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
+            Value(value) => arguments.push(value.string()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let [request, files @ ..] = arguments.as_slice() else {
+        return Err(lexopt::Error::from("the request's id is missing").into());
+    };
+    if files.is_empty() {
+        return Err(lexopt::Error::from("at least one log file is needed").into());
+    }
+    let mut search = TraceSearch::default();
+    for file in files {
+        read_file(&mut search, request, file)?;
+    }
+    search.print();
+    if search.found.is_empty() {
+        return Err(CommandError::failed(
+            "trace",
+            &format!("no line names {request}"),
+        ));
+    }
+    Ok(())
+}
+
+fn read_file(search: &mut TraceSearch, request: &str, file: &str) -> Result<(), CommandError> {
+    let fail =
+        |error: std::io::Error| CommandError::failed(format!("read log, file {file}"), &error);
+    let mut reader = BufReader::new(File::open(file).map_err(fail)?);
+    let mut line = Vec::new();
+    while reader.read_until(b'\n', &mut line).map_err(fail)? > 0 {
+        search.take(request, file, String::from_utf8_lossy(&line).trim_end());
+        line.clear();
+    }
+    Ok(())
+}
+
+fn names_request(fields: &JsonValue, request: &str) -> bool {
+    NAMING_FIELDS.iter().any(|name| {
+        fields
+            .get(name)
+            .is_some_and(|value| text_of(value) == request)
+    })
+}
+
+fn describe(file: &str, fields: &JsonValue) -> String {
+    let mut text = format!(
+        "{} {file} {} {}",
+        text_of(&fields["timestamp"]),
+        text_of(&fields["number"]),
+        text_of(&fields["event"]),
+    );
+    for (name, value) in fields.as_object().into_iter().flatten() {
+        if !COMMON_FIELDS.contains(&name.as_str()) {
+            text.push(' ');
+            text.push_str(name);
+            text.push('=');
+            text.push_str(&text_of(value));
+        }
+    }
+    text
+}
+
+fn text_of(value: &JsonValue) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -6,15 +6,14 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
-use actix_http::{HttpService, KeepAlive, Request, Response, ServiceConfig};
-use actix_service::{Service, ServiceFactory, fn_service};
+use actix_http::{Request, Response, ServiceConfig};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::relay::{RelayEngine, RelayOptions};
-use yuccalift_exchange::{LinkOptions, listen};
+use yuccalift_exchange::{LinkOptions, ServeOptions, listen};
 use yuccalift_settings::RelaySettings;
 
 use super::control::{RelayControl, answer_peer};
@@ -26,11 +25,17 @@
 use crate::error::{BindSnafu, DaemonError, SignalSnafu};
 use crate::events::LogEvent;
 
-/// How long a caller's connection may be idle. It is longer than any published limit, so that no
-/// caller has its connection closed while it sends.
-const CALLER_IDLE: Duration = Duration::from_secs(120);
-/// How long a caller may take to send a head; published limits are shorter, and callers keep them.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// How callers' connections are served. They may be idle for longer than any published limit, so
+/// that none is closed while its caller sends; published limits of heads are shorter, too.
+const CALLER_CONNECTIONS: ServeOptions = ServeOptions {
+    idle_timeout: Duration::from_secs(120),
+    head_timeout: Duration::from_secs(15),
+    link: LinkOptions {
+        connect_timeout: Duration::from_secs(1),
+        probe_interval: Duration::from_secs(5),
+        probes: 3,
+    },
+};
 /// How long a stopping relay goes on accepting: the balancer asks each second, and sends new
 /// callers until it has been told twice that the relay is not ready.
 const BALANCER_GRACE: Duration = Duration::from_secs(3);
@@ -38,13 +43,6 @@
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 /// How often a stopping relay looks whether it has nothing left to do.
 const STOP_LOOK: Duration = Duration::from_millis(50);
-/// How a listener's connections find out that the caller is gone without a word.
-const CALLER_LINK: LinkOptions = LinkOptions {
-    connect_timeout: Duration::from_secs(1),
-    probe_interval: Duration::from_secs(5),
-    probes: 3,
-};
-
 /// Runs a relay until it is told to stop; `reload` reads its settings again.
 ///
 /// # Errors
@@ -111,42 +109,18 @@
     listen(address).context(BindSnafu { listener, address })
 }
 
-/// Serves a listener's connections, each as a task, until the token is cancelled.
+/// Serves a listener until the token is cancelled.
 fn spawn_listener<F, Fut>(listener: TcpListener, stop: CancellationToken, handler: F)
 where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
 {
-    actix_rt::spawn(async move {
-        let factory = HttpService::build()
-            .keep_alive(KeepAlive::Timeout(CALLER_IDLE))
-            .client_request_timeout(HEAD_TIMEOUT)
-            .h1_allow_half_closed(false)
-            .h1(fn_service(handler))
-            .tcp();
-        let Ok(service) = factory.new_service(()).await else {
-            return;
-        };
-        let service = Rc::new(service);
-        loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                () = stop.cancelled() => return,
-            };
-            let Ok((stream, _peer)) = accepted else {
-                // Out of descriptors: some come free as connections end.
-                tokio::time::sleep(STOP_LOOK).await;
-                continue;
-            };
-            let _unset_options_do_no_harm = stream.set_nodelay(true);
-            let _unset_options_do_no_harm = CALLER_LINK.watch(&stream);
-            let service = Rc::clone(&service);
-            actix_rt::spawn(async move {
-                // A connection that breaks has ended its requests by itself.
-                let _broken = service.call(stream).await;
-            });
-        }
-    });
+    actix_rt::spawn(yuccalift_exchange::serve(
+        listener,
+        CALLER_CONNECTIONS,
+        stop,
+        handler,
+    ));
 }
 
 /// Says that no new callers are wanted, serves those that come, and waits until none is left.
