--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`relay`]: plain HTTP requests, passed on by published routes.
 //! - `ready_flag`: whether the daemon takes requests.
 //! - [`events`], [`logging`], `decision_log`: the numbered events of the log.
-//! - [`metrics`]: what is sent as `StatsD`.
+//! - [`metrics`], `text_metrics`: what is sent as `StatsD`, or read as text.
 //! - [`error`]: what can go wrong at the start.
 
 mod caller;
@@ -36,6 +36,7 @@
 pub mod relay;
 pub mod status_board;
 mod target_links;
+mod text_metrics;
 
 pub use daemon::{Daemon, DaemonAddresses};
 pub use error::DaemonError;
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -12,6 +12,8 @@
 };
 use yuccalift_kernel::ServiceGuard;
 
+use crate::text_metrics::TextMetrics;
+
 /// The name under which the client is published.
 pub const METRICS_SERVICE: &str = "metrics";
 
@@ -73,7 +75,8 @@
         ];
 
         impl DaemonMetric {
-            fn name(self) -> &'static str {
+            /// Its name, after the prefix.
+            pub fn name(self) -> &'static str {
                 match self {
                     $(Self::$variant => $name,)+
                 }
@@ -107,14 +110,40 @@
     RequestsQuarantined "requests.quarantined" Counter "requests"
     #[doc = "Calls that a listener refused before reading them."]
     CallsRefused "listeners.refused" Counter "calls"
+    #[doc = "Requests that a relay has ended, in whatever way."]
+    RelayRequests "relay.requests" Counter "requests"
+    #[doc = "Requests that a relay answered with success, whole or in part."]
+    RelayAnswered "relay.answered" Counter "requests"
+    #[doc = "Answers of a relay that lack parts."]
+    RelayPartial "relay.partial" Counter "requests"
+    #[doc = "Requests that a relay refused, which have not run."]
+    RelayRefused "relay.refused" Counter "requests"
+    #[doc = "Requests that a relay did not answer with success, and which may have run."]
+    RelayFailed "relay.failed" Counter "requests"
+    #[doc = "From a request's arrival at a relay to its end."]
+    RelayTime "relay.time" Timer "milliseconds"
+    #[doc = "Requests that a relay sent to targets."]
+    RelayAttempts "relay.attempts" Counter "requests"
+    #[doc = "Of these, beside a slow first one."]
+    RelayHedges "relay.hedges" Counter "requests"
+    #[doc = "Of these, after a failed one."]
+    RelayRetries "relay.retries" Counter "requests"
+    #[doc = "Targets that got no work for a while, since they broke attempts."]
+    TargetsSuspended "targets.suspended" Counter "suspensions"
+    #[doc = "Lines about requests that were left out of the log."]
+    LinesDropped "log.dropped" Counter "lines"
+    #[doc = "Calls to the platform's store."]
+    StoreCalls "store.calls" Counter "calls"
     #[doc = "The configuration version in force."]
     ConfigVersion "config.version" Gauge "version"
 }
 
-/// Sends metrics, or does nothing where no address is set; cheap to clone.
+/// Sends metrics, or keeps them to be read as text, or does nothing where neither is set; cheap to
+/// clone.
 #[derive(Clone, Debug, Default)]
 pub struct MetricsClient {
     statsd: Option<Arc<StatsdClient>>,
+    text: Option<Arc<TextMetrics>>,
 }
 
 impl MetricsClient {
@@ -133,11 +162,29 @@
         let sink = BufferedUdpMetricSink::from(address, socket)?;
         let queue = QueuingMetricSink::with_capacity(sink, QUEUE_METRICS);
         let statsd = Some(Arc::new(StatsdClient::from_sink(METRIC_PREFIX, queue)));
-        Ok(Self { statsd })
+        Ok(Self { statsd, text: None })
+    }
+
+    /// A client that keeps metrics to be read as text.
+    pub fn keeping_text() -> Self {
+        Self {
+            statsd: None,
+            text: Some(Arc::new(TextMetrics::new())),
+        }
+    }
+
+    /// The metrics as text, if they are kept.
+    pub fn text(&self) -> String {
+        self.text
+            .as_ref()
+            .map_or_else(String::new, |text| text.render())
     }
 
     /// Adds to a counter.
     pub fn count(&self, metric: DaemonMetric, number: u64) {
+        if let Some(text) = &self.text {
+            text.count(metric, number);
+        }
         if let Some(statsd) = &self.statsd {
             let _dropped = statsd.count(metric.name(), number);
         }
@@ -145,6 +192,9 @@
 
     /// Sets a gauge.
     pub fn gauge(&self, metric: DaemonMetric, value: u64) {
+        if let Some(text) = &self.text {
+            text.gauge(metric, value);
+        }
         if let Some(statsd) = &self.statsd {
             let _dropped = statsd.gauge(metric.name(), value);
         }
@@ -152,6 +202,9 @@
 
     /// Notes a duration.
     pub fn time(&self, metric: DaemonMetric, duration: Duration) {
+        if let Some(text) = &self.text {
+            text.time(metric, duration);
+        }
         if let Some(statsd) = &self.statsd {
             let _dropped = statsd.time(metric.name(), duration);
         }
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -181,6 +181,7 @@
             .keys()
             .cloned()
             .collect::<Vec<_>>();
+        self.hub.report.store_call();
         actix_rt::spawn(async move {
             let news = control.reader.lock().await.read(after, wait, &known).await;
             match news {
--- a/daemon/src/relay/hub.rs
+++ b/daemon/src/relay/hub.rs
@@ -179,6 +179,7 @@
     }
 
     fn send(self: &Rc<Self>, order: AttemptOrder) {
+        self.report.attempt();
         let attempt = order.attempt;
         let message = self.message(order.request);
         let Some(message) = message else {
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
-use actix_http::{Request, Response, ServiceConfig};
+use actix_http::header::CONTENT_TYPE;
+use actix_http::{Request, Response, ServiceConfig, StatusCode};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -24,6 +25,7 @@
 use super::report::RelayReport;
 use crate::error::{BindSnafu, DaemonError, SignalSnafu};
 use crate::events::LogEvent;
+use crate::metrics::MetricsClient;
 
 /// How callers' connections are served. They may be idle for longer than any published limit, so
 /// that none is closed while its caller sends; published limits of heads are shorter, too.
@@ -65,7 +67,11 @@
     let peers = bind("peers", settings.peer_listen)?;
     let links = ServiceConfig::default();
     let engine = RelayEngine::new(relay_options(&settings));
-    let report = RelayReport::new(Instant::now());
+    let metrics = match settings.metrics_listen {
+        Some(_) => MetricsClient::keeping_text(),
+        None => MetricsClient::default(),
+    };
+    let report = RelayReport::new(Instant::now(), metrics.clone());
     let (sender, news) = mpsc::unbounded_channel();
     let hub = RelayHub::new(engine, LinkPool::new(links.clone()), report, sender);
     let readiness = Rc::new(RelayReadiness::default());
@@ -81,6 +87,12 @@
     spawn_listener(balancer, stop.clone(), move |request| {
         answer_balancer(Rc::clone(&asked), request)
     });
+    if let Some(address) = settings.metrics_listen {
+        let listener = bind("metrics", address)?;
+        spawn_listener(listener, stop.clone(), move |request| {
+            answer_metrics(metrics.clone(), request)
+        });
+    }
     let front = Rc::new(FrontState {
         hub: Rc::clone(&hub),
         readiness: Rc::clone(&readiness),
@@ -123,6 +135,16 @@
     ));
 }
 
+/// Answers whoever reads the metrics, at any path.
+async fn answer_metrics(
+    metrics: MetricsClient,
+    _request: Request,
+) -> Result<Response<BoxBody>, Infallible> {
+    let mut builder = Response::build(StatusCode::OK);
+    builder.insert_header((CONTENT_TYPE, "text/plain; version=0.0.4"));
+    Ok(builder.body(metrics.text()).map_into_boxed_body())
+}
+
 /// Says that no new callers are wanted, serves those that come, and waits until none is left.
 async fn stop_gracefully(settings: &RelaySettings, hub: &RelayHub, readiness: &RelayReadiness) {
     readiness.stopping.set(true);
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -13,6 +13,7 @@
 
 use crate::decision_log::millis;
 use crate::events::LogEvent;
+use crate::metrics::{DaemonMetric, MetricsClient};
 use crate::rate_limit::RateLimit;
 
 /// The most lines about requests in a second: at 300 bytes each, 120 KB/s.
@@ -68,6 +69,7 @@
 /// Writes lines, and counts those that it leaves out.
 #[derive(Debug)]
 pub(super) struct RelayReport {
+    metrics: MetricsClient,
     limit: RefCell<RateLimit>,
     dropped: Cell<u64>,
     told: Cell<Instant>,
@@ -77,8 +79,9 @@
 
 impl RelayReport {
     /// A report that has written nothing.
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(now: Instant, metrics: MetricsClient) -> Self {
         Self {
+            metrics,
             limit: RefCell::new(RateLimit::new(now, MOST_LINES)),
             dropped: Cell::new(0),
             told: Cell::new(now),
@@ -92,6 +95,7 @@
         let now = Instant::now();
         if !self.limit.borrow_mut().try_take(now) {
             self.dropped.set(self.dropped.get() + 1);
+            self.metrics.count(DaemonMetric::LinesDropped, 1);
             return;
         }
         if self.dropped.get() > 0 && now.saturating_duration_since(self.told.get()) >= DROP_REPORT {
@@ -104,6 +108,7 @@
 
     /// Writes the end of a request; `name` of its caller's.
     pub(super) fn request(&self, end: &RequestEnd) {
+        self.count_end(end);
         if end.is_good() {
             self.good.set(self.good.get() + 1);
             if !self.good.get().is_multiple_of(WRITTEN_SHARE) {
@@ -122,6 +127,31 @@
         });
     }
 
+    fn count_end(&self, end: &RequestEnd) {
+        let metrics = &self.metrics;
+        metrics.count(DaemonMetric::RelayRequests, 1);
+        metrics.time(DaemonMetric::RelayTime, end.took);
+        let kind = match end.status {
+            200..300 => DaemonMetric::RelayAnswered,
+            429 | 503 => DaemonMetric::RelayRefused,
+            _ => DaemonMetric::RelayFailed,
+        };
+        metrics.count(kind, 1);
+        if end.missing > 0 {
+            metrics.count(DaemonMetric::RelayPartial, 1);
+        }
+    }
+
+    /// Counts an attempt.
+    pub(super) fn attempt(&self) {
+        self.metrics.count(DaemonMetric::RelayAttempts, 1);
+    }
+
+    /// Counts a call to the store.
+    pub(super) fn store_call(&self) {
+        self.metrics.count(DaemonMetric::StoreCalls, 1);
+    }
+
     /// Writes that a caller left before its answer.
     pub(super) fn caller_left(&self, request: &str) {
         self.write(&LogEvent::CallerLeft { request });
@@ -135,12 +165,15 @@
                 target,
                 cause,
                 after,
-            } => self.write(&LogEvent::AttemptRepeated {
-                request: &name(*request),
-                target,
-                cause: cause_word(*cause),
-                after_ms: millis(*after),
-            }),
+            } => {
+                self.count_repeat(*cause);
+                self.write(&LogEvent::AttemptRepeated {
+                    request: &name(*request),
+                    target,
+                    cause: cause_word(*cause),
+                    after_ms: millis(*after),
+                });
+            }
             RelayDecision::AttemptFailed {
                 request,
                 target,
@@ -161,11 +194,14 @@
                 service,
                 reason,
             }),
-            RelayDecision::Suspended { target, period } => LogEvent::TargetSuspended {
-                target,
-                period_ms: millis(*period),
+            RelayDecision::Suspended { target, period } => {
+                self.metrics.count(DaemonMetric::TargetsSuspended, 1);
+                LogEvent::TargetSuspended {
+                    target,
+                    period_ms: millis(*period),
+                }
+                .emit();
             }
-            .emit(),
             RelayDecision::Resumed { target } => LogEvent::TargetResumed { target }.emit(),
             RelayDecision::TargetChanged { target, state } => {
                 LogEvent::TargetChanged { target, state }.emit();
@@ -173,6 +209,15 @@
         }
     }
 
+    fn count_repeat(&self, cause: SendCause) {
+        let metric = match cause {
+            SendCause::First => return,
+            SendCause::Hedge => DaemonMetric::RelayHedges,
+            SendCause::Retry => DaemonMetric::RelayRetries,
+        };
+        self.metrics.count(metric, 1);
+    }
+
     /// Writes that the process was paused.
     pub(super) fn paused(gap: Duration) {
         LogEvent::LanePaused {
