Let leftover attempts give way to requests that wait for room

Ruled out: leftovers never to linger, since each cut costs a new connection. Change: a leg that must wait gives up the oldest leftover at its service; an order is never given up. Three cases in tests/relay/pressure.rs; two failed before.

--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -39,7 +39,10 @@
                 }
                 TrialVerdict::Refuse => self.give_up(request, place, "quarantined"),
             },
-            TargetChoice::Wait => self.park(request, place),
+            TargetChoice::Wait => {
+                self.park(request, place);
+                self.make_room(request, place, actions);
+            }
             TargetChoice::Unavailable { .. } => self.give_up(request, place, "no_target"),
         }
     }
@@ -130,6 +133,8 @@
             sent_at: now,
             usual,
             wanted: true,
+            lingers: false,
+            cancelled: false,
             paid,
         });
         if cause != SendCause::First {
@@ -169,6 +174,29 @@
         self.services.get_or_add(&service).park(entry);
     }
 
+    /// Gives up the oldest attempt at a leg's service that nobody waits for any more. Otherwise such
+    /// attempts end by themselves, which saves their targets a new connection; but not at the cost
+    /// of somebody who waits.
+    fn make_room(&mut self, request: RequestKey, place: usize, actions: &mut Vec<RelayAction>) {
+        let service = self
+            .requests
+            .get(request)
+            .and_then(|state| self.services.get(&state.legs[place].service));
+        let Some(service) = service else {
+            return;
+        };
+        let leftover = self.requests.attempts().find(|attempt| {
+            attempt.may_give_way() && service.targets.binary_search(&attempt.target).is_ok()
+        });
+        let Some(attempt) = leftover.map(|attempt| attempt.attempt) else {
+            return;
+        };
+        if let Some(live) = self.requests.attempt_mut(attempt) {
+            live.cancelled = true;
+        }
+        actions.push(RelayAction::Cancel { attempt });
+    }
+
     /// Serves the legs that wait for a service's targets, as far as there is room.
     pub(super) fn serve_parked(
         &mut self,
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -264,6 +264,7 @@
             return;
         };
         live.wanted = false;
+        live.lingers = true;
         let due = live.sent_at + LINGER;
         if due <= now {
             actions.push(RelayAction::Cancel { attempt });
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -161,10 +161,21 @@
     pub(super) usual: Duration,
     /// Whether its answer is still wanted.
     pub(super) wanted: bool,
+    /// Whether it may be told to end at any time; one that must not run twice may not.
+    pub(super) lingers: bool,
+    /// Whether it was told to end.
+    pub(super) cancelled: bool,
     /// Whether it took leave from the service's budget.
     pub(super) paid: bool,
 }
 
+impl LiveAttempt {
+    /// Whether nobody waits for it, and it has not been told to end.
+    pub(super) fn may_give_way(&self) -> bool {
+        self.lingers && !self.cancelled
+    }
+}
+
 /// All requests in work and all attempts in flight; both sorted by their keys, which count up.
 #[derive(Debug, Default)]
 pub(super) struct RequestTable {
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod forwarding;
 mod gathering;
+mod pressure;
 mod random_runs;
 mod routes;
 mod support;
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -89,8 +89,8 @@
     });
     if let Some(address) = settings.metrics_listen {
         let listener = bind("metrics", address)?;
-        spawn_listener(listener, stop.clone(), move |request| {
-            answer_metrics(metrics.clone(), request)
+        spawn_listener(listener, stop.clone(), move |_request| {
+            std::future::ready(Ok(answer_metrics(&metrics)))
         });
     }
     let front = Rc::new(FrontState {
@@ -136,13 +136,10 @@
 }
 
 /// Answers whoever reads the metrics, at any path.
-async fn answer_metrics(
-    metrics: MetricsClient,
-    _request: Request,
-) -> Result<Response<BoxBody>, Infallible> {
+fn answer_metrics(metrics: &MetricsClient) -> Response<BoxBody> {
     let mut builder = Response::build(StatusCode::OK);
     builder.insert_header((CONTENT_TYPE, "text/plain; version=0.0.4"));
-    Ok(builder.body(metrics.text()).map_into_boxed_body())
+    builder.body(metrics.text()).map_into_boxed_body()
 }
 
 /// Says that no new callers are wanted, serves those that come, and waits until none is left.
