--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -24,13 +24,17 @@
 }
 
 fn node(now: Instant, number: u16, seeds: &[u16]) -> ControlNode {
+    node_with(now, number, seeds, Succession::Yield)
+}
+
+fn node_with(now: Instant, number: u16, seeds: &[u16], succession: Succession) -> ControlNode {
     let settings = ControlSettings {
         own: record(number),
         seeds: seeds.iter().map(|&seed| record(seed).address).collect(),
         seed: u64::from(number),
         check: |_key, _value| Ok(()),
         pace: ReadingPace::default(),
-        succession: Succession::Yield,
+        succession,
     };
     ControlNode::new(now, settings)
 }
@@ -196,3 +200,50 @@
     let alone = run(&mut other, time, 30 * SECOND);
     assert!(reads_values(&alone), "when they cease it reads by itself");
 }
+
+/// A peer remembers a process of this host that started by a clock which was ahead. A daemon that
+/// knows itself alone on its host claims to be the later one, and the peer believes it; another
+/// one stops.
+fn hears_of_a_later_process(succession: Succession, stops: bool) {
+    let now = Instant::now();
+    let mut daemon = node_with(now, 1, &[2], succession);
+    let mut peer = node(now, 2, &[]);
+    let mut earlier = node(now, 1, &[]);
+    let mut ahead = earlier_message(&mut earlier, now);
+    ahead.from.incarnation = 900;
+    peer.answer(now, &ahead, &mut Vec::new());
+    let mut actions = Vec::new();
+    for second in 1..6 {
+        let time = now + second * SECOND;
+        let next = handle(&mut daemon, time, ControlEvent::Tick);
+        for exchange in exchanges(&next) {
+            actions.extend(deliver(time, &mut daemon, &mut peer, &exchange));
+        }
+    }
+    let stopped = actions
+        .iter()
+        .any(|action| matches!(action, ControlAction::Replaced));
+    assert_eq!(stopped, stops);
+    let believed = peer
+        .members()
+        .find("entry-1")
+        .map(|known| known.incarnation);
+    assert_eq!(believed, Some(if stops { 900 } else { 901 }));
+}
+
+fn earlier_message(earlier: &mut ControlNode, now: Instant) -> ExchangeMessage {
+    let asks = node(now, 3, &[]).answer(now, &blank_message(now), &mut Vec::new());
+    earlier.answer(now, &asks, &mut Vec::new())
+}
+
+fn blank_message(now: Instant) -> ExchangeMessage {
+    let first = handle(&mut node(now, 4, &[3]), now, ControlEvent::Tick);
+    exchanges(&first).remove(0).2
+}
+
+yuccalift_testkit::cases! {
+    a_daemon_alone_on_its_host_claims_succession:
+        hears_of_a_later_process(Succession::Claim, false);
+    another_daemon_yields_to_a_later_process:
+        hears_of_a_later_process(Succession::Yield, true);
+}
