Take requests out in one place, and read settings documents by one function

Found by reading the change as a newcomer: finish, refuse, close and drop_caller each walked a request's legs, and two settings readers began alike.

--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -147,6 +147,16 @@
 /// A decision worth a line in the log; `docs/EVENTS.md` lists them.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RelayDecision {
+    /// A request that must not run twice was sent: should this process end before the target
+    /// answers, this is all that is left of it.
+    SentOnce {
+        /// The request.
+        request: RequestKey,
+        /// The target that is asked.
+        target: TargetName,
+        /// How long it has for it.
+        time_left: Duration,
+    },
     /// A second attempt was sent.
     SentAgain {
         /// The request.
--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -142,6 +142,12 @@
                 cause,
                 after: now.saturating_duration_since(first_sent),
             }));
+        } else if careful {
+            actions.push(RelayAction::Decided(RelayDecision::SentOnce {
+                request,
+                target: order.name.clone(),
+                time_left: order.deadline.saturating_duration_since(now),
+            }));
         }
         actions.push(RelayAction::Send(order));
     }
--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -63,17 +63,15 @@
         note_missing(state, actions);
         if state.answered() >= state.least_answered() {
             let answer = success(state);
-            self.close(now, request, actions);
-            actions.push(RelayAction::Answer { request, answer });
+            self.answer(now, request, answer, actions);
             return;
         }
         if let Some(answer) = passable_failure(state) {
-            self.close(now, request, actions);
-            actions.push(RelayAction::Answer { request, answer });
+            self.answer(now, request, answer, actions);
             return;
         }
         let refusal = self.failure(now, state);
-        self.refuse(request, refusal, actions);
+        self.refuse(now, request, refusal, actions);
     }
 
     fn failure(&self, now: Instant, state: &RequestState) -> RelayRefusal {
@@ -93,43 +91,73 @@
         RelayRefusal::Failed
     }
 
-    /// Refuses a request and drops what it has under way.
+    /// Refuses a request, and ends what it has under way.
     pub(super) fn refuse(
         &mut self,
+        now: Instant,
         request: RequestKey,
         refusal: RelayRefusal,
         actions: &mut Vec<RelayAction>,
     ) {
-        let Some(state) = self.requests.remove(request) else {
+        if self.take_out(now, request, AttemptNeed::Ending, actions) {
+            actions.push(RelayAction::Refuse { request, refusal });
+        }
+    }
+
+    /// Answers a request; what is still in flight may end by itself.
+    fn answer(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        answer: RelayAnswer,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        if self.take_out(now, request, AttemptNeed::Leftover, actions) {
+            actions.push(RelayAction::Answer { request, answer });
+        }
+    }
+
+    /// Ends a request whose caller has gone. What can't be repeated goes on to its end: cutting it
+    /// off would leave its outcome unknown.
+    pub(super) fn drop_caller(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get(request) else {
             return;
         };
-        for leg in &state.legs {
-            if leg.parked {
-                self.services.get_or_add(&leg.service).unpark(request);
-            }
-            for attempt in &leg.live {
-                if let Some(live) = self.requests.attempt_mut(*attempt) {
-                    live.need = AttemptNeed::Ending;
-                }
-                actions.push(RelayAction::Cancel { attempt: *attempt });
-            }
-        }
-        actions.push(RelayAction::Refuse { request, refusal });
+        note_missing(state, actions);
+        let need = if state.is_careful() {
+            AttemptNeed::Unwanted
+        } else {
+            AttemptNeed::Leftover
+        };
+        self.take_out(now, request, need, actions);
     }
 
-    /// Takes an answered request out; what is still in flight may end by itself.
-    fn close(&mut self, now: Instant, request: RequestKey, actions: &mut Vec<RelayAction>) {
+    /// Takes a request out, and says who needs its attempts in flight from now on; false if there
+    /// is no such request.
+    fn take_out(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        need: AttemptNeed,
+        actions: &mut Vec<RelayAction>,
+    ) -> bool {
         let Some(state) = self.requests.remove(request) else {
-            return;
+            return false;
         };
         for leg in &state.legs {
             if leg.parked {
                 self.services.get_or_add(&leg.service).unpark(request);
             }
             for attempt in &leg.live {
-                self.let_linger(now, *attempt, actions);
+                self.leave_attempt(now, *attempt, need, actions);
             }
         }
+        true
     }
 }
 
@@ -165,6 +193,7 @@
     passable.then(|| RelayAnswer::Whole(failure.clone()))
 }
 
+/// Tells the log which legs of a request are without an answer, and why.
 fn note_missing(state: &RequestState, actions: &mut Vec<RelayAction>) {
     for leg in &state.legs {
         let reason = match leg.stage {
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -199,7 +199,7 @@
         leg.stage = LegStage::Answered(reply);
         let losers = std::mem::take(&mut leg.live);
         for loser in losers {
-            self.let_linger(now, loser, actions);
+            self.leave_attempt(now, loser, AttemptNeed::Leftover, actions);
         }
         self.finish_if_settled(now, attempt.request, actions);
     }
@@ -255,22 +255,27 @@
         self.finish_if_settled(now, request, actions);
     }
 
-    /// Lets an attempt end by itself for a while, since nobody waits for it any more.
-    pub(super) fn let_linger(
+    /// Says who needs an attempt from now on, now that its caller does not wait for it.
+    pub(super) fn leave_attempt(
         &mut self,
         now: Instant,
         attempt: AttemptKey,
+        need: AttemptNeed,
         actions: &mut Vec<RelayAction>,
     ) {
         let Some(live) = self.requests.attempt_mut(attempt) else {
             return;
         };
-        live.need = AttemptNeed::Leftover;
+        live.need = need;
         let due = live.sent_at + LINGER;
-        if due <= now {
-            actions.push(RelayAction::Cancel { attempt });
-        } else {
-            self.timers.add(due, TimerKind::Linger { attempt });
+        match need {
+            AttemptNeed::Leftover if due > now => {
+                self.timers.add(due, TimerKind::Linger { attempt });
+            }
+            AttemptNeed::Leftover | AttemptNeed::Ending => {
+                actions.push(RelayAction::Cancel { attempt });
+            }
+            AttemptNeed::Wanted | AttemptNeed::Unwanted => {}
         }
     }
 
@@ -281,31 +286,4 @@
             actions.push(RelayAction::Cancel { attempt });
         }
     }
-
-    /// Ends a request whose caller has gone. What can't be repeated goes on to its end: cutting it
-    /// off would leave its outcome unknown.
-    pub(super) fn drop_caller(
-        &mut self,
-        now: Instant,
-        request: RequestKey,
-        actions: &mut Vec<RelayAction>,
-    ) {
-        let Some(state) = self.requests.remove(request) else {
-            return;
-        };
-        for leg in &state.legs {
-            if leg.parked {
-                self.services.get_or_add(&leg.service).unpark(request);
-            }
-            for attempt in &leg.live {
-                if state.is_careful() {
-                    if let Some(live) = self.requests.attempt_mut(*attempt) {
-                        live.need = AttemptNeed::Unwanted;
-                    }
-                } else {
-                    self.let_linger(now, *attempt, actions);
-                }
-            }
-        }
-    }
 }
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -148,6 +148,7 @@
         let retry_after = self.retry_after(now, state);
         let cause = RefusalCause::NoRoom;
         self.refuse(
+            now,
             request,
             RelayRefusal::NotRun { retry_after, cause },
             actions,
--- a/core/tests/relay/forwarding.rs
+++ b/core/tests/relay/forwarding.rs
@@ -1,6 +1,6 @@
 //! Requests that go to one target.
 
-use yuccalift_core::relay::{RelayAnswer, RelayRefusal, RepeatKind, TargetOutcome};
+use yuccalift_core::relay::{RelayAnswer, RelayDecision, RelayRefusal, RepeatKind, TargetOutcome};
 use yuccalift_testkit::cases;
 
 use crate::support::{RelayStage, TIMEOUT, failure, forward_route, ms, success, target};
@@ -98,6 +98,11 @@
     let mut stage = stage(RepeatKind::Idempotent);
     let request = stage.submit("to-orders", TIMEOUT);
     stage.feed(yuccalift_core::relay::RelayEvent::CallerGone { request });
+    let told = stage
+        .decisions
+        .iter()
+        .any(|decision| matches!(decision, RelayDecision::Missed { reason: "late", .. }));
+    assert!(told, "the log is told what it still waited for");
     stage.pass(ms(450));
     assert_eq!(stage.cancels.len(), 1, "within half a second");
     assert!(!stage.has_ended(request), "nobody is answered");
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -184,6 +184,8 @@
     614 WARN "lines_dropped" LinesDropped { lines: u64 }
     #[doc = "The settings were read again; `fault` is empty if they are in force."]
     615 INFO "settings_reloaded" SettingsReloaded { fault: &'a str }
+    #[doc = "A request that must not run twice was sent to a target, which has `time_left_ms` for it."]
+    616 INFO "order_sent" OrderSent { request: &'a str, target: &'a str, time_left_ms: u64 }
     #[doc = "A target was lost while it ran a request; `blame` is its part of the blame so far, in thousandths of a target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is held back, since targets were lost whenever they ran it."]
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -38,12 +38,10 @@
 use super::readiness::RelayReadiness;
 use super::report::RelayReport;
 use super::store_reader::StoreReader;
-use crate::control::log_notice;
+use crate::control::{EXCHANGE_TIMEOUT, log_notice};
 use crate::events::LogEvent;
 use crate::quarantine_desk::news_of;
 
-/// How long one exchange may take.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// How connections to peers find out that the other end is gone.
 const PEER_LINK: LinkOptions = LinkOptions {
     connect_timeout: Duration::from_millis(500),
--- a/daemon/src/relay/hub.rs
+++ b/daemon/src/relay/hub.rs
@@ -103,9 +103,11 @@
 
     /// Tells the engine that a caller has gone before its answer.
     pub(super) fn drop_caller(self: &Rc<Self>, key: RequestKey) {
-        if let Some(caller) = self.take_caller(key) {
-            self.report.caller_left(&caller.message.request);
+        if let Some(message) = self.message(key) {
+            self.report.caller_left(&message.request);
+            // The caller is forgotten last, so that what follows is logged under its name.
             self.feed(RelayEvent::CallerGone { request: key });
+            self.take_caller(key);
         }
     }
 
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -160,6 +160,15 @@
     /// Writes a decision of the engine; `name` gives a request's name.
     pub(super) fn decision(&self, decision: &RelayDecision, name: impl Fn(RequestKey) -> Box<str>) {
         match decision {
+            RelayDecision::SentOnce {
+                request,
+                target,
+                time_left,
+            } => self.write(&LogEvent::OrderSent {
+                request: &name(*request),
+                target,
+                time_left_ms: millis(*time_left),
+            }),
             RelayDecision::SentAgain {
                 request,
                 target,
--- a/settings/src/daemon_file.rs
+++ b/settings/src/daemon_file.rs
@@ -6,10 +6,9 @@
 use yuccalift_core::PolicyKind;
 
 use crate::daemon::{DaemonSettings, ListenerLimits, LogFormat, LogSettings};
-use crate::document::load_mapping;
 use crate::error::{ErrorList, SettingsErrors};
 use crate::field::{FieldDefault, FieldKind, FieldSpec};
-use crate::reader::{FieldReader, GivenFields};
+use crate::reader::{FieldReader, read_document};
 
 const CALLERS: &str = "listen.callers";
 const PEERS: &str = "listen.peers";
@@ -145,18 +144,10 @@
 ///
 /// Every fault of the document, each with its line.
 pub fn parse_daemon(file_name: &str, text: &str) -> Result<DaemonSettings, SettingsErrors> {
-    let mut errors = ErrorList::new(file_name);
-    let Some(entries) = load_mapping(text, &mut errors) else {
-        return errors.finish(None);
-    };
-    let given = GivenFields::read(&entries, DAEMON_FIELDS, "", &mut errors);
-    given.check_required(DAEMON_FIELDS, 1, &mut errors);
-    let reader = FieldReader {
-        specs: DAEMON_FIELDS,
-        given: &given,
-    };
-    check_listeners(reader, &mut errors);
-    errors.finish(assemble(reader))
+    read_document(file_name, text, DAEMON_FIELDS, |reader, errors| {
+        check_listeners(reader, errors);
+        assemble(reader)
+    })
 }
 
 fn assemble(reader: FieldReader<'_>) -> Option<DaemonSettings> {
--- a/settings/src/reader.rs
+++ b/settings/src/reader.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::document::{MappingEntry, NodeValue, join_path, quote};
-use crate::error::ErrorList;
+use crate::document::{MappingEntry, NodeValue, join_path, load_mapping, quote};
+use crate::error::{ErrorList, SettingsErrors};
 use crate::field::{FieldDefault, FieldSpec, FieldValue};
 
 /// One field that a document gives.
@@ -176,6 +176,31 @@
     }
 }
 
+/// Reads a document without templates by its table, and makes what it sets of it.
+///
+/// # Errors
+///
+/// Every fault of the document, each with its line.
+pub(crate) fn read_document<T>(
+    file_name: &str,
+    text: &str,
+    specs: &'static [FieldSpec],
+    assemble: impl FnOnce(FieldReader<'_>, &mut ErrorList) -> Option<T>,
+) -> Result<T, SettingsErrors> {
+    let mut errors = ErrorList::new(file_name);
+    let Some(entries) = load_mapping(text, &mut errors) else {
+        return errors.finish(None);
+    };
+    let given = GivenFields::read(&entries, specs, "", &mut errors);
+    given.check_required(specs, 1, &mut errors);
+    let reader = FieldReader {
+        specs,
+        given: &given,
+    };
+    let made = assemble(reader, &mut errors);
+    errors.finish(made)
+}
+
 /// The default of a field that does not follow from others.
 pub(crate) fn default_value(spec: &FieldSpec) -> Option<FieldValue> {
     match spec.default {
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -7,10 +7,9 @@
 
 use crate::daemon::LogSettings;
 use crate::daemon_file::{LOG_FORMAT, LOG_LEVEL, log_settings};
-use crate::document::load_mapping;
-use crate::error::{ErrorList, SettingsErrors};
+use crate::error::SettingsErrors;
 use crate::field::{FieldDefault, FieldKind, FieldSpec};
-use crate::reader::{FieldReader, GivenFields};
+use crate::reader::{FieldReader, read_document};
 
 const CALLERS: &str = "listen.callers";
 const READINESS: &str = "listen.readiness";
@@ -156,18 +155,9 @@
 ///
 /// Every fault of the document, each with its line.
 pub fn parse_relay(file_name: &str, text: &str) -> Result<RelaySettings, SettingsErrors> {
-    let mut errors = ErrorList::new(file_name);
-    let Some(entries) = load_mapping(text, &mut errors) else {
-        return errors.finish(None);
-    };
-    let given = GivenFields::read(&entries, RELAY_FIELDS, "", &mut errors);
-    given.check_required(RELAY_FIELDS, 1, &mut errors);
-    let reader = FieldReader {
-        specs: RELAY_FIELDS,
-        given: &given,
-    };
-    let settings = assemble(reader);
-    errors.finish(settings)
+    read_document(file_name, text, RELAY_FIELDS, |reader, _errors| {
+        assemble(reader)
+    })
 }
 
 fn assemble(reader: FieldReader<'_>) -> Option<RelaySettings> {
