--- a/daemon/src/quarantine_desk.rs
+++ b/daemon/src/quarantine_desk.rs
@@ -190,7 +190,7 @@
 }
 
 /// Writes the line of a notice.
-pub(crate) fn log_notice(notice: &QuarantineNotice) {
+pub(crate) fn log_suspect(notice: &QuarantineNotice) {
     log_suspicion(notice);
     if let NoticeKind::Held { left } = notice.kind {
         LogEvent::RequestQuarantined {
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -40,7 +40,7 @@
 use super::store_reader::StoreReader;
 use crate::control::{EXCHANGE_TIMEOUT, log_notice};
 use crate::events::LogEvent;
-use crate::quarantine_desk::news_of;
+use crate::quarantine_desk::{log_suspect, news_of};
 
 /// How connections to peers find out that the other end is gone.
 const PEER_LINK: LinkOptions = LinkOptions {
@@ -235,6 +235,9 @@
             // Suspicions end by themselves, and targets' states come from the store.
             NewsKind::Suspect { .. } | NewsKind::Draining(_) => return,
         };
+        if let RelayEvent::Noticed(notice) = &event {
+            log_suspect(notice);
+        }
         self.hub.feed(event);
     }
 
