--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod forwarding;
 mod gathering;
+mod pauses;
 mod pressure;
 mod random_runs;
 mod routes;
