--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -46,6 +46,8 @@
     Noticed(QuarantineNotice),
     /// What peers said of such a request is over.
     NoticeEnded(Fingerprint),
+    /// How many daemons there seem to be.
+    FleetSized(u32),
     /// The process was paused; what looks late may not be.
     Paused,
     /// The time that [`super::RelayEngine::next_wake`] asked for has come.
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -95,6 +95,7 @@
     timers: TimerQueue,
     resumed_at: Option<Instant>,
     split_turn: u64,
+    fleet_daemons: u32,
 }
 
 impl RelayEngine {
@@ -111,6 +112,7 @@
             timers: TimerQueue::default(),
             resumed_at: None,
             split_turn: 0,
+            fleet_daemons: 0,
         }
     }
 
@@ -134,6 +136,10 @@
             }
             RelayEvent::Noticed(notice) => self.learn_notice(now, &notice),
             RelayEvent::NoticeEnded(fingerprint) => self.lift_notice(now, fingerprint),
+            RelayEvent::FleetSized(daemons) => {
+                self.fleet_daemons = daemons;
+                self.services.put_connection_limits(&self.routes, daemons);
+            }
             RelayEvent::Paused => self.resumed_at = Some(now),
             RelayEvent::Tick => {}
         }
@@ -166,7 +172,8 @@
         if table.version <= self.routes.version && self.routes.version > 0 {
             return;
         }
-        self.services.put_connection_limits(&table);
+        self.services
+            .put_connection_limits(&table, self.fleet_daemons);
         self.latencies.retain(&table);
         self.routes = table;
     }
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -25,14 +25,16 @@
         let Some(attempt) = self.requests.remove_attempt(attempt) else {
             return;
         };
-        self.end_trial(&attempt, &outcome);
-        if outcome == TargetOutcome::Lost {
+        let doubted = outcome == TargetOutcome::Lost && self.is_suspicious(&attempt);
+        if doubted {
             self.doubt_target(&attempt, actions);
+        } else {
+            self.end_trial(&attempt, &outcome);
         }
         self.learn(now, &attempt, &outcome, actions);
         self.note_end(now, &attempt, &outcome, actions);
         if attempt.is_wanted() {
-            self.settle_attempt(now, &attempt, outcome, actions);
+            self.settle_attempt(now, &attempt, outcome, doubted, actions);
         }
         self.serve_target_room(now, &attempt, actions);
     }
@@ -141,6 +143,7 @@
         now: Instant,
         attempt: &LiveAttempt,
         outcome: TargetOutcome,
+        doubted: bool,
         actions: &mut Vec<RelayAction>,
     ) {
         let Some(state) = self.requests.get_mut(attempt.request) else {
@@ -170,7 +173,7 @@
                 self.fail_leg(now, attempt, Some(reply), actions);
             }
             // The target may have crashed: it is asked before the request goes elsewhere.
-            TargetOutcome::Lost if self.may_repeat(now, attempt) => {
+            TargetOutcome::Lost if doubted && self.may_repeat(now, attempt) => {
                 self.try_again_soon(now, attempt.request, attempt.place);
             }
             TargetOutcome::Rejected
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -43,6 +43,8 @@
     pub(super) last_sent: Option<Instant>,
     /// Whether it waits for room.
     pub(super) parked: bool,
+    /// Whether a target broke an attempt of it.
+    pub(super) broken: bool,
     /// The last failure that a target answered.
     pub(super) failure: Option<TargetReply>,
 }
@@ -60,6 +62,7 @@
             first_sent: None,
             last_sent: None,
             parked: false,
+            broken: false,
             failure: None,
         }
     }
@@ -122,6 +125,12 @@
             .count()
     }
 
+    /// Whether targets broke its attempts on half of its legs or more.
+    pub(super) fn is_mostly_broken(&self) -> bool {
+        let broken = self.legs.iter().filter(|leg| leg.broken).count();
+        broken * 2 >= self.legs.len()
+    }
+
     /// Whether no leg is open.
     pub(super) fn is_settled(&self) -> bool {
         self.legs.iter().all(|leg| !leg.is_open())
--- a/core/src/relay/service.rs
+++ b/core/src/relay/service.rs
@@ -6,9 +6,8 @@
 use super::route::{RouteTable, ServiceName};
 use super::{RequestKey, TargetKey};
 
-/// Over how many daemons a target's connections are presumed to be shared out. Nothing published
-/// tells their number; a target that resets connections beyond its limit is asked less by its
-/// failures.
+/// Over how many daemons a target's connections are shared out at the least. Nothing published tells
+/// their number, and just after a start few of them are known.
 const PRESUMED_DAEMONS: u32 = 10;
 /// The most requests in flight from one daemon to one target.
 const MOST_IN_FLIGHT: u32 = 8;
@@ -107,10 +106,11 @@
         &mut self.services[place]
     }
 
-    /// Puts published limits of connections in force, and drops services that nothing names.
-    pub(super) fn put_connection_limits(&mut self, table: &RouteTable) {
+    /// Shares the published limits of connections out over so many daemons, and drops services that
+    /// nothing names.
+    pub(super) fn put_connection_limits(&mut self, table: &RouteTable, daemons: u32) {
         for entry in &table.services {
-            let share = entry.connections / PRESUMED_DAEMONS;
+            let share = entry.connections / daemons.max(PRESUMED_DAEMONS);
             self.get_or_add(&entry.name).in_flight_limit = share.clamp(1, MOST_IN_FLIGHT);
         }
         self.services.retain(|service| {
--- a/core/src/relay/suspicion.rs
+++ b/core/src/relay/suspicion.rs
@@ -78,6 +78,18 @@
         self.timers.add(due, TimerKind::Trial { request, place });
     }
 
+    /// Whether the loss of an attempt throws suspicion on its request. A merged request that crashes
+    /// its targets does so on most of its legs; one of whose targets only some are lost happened to
+    /// run there.
+    pub(super) fn is_suspicious(&mut self, attempt: &LiveAttempt) -> bool {
+        let Some(state) = self.requests.get_mut(attempt.request) else {
+            return false;
+        };
+        state.legs[attempt.place].broken = true;
+        let suspected = self.suspicion.table.is_suspected(state.fingerprint);
+        suspected || state.is_mostly_broken()
+    }
+
     /// Notes that a target broke an attempt, and asks it for a connection.
     pub(super) fn doubt_target(&mut self, attempt: &LiveAttempt, actions: &mut Vec<RelayAction>) {
         let (target, run) = (attempt.target, attempt.run);
@@ -125,16 +137,16 @@
         }
     }
 
-    /// Notes that an attempt ended, and whether the target answered it. The trial of one that the
-    /// target broke goes on until the target has been asked.
+    /// Notes that an attempt ended, and whether the target answered it. It is not told of one whose
+    /// target is doubted: that trial goes on until the target has been asked.
     pub(super) fn end_trial(&mut self, attempt: &LiveAttempt, outcome: &TargetOutcome) {
         let run = attempt.run;
         match outcome {
-            TargetOutcome::Lost => return,
             TargetOutcome::Replied(_) => {
                 self.suspicion.table.succeeded(run.fingerprint, run.shard);
             }
-            TargetOutcome::Rejected
+            TargetOutcome::Lost
+            | TargetOutcome::Rejected
             | TargetOutcome::Misdirected
             | TargetOutcome::NotSent
             | TargetOutcome::Garbled
--- a/core/tests/relay/crashing.rs
+++ b/core/tests/relay/crashing.rs
@@ -138,7 +138,43 @@
     );
 }
 
+/// Some targets crash by themselves while merged requests run on them: those requests are not
+/// suspected, since the other targets that ran them live, and are sent elsewhere at once.
+fn crashes_beside_the_way_throw_no_suspicion() {
+    const SERVICES: [&str; 6] = ["s0", "s1", "s2", "s3", "s4", "s5"];
+    let targets = SERVICES.iter().flat_map(|service| {
+        ["a", "b", "c"].map(|name| target(&format!("{service}-{name}"), service))
+    });
+    let mut stage = RelayStage::new(vec![gather_route(&SERVICES, 0.5)], targets.collect());
+    let request = stage.submit("gather", TIMEOUT);
+    let sent: Vec<_> = stage.sends.iter().map(|(_, order)| order.clone()).collect();
+    for order in &sent[..2] {
+        stage.end(order.attempt, TargetOutcome::Lost);
+    }
+    assert_eq!(stage.sends.len(), SERVICES.len() + 2, "sent again at once");
+    for probe in std::mem::take(&mut stage.probes) {
+        stage.feed(RelayEvent::Probed {
+            target: probe.target,
+            reachable: false,
+        });
+    }
+    assert!(stage.notices.is_empty(), "nobody is suspected");
+    let rest: Vec<_> = stage.sends[2..]
+        .iter()
+        .map(|(_, order)| order.attempt)
+        .collect();
+    for attempt in rest {
+        stage.end(attempt, success(b"0123456789abcdef"));
+    }
+    let end = stage.end_of(request);
+    assert!(matches!(
+        end.result,
+        Ok(RelayAnswer::Merged { missing: 0, .. })
+    ));
+}
+
 cases! {
+    crashes_beside_a_merged_request_throw_no_suspicion: crashes_beside_the_way_throw_no_suspicion();
     a_crashing_request_costs_few_targets: poison_costs_few_targets();
     others_are_served_beside_a_crashing_request: others_are_served_beside_it();
     lost_answers_throw_no_suspicion: lost_answers_are_no_crashes();
--- a/core/tests/relay/pauses.rs
+++ b/core/tests/relay/pauses.rs
@@ -27,11 +27,11 @@
     let mut stage = RelayStage::new(vec![gather_route(&services, 0.9)], targets.collect());
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut open: Vec<(Instant, AttemptKey)> = Vec::new();
-    let mut seen = 0;
+    let mut followed = 0;
     for _ in 0..QUERIES {
         stage.submit("gather", TIMEOUT);
         for _ in 0..100 {
-            let new = stage.sends[seen..].iter();
+            let new = stage.sends[followed..].iter();
             open.extend(new.map(|(sent, order)| {
                 let took = if rng.random_bool(paused_share) {
                     PAUSED
@@ -40,7 +40,7 @@
                 };
                 (*sent + took, order.attempt)
             }));
-            seen = stage.sends.len();
+            followed = stage.sends.len();
             let now = stage.now;
             let due: Vec<_> = open.extract_if(.., |(end, _)| *end <= now).collect();
             for (_, attempt) in due {
--- a/core/tests/relay/pressure.rs
+++ b/core/tests/relay/pressure.rs
@@ -62,7 +62,23 @@
     assert!(stage.cancels.is_empty());
 }
 
+/// A target's connections are shared by all daemons: the more there are, the fewer requests each
+/// may have in flight there, and never none.
+fn fleet_shares_connections(daemons: u32, in_flight: usize) {
+    let targets = vec![target("a", "orders")];
+    let route = forward_route("orders", RepeatKind::Idempotent, 1);
+    let mut stage = RelayStage::new(vec![route], targets);
+    stage.feed(RelayEvent::FleetSized(daemons));
+    for _ in 0..20 {
+        stage.submit("to-orders", TIMEOUT);
+    }
+    assert_eq!(stage.sends.len(), in_flight);
+}
+
 cases! {
+    a_few_daemons_share_connections_as_presumed: fleet_shares_connections(3, 3);
+    more_daemons_have_fewer_each: fleet_shares_connections(15, 2);
+    very_many_daemons_have_one_each: fleet_shares_connections(88, 1);
     an_order_does_not_give_way: orders_do_not_give_way();
     leftovers_give_way_to_who_waits: leftovers_give_way();
     wanted_work_does_not_give_way: wanted_work_does_not();
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -51,14 +51,20 @@
 /// How fast the store is read. A change must be in force 3 s after it was acknowledged, by a
 /// store that has been well for 4 s: so a watch that the store has forgotten must end within that
 /// time, and failed calls are repeated within a second.
-const READING_PACE: ReadingPace = ReadingPace {
-    watch_wait: Duration::from_secs(3),
-    watch_gap: Duration::from_millis(60),
-    first_backoff: Duration::from_millis(100),
-    longest_backoff: Duration::from_millis(800),
-    start_window: Duration::from_millis(600),
-    lists_hosts: false,
-};
+fn reading_pace(fleet_daemons: u32) -> ReadingPace {
+    ReadingPace {
+        watch_wait: Duration::from_secs(3),
+        watch_gap: Duration::from_millis(60),
+        first_backoff: Duration::from_millis(100),
+        longest_backoff: Duration::from_millis(800),
+        start_window: START_SPREAD * fleet_daemons,
+        lists_hosts: false,
+    }
+}
+
+/// How far apart the first readings of a fleet that starts whole are, for each daemon that it may
+/// have. A small one is not kept waiting, and in a large one most hear from a peer before their turn.
+const START_SPREAD: Duration = Duration::from_millis(1);
 
 /// The control plane and what its actions need; shared by the tasks of the thread.
 pub(super) struct RelayControl {
@@ -68,6 +74,7 @@
     links: ServiceConfig,
     hub: Rc<RelayHub>,
     readiness: Rc<RelayReadiness>,
+    fleet_told: Cell<u32>,
     wake: Notify,
     wake_due: Cell<Instant>,
 }
@@ -96,6 +103,7 @@
             links,
             hub,
             readiness,
+            fleet_told: Cell::new(0),
             wake: Notify::new(),
             wake_due: Cell::new(now),
         });
@@ -148,12 +156,31 @@
         for action in actions {
             self.carry_out(action);
         }
+        self.tell_fleet_size();
         let due = self.node.borrow().next_wake();
         if due != self.wake_due.replace(due) {
             self.wake.notify_one();
         }
     }
 
+    /// Tells the engine how many daemons there seem to be: of other data centres only some are
+    /// known, so that each is taken for as large as the own.
+    fn tell_fleet_size(&self) {
+        let node = self.node.borrow();
+        let own = node.members().alive().count() as u32 + 1;
+        let mut others: Vec<&str> = node
+            .contacts()
+            .records()
+            .map(|record| record.data_centre.as_ref())
+            .collect();
+        others.sort_unstable();
+        others.dedup();
+        let daemons = own * (others.len() as u32 + 1);
+        if self.fleet_told.replace(daemons) != daemons {
+            self.hub.feed(RelayEvent::FleetSized(daemons));
+        }
+    }
+
     fn carry_out(self: &Rc<Self>, action: ControlAction) {
         match action {
             ControlAction::Exchange {
@@ -295,7 +322,7 @@
         seeds: settings.seed_peers.clone(),
         seed: rand::random(),
         check: check_published,
-        pace: READING_PACE,
+        pace: reading_pace(settings.fleet_daemons),
         succession: Succession::Claim,
     }
 }
--- a/daemon/src/relay/pool.rs
+++ b/daemon/src/relay/pool.rs
@@ -56,14 +56,11 @@
         ExchangeLink::open(order.address, &TARGET_LINKS, &self.config).await
     }
 
-    /// Whether a target gives a connection, which is kept.
+    /// Whether a target gives a connection. It is not kept: a target that is short of connections
+    /// would be held to it by every daemon that asks.
     pub(super) async fn probe(&self, probe: &ProbeOrder) -> bool {
         let link = ExchangeLink::open(probe.address, &TARGET_LINKS, &self.config).await;
-        let reachable = link.is_ok();
-        if let Ok(link) = link {
-            self.put_back(probe.target, link, None);
-        }
-        reachable
+        link.is_ok()
     }
 
     fn take_idle(&self, order: &AttemptOrder) -> Option<ExchangeLink> {
