Let leftover attempts linger for the usual latency, not for 0.3 s

Change: a leftover goes on until it has taken what is usual on its route, by which most end by themselves; one that takes longer is given up at once.

--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -9,9 +9,9 @@
 use super::timers::TimerKind;
 use super::{AttemptKey, RelayEngine, RequestKey};
 
-/// How long an attempt may go on that nobody waits for any more. Most end by themselves in that
-/// time, which saves the target a new connection; half a second of useless work is too much.
-const LINGER: Duration = Duration::from_millis(300);
+/// The longest that an attempt may go on that nobody waits for any more: half a second of useless
+/// work is too much.
+const LONGEST_LINGER: Duration = Duration::from_millis(300);
 
 impl RelayEngine {
     /// Takes the end of an attempt.
@@ -259,6 +259,10 @@
     }
 
     /// Says who needs an attempt from now on, now that its caller does not wait for it.
+    ///
+    /// A leftover goes on until it has taken as long as is usual: most end by themselves by then,
+    /// which saves their target a new connection. One that takes longer waits in a queue or runs at
+    /// a slow target, and its place is of more use to others.
     pub(super) fn leave_attempt(
         &mut self,
         now: Instant,
@@ -270,7 +274,7 @@
             return;
         };
         live.need = need;
-        let due = live.sent_at + LINGER;
+        let due = live.sent_at + live.usual.min(LONGEST_LINGER);
         match need {
             AttemptNeed::Leftover if due > now => {
                 self.timers.add(due, TimerKind::Linger { attempt });
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -5,6 +5,8 @@
 mod departures;
 mod forwarding;
 mod gathering;
+mod load;
+mod overload;
 mod pauses;
 mod pressure;
 mod random_runs;
