Try: leave overloaded services out of merged requests

Cause looked for: with two services or more short of room, requests that may lack one part wait for both.

--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -35,7 +35,7 @@
         let route = request.route;
         let deadline = request.deadline.min(now + route.timeout);
         let services = self.asked_services(&route);
-        let state = RequestState {
+        let mut state = RequestState {
             key,
             fingerprint: request.fingerprint,
             arrived: now,
@@ -60,10 +60,13 @@
                 .budget
                 .note_request(now, window);
         }
-        let legs = state.legs.len();
+        self.leave_out_overloaded(&mut state);
+        let asked = state.legs.iter().enumerate();
+        let asked = asked.filter(|(_, leg)| leg.is_open());
+        let asked: Vec<usize> = asked.map(|(place, _)| place).collect();
         self.add_timers(now, &state);
         self.requests.insert(state);
-        for place in 0..legs {
+        for place in asked {
             self.ask_leg(now, key, place, SendCause::First, actions);
         }
         self.begin_look(now, key);
