--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -146,7 +146,6 @@
         need: AttemptNeed,
         actions: &mut Vec<RelayAction>,
     ) -> bool {
-        self.note_open_parts(now, request);
         let Some(state) = self.requests.remove(request) else {
             return false;
         };
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -14,7 +14,6 @@
 //! - `target`, `choice`: what is known of each target, and which one is asked.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the passes over a request.
 //! - `probing`: whether targets can be reached.
-//! - `shedding`: merged requests that do without an overloaded service.
 //! - `suspicion`: requests that crash their targets.
 //! - `budget`: how many second sends a service is given.
 //! - [`merge`]: the greatest records of several parts.
@@ -37,7 +36,6 @@
 mod request;
 pub mod route;
 mod service;
-mod shedding;
 mod submit;
 mod suspicion;
 mod target;
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -201,7 +201,6 @@
         }
         leg.stage = LegStage::Answered(reply);
         let losers = std::mem::take(&mut leg.live);
-        self.note_part(now, attempt.request, attempt.place);
         for loser in losers {
             self.leave_attempt(now, loser, AttemptNeed::Leftover, actions);
         }
--- a/core/src/relay/service.rs
+++ b/core/src/relay/service.rs
@@ -4,7 +4,6 @@
 
 use super::budget::RetryBudget;
 use super::route::{RouteTable, ServiceName};
-use super::shedding::ServicePressure;
 use super::{RequestKey, TargetKey};
 
 /// Over how many daemons a target's connections are shared out at the least. Nothing published tells
@@ -38,8 +37,6 @@
     pub(super) in_flight_limit: u32,
     /// The legs that wait for room, sorted.
     pub(super) parked: Vec<ParkedLeg>,
-    /// How overloaded it seems to be.
-    pub(super) pressure: ServicePressure,
 }
 
 impl ServiceState {
@@ -50,7 +47,6 @@
             budget: RetryBudget::new(),
             in_flight_limit: 1,
             parked: Vec::new(),
-            pressure: ServicePressure::default(),
         }
     }
 
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -35,7 +35,7 @@
         let route = request.route;
         let deadline = request.deadline.min(now + route.timeout);
         let services = self.asked_services(&route);
-        let mut state = RequestState {
+        let state = RequestState {
             key,
             fingerprint: request.fingerprint,
             arrived: now,
@@ -60,13 +60,10 @@
                 .budget
                 .note_request(now, window);
         }
-        self.leave_out_overloaded(&mut state);
-        let asked = state.legs.iter().enumerate();
-        let asked = asked.filter(|(_, leg)| leg.is_open());
-        let asked: Vec<usize> = asked.map(|(place, _)| place).collect();
+        let legs = state.legs.len();
         self.add_timers(now, &state);
         self.requests.insert(state);
-        for place in asked {
+        for place in 0..legs {
             self.ask_leg(now, key, place, SendCause::First, actions);
         }
         self.begin_look(now, key);
