Ask all targets of a data centre when the first can be reached again

Cause: after a cut of a data centre each of its targets is asked for a connection on its own, at up to 3.2 s apart. Ruled out: that the store was late; the targets had stayed listed. Change: the first target of a data centre that gives a connection again has all others there asked at once. Test: unreachable.rs, which asked one of three before.

--- a/core/src/relay/probing.rs
+++ b/core/src/relay/probing.rs
@@ -77,11 +77,25 @@
             return;
         }
         if state.note_reached() {
-            let name = state.record.name.clone();
-            let service = state.record.service.clone();
-            let decision = RelayDecision::Resumed { target: name };
+            let record = state.record.clone();
+            let decision = RelayDecision::Resumed {
+                target: record.name,
+            };
             actions.push(RelayAction::Decided(decision));
-            self.serve_parked(now, &service, actions);
+            self.serve_parked(now, &record.service, actions);
+            self.probe_data_centre(&record.data_centre, actions);
+        }
+    }
+
+    /// Asks all targets of a data centre that could not be reached, now that one of them can: the
+    /// way there may have been cut, and be back for all.
+    fn probe_data_centre(&mut self, data_centre: &str, actions: &mut Vec<RelayAction>) {
+        let unreachable = self.targets.iter().filter(|target| {
+            !target.is_reachable() && target.record.data_centre.as_ref() == data_centre
+        });
+        let keys: Vec<TargetKey> = unreachable.map(|target| target.key).collect();
+        for key in keys {
+            self.probe(key, actions);
         }
     }
 
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -101,6 +101,11 @@
         !self.reachable || self.suspended_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the last connection to it could be had.
+    pub(super) fn is_reachable(&self) -> bool {
+        self.reachable
+    }
+
     /// Whether it is to be asked for a connection now.
     pub(super) fn wants_probe(&self, now: Instant) -> bool {
         let due = self.suspended_until.is_none_or(|until| until <= now);
--- a/core/tests/relay/unreachable.rs
+++ b/core/tests/relay/unreachable.rs
@@ -1,9 +1,11 @@
 //! Targets that can't be reached cost no request its time once that is known.
 
+use std::time::Duration;
+
 use yuccalift_core::relay::{RelayEvent, RepeatKind, TargetOutcome};
 use yuccalift_testkit::cases;
 
-use crate::support::{RelayStage, TIMEOUT, forward_route, ms, success, target};
+use crate::support::{RelayStage, TIMEOUT, forward_route, gather_route, ms, success, target};
 
 fn stage() -> RelayStage {
     let route = forward_route("orders", RepeatKind::Idempotent, 2);
@@ -76,7 +78,53 @@
     assert_eq!(names.contains(&silent.name), reachable);
 }
 
+/// Three targets of a data centre that was cut off, each found out at another time: the first that
+/// can be reached again says that the way is back, and the others are asked at once.
+fn way_back_is_told_by_the_first() {
+    let services = ["s0", "s1", "s2"];
+    let targets = services.map(|name| target(name, name));
+    let mut stage = RelayStage::new(vec![gather_route(&services, 0.1)], targets.into());
+    stage.submit("gather", TIMEOUT);
+    let mut answered = 0;
+    for (_, order) in stage.sends.clone() {
+        stage.end(order.attempt, TargetOutcome::NotSent);
+        answered = answer_probes_for(&mut stage, ms(150), answered, false);
+    }
+    answered = answer_probes_for(&mut stage, Duration::from_secs(6), answered, false);
+    while stage.probes.len() == answered {
+        stage.pass(ms(1));
+    }
+    let first = answered;
+    answered = answer_probes_for(&mut stage, ms(5), answered, true);
+    assert_eq!(
+        answered - first,
+        services.len(),
+        "all are asked with the first"
+    );
+}
+
+/// Answers all questions to targets for a time, of which some have been answered before; how many
+/// have been then.
+fn answer_probes_for(
+    stage: &mut RelayStage,
+    time: Duration,
+    mut answered: usize,
+    reachable: bool,
+) -> usize {
+    let end = stage.now + time;
+    while stage.now < end {
+        while let Some(probe) = stage.probes.get(answered).copied() {
+            answered += 1;
+            let target = probe.target;
+            stage.feed(RelayEvent::Probed { target, reachable });
+        }
+        stage.pass(ms(1));
+    }
+    answered
+}
+
 cases! {
+    the_way_back_to_a_data_centre_is_told_by_the_first: way_back_is_told_by_the_first();
     an_unreachable_target_gets_no_request: unreachable_gets_no_request();
     a_silent_target_that_is_dark_is_found_out: silent_target_is_asked(false);
     a_silent_target_that_is_slow_goes_on: silent_target_is_asked(true);
