Keep idle connections briefly after a start where targets reset new ones

A target takes 76 connections and still counts those of the lost hosts until it finds them idle for too long; the first daemons back keep what is left for 3 s each, and the others' are reset: 4,410 resets, 50 requests failed within 1.5 s since both attempts of a leg had been reset (610 lost after 5 to 13 ms). Ruled out: targets that were down; they answered whoever held a connection. Change: while a daemon is younger than the time for which a target keeps idle connections, and one of its new connections has been reset, it keeps idle ones for 0.15 s. The decision is core's IdlePolicy, which takes over the pool's constants.

--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -16,6 +16,7 @@
 //! - `probing`: whether targets can be reached.
 //! - `suspicion`: requests that crash their targets.
 //! - `budget`: how many second sends a service is given.
+//! - [`IdlePolicy`]: how long idle connections are kept.
 //! - [`merge`]: the greatest records of several parts.
 //! - `verifier`: what must hold after each event.
 //!
@@ -29,6 +30,7 @@
 pub mod event;
 mod finish;
 mod hedging;
+mod idle_links;
 mod latencies;
 pub mod merge;
 mod probing;
@@ -50,6 +52,7 @@
     AttemptOrder, ProbeOrder, RefusalCause, RelayAction, RelayAnswer, RelayDecision, RelayRefusal,
 };
 pub use event::{RelayEvent, RelayRequest, TargetOutcome, TargetReply};
+pub use idle_links::IdlePolicy;
 pub use route::{MergeRule, RepeatKind, RouteDestination, RouteEntry, RouteTable};
 pub use target_record::{TargetPhase, TargetRecord};
 
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod forwarding;
 mod gathering;
+mod idle_links;
 mod load;
 mod overload;
 mod pauses;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -8,10 +8,10 @@
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::ids::Fingerprint;
 use yuccalift_core::relay::{AttemptOrder, TargetOutcome};
-use yuccalift_exchange::{ExchangeError, ExchangeLink, OutgoingRequest};
+use yuccalift_exchange::{ExchangeError, OutgoingRequest};
 use yuccalift_platform::target;
 
-use super::pool::LinkPool;
+use super::pool::{CheckedLink, LinkPool};
 use crate::caller::fingerprint;
 
 /// What a caller sent, as it is passed on to each target.
@@ -71,11 +71,12 @@
 
 async fn exchange(
     pool: &LinkPool,
-    mut link: ExchangeLink,
+    checked: CheckedLink,
     order: &AttemptOrder,
     message: &CallerMessage,
     now: Instant,
 ) -> TargetOutcome {
+    let CheckedLink { mut link, new } = checked;
     let left = order.deadline.saturating_duration_since(now);
     let head = target::request_head(&message.head, &message.passed, &order.name, left);
     let request = OutgoingRequest {
@@ -91,6 +92,12 @@
             target::read_answer(answer)
         }
         Err(ExchangeError::Garbled { .. }) => TargetOutcome::Garbled,
-        Err(ExchangeError::Broken { .. } | ExchangeError::Cut { .. }) => TargetOutcome::Lost,
+        Err(ExchangeError::Broken { source, .. }) => {
+            if new {
+                pool.note_reset(source.kind());
+            }
+            TargetOutcome::Lost
+        }
+        Err(ExchangeError::Cut { .. }) => TargetOutcome::Lost,
     }
 }
--- a/daemon/src/relay/pool.rs
+++ b/daemon/src/relay/pool.rs
@@ -1,21 +1,13 @@
 //! The connections to targets that are idle: [`LinkPool`].
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::time::{Duration, Instant};
 
 use actix_http::ServiceConfig;
-use yuccalift_core::relay::{AttemptOrder, ProbeOrder, TargetKey};
+use yuccalift_core::relay::{AttemptOrder, IdlePolicy, ProbeOrder, TargetKey};
 use yuccalift_exchange::{ExchangeLink, LinkOptions};
 
-/// How long a connection stays idle where the target says nothing of it.
-const USUAL_IDLE: Duration = Duration::from_secs(4);
-/// The part of the time that a target grants in which an idle connection is used: the rest is for
-/// the request's way, so that it does not cross the target's close.
-const USED_IDLE_SHARE: f64 = 0.6;
-/// How long a connection may have been idle for a request that must not run twice: the sooner it
-/// was used, the less likely it is dead.
-const CAREFUL_IDLE: Duration = Duration::from_millis(500);
 /// How connections to targets find out that the other end is gone. A target that can't be reached
 /// within this time is taken for lost; the longest way between two data centres takes a few
 /// milliseconds.
@@ -33,9 +25,17 @@
     until: Instant,
 }
 
+/// A connection for one attempt.
+pub(super) struct CheckedLink {
+    pub(super) link: ExchangeLink,
+    /// Whether it carries its first request.
+    pub(super) new: bool,
+}
+
 /// All idle connections, the ones last used at the end.
 pub(super) struct LinkPool {
     idle: RefCell<Vec<IdleLink>>,
+    policy: Cell<IdlePolicy>,
     config: ServiceConfig,
 }
 
@@ -44,16 +44,31 @@
     pub(super) fn new(config: ServiceConfig) -> Self {
         Self {
             idle: RefCell::default(),
+            policy: Cell::new(IdlePolicy::new(Instant::now())),
             config,
         }
     }
 
     /// A connection for an attempt: an idle one that still seems sound, or a new one.
-    pub(super) async fn check_out(&self, order: &AttemptOrder) -> io::Result<ExchangeLink> {
+    pub(super) async fn check_out(&self, order: &AttemptOrder) -> io::Result<CheckedLink> {
         if let Some(link) = self.take_idle(order) {
-            return Ok(link);
+            return Ok(CheckedLink { link, new: false });
+        }
+        let opened = ExchangeLink::open(order.address, &TARGET_LINKS, &self.config).await;
+        if let Err(error) = &opened {
+            self.note_reset(error.kind());
+        }
+        opened.map(|link| CheckedLink { link, new: true })
+    }
+
+    /// Takes in how a new connection broke: a target that is short of connections resets it, while
+    /// one that is gone refuses it or stays silent.
+    pub(super) fn note_reset(&self, kind: io::ErrorKind) {
+        if kind == io::ErrorKind::ConnectionReset {
+            let mut policy = self.policy.get();
+            policy.note_reset();
+            self.policy.set(policy);
         }
-        ExchangeLink::open(order.address, &TARGET_LINKS, &self.config).await
     }
 
     /// Whether a target gives a connection. It is not kept: a target that is short of connections
@@ -69,7 +84,7 @@
         loop {
             let place = idle.iter().rposition(|link| link.target == order.target)?;
             let found = idle.remove(place);
-            let fresh = !order.careful || now - found.since < CAREFUL_IDLE;
+            let fresh = IdlePolicy::is_fresh(now - found.since, order.careful);
             if fresh && now < found.until && found.link.is_quiet() {
                 return Some(found.link);
             }
@@ -84,7 +99,7 @@
         granted: Option<Duration>,
     ) {
         let now = Instant::now();
-        let keep = granted.map_or(USUAL_IDLE, |granted| granted.mul_f64(USED_IDLE_SHARE));
+        let keep = self.policy.get().keep_time(now, granted);
         let mut idle = self.idle.borrow_mut();
         idle.retain(|link| now < link.until);
         idle.push(IdleLink {
