Put changed settings in force, and tell callers when routes should be there

Cause 1: a relay read its settings again on SIGHUP only to check them, and event 615 said that they were in force, which they were not; a file that changed without a signal was noticed at the next start. Change: the file is read every 2 s as well; drain time, retries and stop timeout are in force at once (RelayEvent::Retuned), and 615 names what is and what waits. Change: they are told to come back when the relay should have read its routes. Also: RelayEngine::known_targets and RelayTargets::len were dead and are removed.

--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -89,7 +89,7 @@
         let Some(key) = self.targets.find_name(name) else {
             return;
         };
-        let until = now + self.options.drain_time.mul_f64(UNLISTED_SHARE);
+        let until = now + self.options.tuning.drain_time.mul_f64(UNLISTED_SHARE);
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
@@ -103,7 +103,7 @@
 
     /// Takes a target out of the first choice; it is forgotten when its time is over.
     fn begin_departure(&mut self, now: Instant, key: TargetKey, actions: &mut Vec<RelayAction>) {
-        let until = now + self.options.drain_time.mul_f64(LAST_RESORT_SHARE);
+        let until = now + self.options.tuning.drain_time.mul_f64(LAST_RESORT_SHARE);
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -62,7 +62,10 @@
             return true;
         }
         let service = leg.service.clone();
-        let (window, share) = (self.options.retry_window, self.options.retry_share);
+        let (window, share) = (
+            self.options.tuning.retry_window,
+            self.options.tuning.retry_share,
+        );
         self.services
             .get_or_add(&service)
             .budget
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -48,6 +48,8 @@
     NoticeEnded(Fingerprint),
     /// How many daemons there seem to be.
     FleetSized(u32),
+    /// Its options have changed.
+    Retuned(super::RelayTuning),
     /// The process was paused; what looks late may not be.
     Paused,
     /// The time that [`super::RelayEngine::next_wake`] asked for has come.
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -77,6 +77,13 @@
 pub struct RelayOptions {
     /// The data centre of this daemon, whose targets are nearer.
     pub data_centre: DataCentreName,
+    /// What may change while it runs.
+    pub tuning: RelayTuning,
+}
+
+/// What of a relay's options may change while it runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RelayTuning {
     /// The share of a service's requests that may be sent a second time, over all daemons.
     pub retry_share: f64,
     /// The window over which that share is counted.
@@ -143,6 +150,7 @@
                 self.fleet_daemons = daemons;
                 self.services.put_connection_limits(&self.routes, daemons);
             }
+            RelayEvent::Retuned(tuning) => self.options.tuning = tuning,
             RelayEvent::Paused => self.resumed_at = Some(now),
             RelayEvent::Tick => {}
         }
@@ -166,11 +174,6 @@
         self.requests.len()
     }
 
-    /// How many targets are known, leaving ones included.
-    pub fn known_targets(&self) -> usize {
-        self.targets.len()
-    }
-
     fn put_routes(&mut self, table: Arc<RouteTable>) {
         if table.version <= self.routes.version && self.routes.version > 0 {
             return;
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -54,7 +54,7 @@
             return;
         }
         for leg in &state.legs {
-            let window = self.options.retry_window;
+            let window = self.options.tuning.retry_window;
             self.services
                 .get_or_add(&leg.service)
                 .budget
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -282,11 +282,6 @@
         Some(self.entries.remove(place))
     }
 
-    /// How many there are.
-    pub(super) fn len(&self) -> usize {
-        self.entries.len()
-    }
-
     /// All targets.
     pub(super) fn iter(&self) -> impl Iterator<Item = &RelayTarget> {
         self.entries.iter()
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -7,8 +7,8 @@
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry, WeightedService};
 use yuccalift_core::relay::{
     AttemptKey, AttemptOrder, MergeRule, ProbeOrder, RelayAction, RelayAnswer, RelayDecision,
-    RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RepeatKind, RequestKey,
-    RouteDestination, RouteEntry, RouteTable, TargetOutcome, TargetPhase, TargetRecord,
+    RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RelayTuning, RepeatKind,
+    RequestKey, RouteDestination, RouteEntry, RouteTable, TargetOutcome, TargetPhase, TargetRecord,
     TargetReply,
 };
 
@@ -119,9 +119,11 @@
         let mut stage = Self {
             engine: RelayEngine::new(RelayOptions {
                 data_centre: "here".into(),
-                retry_share: 0.2,
-                retry_window: Duration::from_secs(10),
-                drain_time: DRAIN_TIME,
+                tuning: RelayTuning {
+                    retry_share: 0.2,
+                    retry_window: Duration::from_secs(10),
+                    drain_time: DRAIN_TIME,
+                },
             }),
             now: Instant::now(),
             sends: Vec::new(),
--- a/daemon/src/bin/yuccaliftd.rs
+++ b/daemon/src/bin/yuccaliftd.rs
@@ -1,11 +1,12 @@
 //! `yuccaliftd`: the daemon on every entry host.
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 use tokio::signal::unix::{SignalKind, signal};
-use yuccalift_daemon::{Daemon, run_relay, start_logging};
-use yuccalift_settings::{DaemonSettings, RelaySettings};
+use yuccalift_daemon::{Daemon, SettingsFile, run_relay, start_logging};
+use yuccalift_settings::DaemonSettings;
 
 const HELP: &str = "\
 yuccaliftd: the daemon of yuccalift, the same on every entry host
@@ -19,7 +20,8 @@
   -V, --version  print the version
 
 Exit status: 0 good, 1 failed, 2 bad use or bad settings.
-SIGTERM and SIGINT start a graceful stop; SIGHUP reads the settings of a relay again.
+SIGTERM and SIGINT start a graceful stop; SIGHUP reads the settings of a relay again,
+which it does from time to time as well.
 ";
 
 /// Bad use of the command line, or bad settings.
@@ -107,10 +109,10 @@
 }
 
 fn start_relay(file: &str, check_only: bool) -> ExitCode {
-    let settings = match read_relay(file) {
-        Ok(settings) => settings,
+    let (settings_file, settings) = match SettingsFile::open(Path::new(file)) {
+        Ok(read) => read,
         Err(message) => {
-            eprintln!("{message}");
+            eprintln!("yuccaliftd: {message}");
             return ExitCode::from(EXIT_BAD_USE);
         }
     };
@@ -118,7 +120,7 @@
         return print_and_end(&format!("{file}: valid settings of a relay\n"));
     }
     let _log = start_logging(&settings.log);
-    match run_relay(settings, || read_relay(file)) {
+    match run_relay(settings_file, settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("yuccaliftd: {error}");
@@ -127,12 +129,6 @@
     }
 }
 
-fn read_relay(file: &str) -> Result<RelaySettings, String> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|error| format!("yuccaliftd: read settings, file {file}: {error}"))?;
-    yuccalift_settings::parse_relay(file, &text).map_err(|errors| errors.to_string())
-}
-
 fn read_settings(file: &str) -> Result<DaemonSettings, String> {
     let text = std::fs::read_to_string(file)
         .map_err(|error| format!("yuccaliftd: read settings, file {file}: {error}"))?;
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -182,8 +182,12 @@
     613 INFO "caller_left" CallerLeft { request: &'a str }
     #[doc = "So many lines about requests were left out in the last second, to bound the log."]
     614 WARN "lines_dropped" LinesDropped { lines: u64 }
-    #[doc = "The settings were read again; `fault` is empty if they are in force."]
-    615 INFO "settings_reloaded" SettingsReloaded { fault: &'a str }
+    #[doc = "The settings were read again. With a `fault` the former ones stay; else `in_force` names the fields that changed at once, and `waiting` those that wait for the next start."]
+    615 INFO "settings_reloaded" SettingsReloaded {
+        fault: &'a str,
+        in_force: &'a str,
+        waiting: &'a str,
+    }
     #[doc = "A request that must not run twice was sent to a target, which has `time_left_ms` for it."]
     616 INFO "order_sent" OrderSent { request: &'a str, target: &'a str, time_left_ms: u64 }
     #[doc = "A target was lost while it ran a request; `blame` is its part of the blame so far, in thousandths of a target."]
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -45,3 +45,4 @@
 pub use metrics::{DaemonMetric, METRICS, MetricKind, MetricSpec, MetricsClient};
 pub use peer_directory::{PeerAddress, PeerDirectory};
 pub use relay::process::run_relay;
+pub use relay::settings_watch::SettingsFile;
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -51,7 +51,7 @@
 /// How fast the store is read. A change must be in force 3 s after it was acknowledged, by a
 /// store that has been well for 4 s: so a watch that the store has forgotten must end within that
 /// time, and failed calls are repeated within a second.
-fn reading_pace(fleet_daemons: u32) -> ReadingPace {
+pub(super) fn reading_pace(fleet_daemons: u32) -> ReadingPace {
     ReadingPace {
         watch_wait: Duration::from_secs(3),
         watch_gap: Duration::from_millis(60),
--- a/daemon/src/relay/front.rs
+++ b/daemon/src/relay/front.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use actix_http::body::BoxBody;
 use actix_http::error::PayloadError;
@@ -19,10 +19,6 @@
 use super::readiness::RelayReadiness;
 use super::report::RequestEnd;
 
-/// When a caller should come back to a relay that has no routes yet: other daemons have them, and
-/// the balancer asks for readiness each second.
-const UNCONFIGURED_RETRY: Duration = Duration::from_millis(100);
-
 /// What the handler of callers' requests needs.
 pub(super) struct FrontState {
     pub(super) hub: Rc<RelayHub>,
@@ -59,7 +55,7 @@
     ) -> Response<BoxBody> {
         if !self.readiness.configured.get() {
             end.cause = "unconfigured";
-            let wait = Some(UNCONFIGURED_RETRY);
+            let wait = Some(self.readiness.return_time(arrived));
             return caller::plain_answer(StatusCode::SERVICE_UNAVAILABLE, wait);
         }
         let routes = self.hub.routes();
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -22,4 +22,5 @@
 pub mod process;
 mod readiness;
 mod report;
+pub(crate) mod settings_watch;
 mod store_reader;
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -17,12 +17,13 @@
 use yuccalift_exchange::{LinkOptions, ServeOptions, listen};
 use yuccalift_settings::RelaySettings;
 
-use super::control::{RelayControl, answer_peer};
+use super::control::{RelayControl, answer_peer, reading_pace};
 use super::front::{FrontState, answer_caller};
 use super::hub::RelayHub;
 use super::pool::LinkPool;
 use super::readiness::{RelayReadiness, answer_balancer};
 use super::report::RelayReport;
+use super::settings_watch::{SettingsFile, SettingsWatch, relay_tuning};
 use crate::error::{BindSnafu, DaemonError, SignalSnafu};
 use crate::events::LogEvent;
 use crate::metrics::MetricsClient;
@@ -45,22 +46,16 @@
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 /// How often a stopping relay looks whether it has nothing left to do.
 const STOP_LOOK: Duration = Duration::from_millis(50);
-/// Runs a relay until it is told to stop; `reload` reads its settings again.
+/// Runs a relay until it is told to stop, with the settings that were read from the file.
 ///
 /// # Errors
 ///
 /// [`DaemonError`] if a listener's address or a signal can't be had.
-pub fn run_relay(
-    settings: RelaySettings,
-    reload: impl Fn() -> Result<RelaySettings, String>,
-) -> Result<(), DaemonError> {
-    actix_rt::System::new().block_on(serve(settings, reload))
+pub fn run_relay(file: SettingsFile, settings: RelaySettings) -> Result<(), DaemonError> {
+    actix_rt::System::new().block_on(serve(file, settings))
 }
 
-async fn serve(
-    settings: RelaySettings,
-    reload: impl Fn() -> Result<RelaySettings, String>,
-) -> Result<(), DaemonError> {
+async fn serve(file: SettingsFile, settings: RelaySettings) -> Result<(), DaemonError> {
     let mut signals = StopSignals::new()?;
     let callers = bind("callers", settings.caller_listen)?;
     let balancer = bind("readiness", settings.readiness_listen)?;
@@ -74,7 +69,8 @@
     let report = RelayReport::new(Instant::now(), metrics.clone());
     let (sender, news) = mpsc::unbounded_channel();
     let hub = RelayHub::new(engine, LinkPool::new(links.clone()), report, sender);
-    let readiness = Rc::new(RelayReadiness::default());
+    let start_window = reading_pace(settings.fleet_daemons).start_window;
+    let readiness = Rc::new(RelayReadiness::new(start_window));
     let stop = CancellationToken::new();
     actix_rt::spawn(Rc::clone(&hub).run_timers(stop.clone()));
     let control = RelayControl::new(&settings, links, Rc::clone(&hub), Rc::clone(&readiness));
@@ -101,9 +97,11 @@
         answer_caller(Rc::clone(&front), request)
     });
     log_start(&settings);
-    signals.wait(&reload).await;
+    let watch = SettingsWatch::new(file, settings.clone(), Rc::clone(&hub));
+    actix_rt::spawn(Rc::clone(&watch).run(stop.clone()));
+    signals.wait(&watch).await;
     control.leave();
-    stop_gracefully(&settings, &hub, &readiness).await;
+    stop_gracefully(&settings.host, watch.stop_timeout(), &hub, &readiness).await;
     stop.cancel();
     Ok(())
 }
@@ -111,9 +109,7 @@
 fn relay_options(settings: &RelaySettings) -> RelayOptions {
     RelayOptions {
         data_centre: settings.data_centre.clone(),
-        retry_share: settings.retry_share,
-        retry_window: settings.retry_window,
-        drain_time: settings.drain_time,
+        tuning: relay_tuning(settings),
     }
 }
 
@@ -143,26 +139,22 @@
 }
 
 /// Says that no new callers are wanted, serves those that come, and waits until none is left.
-async fn stop_gracefully(settings: &RelaySettings, hub: &RelayHub, readiness: &RelayReadiness) {
+async fn stop_gracefully(host: &str, limit: Duration, hub: &RelayHub, readiness: &RelayReadiness) {
     readiness.stopping.set(true);
     LogEvent::StopStarted {
-        host: &settings.host,
-        limit_ms: settings.stop_timeout.as_millis() as u64,
+        host,
+        limit_ms: limit.as_millis() as u64,
     }
     .emit();
     let began = Instant::now();
-    let grace = BALANCER_GRACE.min(settings.stop_timeout / 2);
+    let grace = BALANCER_GRACE.min(limit / 2);
     tokio::time::sleep(grace).await;
-    let end = settings.stop_timeout.saturating_sub(STOP_RESERVE);
+    let end = limit.saturating_sub(STOP_RESERVE);
     while hub.in_work() > 0 && began.elapsed() < end {
         tokio::time::sleep(STOP_LOOK).await;
     }
     let overdue = if hub.in_work() > 0 { "requests" } else { "" };
-    LogEvent::DaemonStopped {
-        host: &settings.host,
-        overdue,
-    }
-    .emit();
+    LogEvent::DaemonStopped { host, overdue }.emit();
 }
 
 fn log_start(settings: &RelaySettings) {
@@ -191,17 +183,14 @@
         })
     }
 
-    /// Waits for the signal to stop; meanwhile checks the settings whenever they are said to have
-    /// changed. What they set is in force from the next start, and a fault in them is told now.
-    async fn wait(&mut self, reload: &impl Fn() -> Result<RelaySettings, String>) {
+    /// Waits for the signal to stop; meanwhile reads the settings whenever they are said to have
+    /// changed.
+    async fn wait(&mut self, watch: &SettingsWatch) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
                 _ = self.interrupt.recv() => return,
-                _ = self.hang_up.recv() => {
-                    let fault = reload().err().unwrap_or_default();
-                    LogEvent::SettingsReloaded { fault: &fault }.emit();
-                }
+                _ = self.hang_up.recv() => watch.reload(),
             }
         }
     }
--- /dev/null
+++ b/daemon/src/relay/settings_watch.rs
@@ -0,0 +1,206 @@
+//! Settings that change while the relay runs: [`SettingsWatch`].
+//!
+//! The file may change with a signal or without one, so it is read from time to time as well. What can
+//! change in a running process is put in force at once; the rest waits for the next start, which the
+//! log says. See `docs/OPERATIONS.md`, "Change the settings".
+
+use std::cell::RefCell;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio_util::sync::CancellationToken;
+use yuccalift_core::relay::{RelayEvent, RelayTuning};
+use yuccalift_settings::{RelaySettings, parse_relay};
+
+use super::hub::RelayHub;
+use crate::events::LogEvent;
+
+/// How often the file is read without a signal: a small file, read within tens of microseconds.
+const READ_PERIOD: Duration = Duration::from_secs(2);
+
+/// A settings file as it was read last.
+#[derive(Debug)]
+pub struct SettingsFile {
+    path: PathBuf,
+    text: String,
+}
+
+impl SettingsFile {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Why the file can't be read, or each fault of the settings, as text for an operator.
+    pub fn open(path: &Path) -> Result<(Self, RelaySettings), String> {
+        let text = read_text(path)?;
+        let settings = parse(path, &text)?;
+        let path = path.to_owned();
+        Ok((Self { path, text }, settings))
+    }
+
+    /// Reads the file again; nothing if it is as it was.
+    fn read_changed(&mut self) -> Option<Result<RelaySettings, String>> {
+        match read_text(&self.path) {
+            Ok(text) if text == self.text => None,
+            Ok(text) => {
+                self.text = text;
+                Some(parse(&self.path, &self.text))
+            }
+            Err(fault) => Some(Err(fault)),
+        }
+    }
+}
+
+fn read_text(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path)
+        .map_err(|error| format!("read settings, file {}: {error}", path.display()))
+}
+
+fn parse(path: &Path, text: &str) -> Result<RelaySettings, String> {
+    parse_relay(&path.display().to_string(), text).map_err(|errors| errors.to_string())
+}
+
+/// The settings in force, and the file that they come from.
+pub(super) struct SettingsWatch {
+    file: RefCell<SettingsFile>,
+    settings: RefCell<RelaySettings>,
+    fault: RefCell<String>,
+    hub: Rc<RelayHub>,
+}
+
+impl SettingsWatch {
+    /// A watch over the file that these settings were read from.
+    pub(super) fn new(file: SettingsFile, settings: RelaySettings, hub: Rc<RelayHub>) -> Rc<Self> {
+        Rc::new(Self {
+            file: RefCell::new(file),
+            settings: RefCell::new(settings),
+            fault: RefCell::default(),
+            hub,
+        })
+    }
+
+    /// How long a graceful stop may take.
+    pub(super) fn stop_timeout(&self) -> Duration {
+        self.settings.borrow().stop_timeout
+    }
+
+    /// Reads the file from time to time, until the token is cancelled.
+    pub(super) async fn run(self: Rc<Self>, stop: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(READ_PERIOD) => {}
+            }
+            self.read_changed();
+        }
+    }
+
+    /// Reads the file since it is said to have changed, and tells what came of it.
+    pub(super) fn reload(&self) {
+        if !self.read_changed() {
+            let fault = self.fault.borrow().clone();
+            log_reload(&fault, "", "");
+        }
+    }
+
+    /// Takes in what has changed; false if nothing has.
+    fn read_changed(&self) -> bool {
+        let changed = self.file.borrow_mut().read_changed();
+        match changed {
+            None => false,
+            Some(Ok(settings)) => {
+                self.fault.borrow_mut().clear();
+                self.put_in_force(settings);
+                true
+            }
+            Some(Err(fault)) => {
+                // The settings in force stay, and the same fault is told once.
+                let known = self.fault.replace(fault.clone()) == fault;
+                if !known {
+                    log_reload(&fault, "", "");
+                }
+                !known
+            }
+        }
+    }
+
+    fn put_in_force(&self, settings: RelaySettings) {
+        let change = SettingsChange::between(&self.settings.borrow(), &settings);
+        if !change.in_force.is_empty() {
+            let tuning = relay_tuning(&settings);
+            self.hub.feed(RelayEvent::Retuned(tuning));
+        }
+        self.settings.replace(settings);
+        log_reload("", &change.in_force.join(","), &change.waiting.join(","));
+    }
+}
+
+fn log_reload(fault: &str, in_force: &str, waiting: &str) {
+    LogEvent::SettingsReloaded {
+        fault,
+        in_force,
+        waiting,
+    }
+    .emit();
+}
+
+/// What of the settings the engine goes by, and may change while it runs.
+pub(super) fn relay_tuning(settings: &RelaySettings) -> RelayTuning {
+    RelayTuning {
+        retry_share: settings.retry_share,
+        retry_window: settings.retry_window,
+        drain_time: settings.drain_time,
+    }
+}
+
+/// The fields in which two settings differ.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(super) struct SettingsChange {
+    /// Those that are put in force at once.
+    pub(super) in_force: Vec<&'static str>,
+    /// Those that wait for the next start.
+    pub(super) waiting: Vec<&'static str>,
+}
+
+impl SettingsChange {
+    fn between(former: &RelaySettings, settings: &RelaySettings) -> Self {
+        let (old, new) = (former, settings);
+        let in_force = [
+            ("drain_time", old.drain_time != new.drain_time),
+            (
+                "retries.share",
+                old.retry_share.to_bits() != new.retry_share.to_bits(),
+            ),
+            ("retries.window", old.retry_window != new.retry_window),
+            ("stop_timeout", old.stop_timeout != new.stop_timeout),
+        ];
+        let waiting = [
+            ("host", old.host != new.host),
+            ("data_centre", old.data_centre != new.data_centre),
+            ("listen.callers", old.caller_listen != new.caller_listen),
+            (
+                "listen.readiness",
+                old.readiness_listen != new.readiness_listen,
+            ),
+            ("listen.peers", old.peer_listen != new.peer_listen),
+            ("listen.metrics", old.metrics_listen != new.metrics_listen),
+            ("store", old.store != new.store),
+            ("seed_peers", old.seed_peers != new.seed_peers),
+            (
+                "store_calls_per_second",
+                old.fleet_daemons != new.fleet_daemons,
+            ),
+            ("log", old.log != new.log),
+        ];
+        Self {
+            in_force: changed_names(&in_force),
+            waiting: changed_names(&waiting),
+        }
+    }
+}
+
+fn changed_names(fields: &[(&'static str, bool)]) -> Vec<&'static str> {
+    let changed = fields.iter().filter(|(_, changed)| *changed);
+    changed.map(|(name, _)| *name).collect()
+}
