Hold callers to the published limits

Cause: of the limits that the configuration publishes for callers only the body's was enforced; those of the head, its time and idle time were decoded and unread. Change: a larger head is answered 431; connections accepted from then on have the published head and idle time, the latter with a second's slack so that a close does not cross a request sent in time.

--- a/daemon/src/relay/front.rs
+++ b/daemon/src/relay/front.rs
@@ -66,6 +66,10 @@
         };
         end.route = route.name.clone();
         end.latency_aim = route.latency_aim;
+        if caller::head_bytes(request.head()) > routes.limits.head_bytes {
+            end.cause = "large_head";
+            return caller::plain_answer(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, None);
+        }
         let body = read_body(request.take_payload(), routes.limits.body_bytes).await;
         let body = match body {
             Ok(body) => body,
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -13,7 +13,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
-use yuccalift_core::relay::{RelayEngine, RelayOptions};
+use yuccalift_core::relay::{RelayEngine, RelayOptions, RouteTable};
 use yuccalift_exchange::{LinkOptions, ServeOptions, listen};
 use yuccalift_settings::RelaySettings;
 
@@ -28,9 +28,9 @@
 use crate::events::LogEvent;
 use crate::metrics::MetricsClient;
 
-/// How callers' connections are served. They may be idle for longer than any published limit, so
-/// that none is closed while its caller sends; published limits of heads are shorter, too.
-const CALLER_CONNECTIONS: ServeOptions = ServeOptions {
+/// How connections are served where no limit is published: for peers, the balancer, and callers that
+/// come before the routes do.
+const USUAL_CONNECTIONS: ServeOptions = ServeOptions {
     idle_timeout: Duration::from_secs(120),
     head_timeout: Duration::from_secs(15),
     link: LinkOptions {
@@ -39,6 +39,9 @@
         probes: 3,
     },
 };
+/// How much longer than the published limit a caller's connection may be idle, so that it is not closed
+/// while a request is on its way that was sent in time.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
 /// How long a stopping relay goes on accepting: the balancer asks each second, and sends new
 /// callers until it has been told twice that the relay is not ready.
 const BALANCER_GRACE: Duration = Duration::from_secs(3);
@@ -76,24 +79,35 @@
     let control = RelayControl::new(&settings, links, Rc::clone(&hub), Rc::clone(&readiness));
     actix_rt::spawn(Rc::clone(&control).run(news, stop.clone()));
     let answering = Rc::clone(&control);
-    spawn_listener(peers, stop.clone(), move |request| {
-        answer_peer(Rc::clone(&answering), request)
-    });
+    spawn_listener(
+        peers,
+        || USUAL_CONNECTIONS,
+        stop.clone(),
+        move |request| answer_peer(Rc::clone(&answering), request),
+    );
     let asked = Rc::clone(&readiness);
-    spawn_listener(balancer, stop.clone(), move |request| {
-        answer_balancer(Rc::clone(&asked), request)
-    });
+    spawn_listener(
+        balancer,
+        || USUAL_CONNECTIONS,
+        stop.clone(),
+        move |request| answer_balancer(Rc::clone(&asked), request),
+    );
     if let Some(address) = settings.metrics_listen {
         let listener = bind("metrics", address)?;
-        spawn_listener(listener, stop.clone(), move |_request| {
-            std::future::ready(Ok(answer_metrics(&metrics)))
-        });
+        spawn_listener(
+            listener,
+            || USUAL_CONNECTIONS,
+            stop.clone(),
+            move |_request| std::future::ready(Ok(answer_metrics(&metrics))),
+        );
     }
     let front = Rc::new(FrontState {
         hub: Rc::clone(&hub),
         readiness: Rc::clone(&readiness),
     });
-    spawn_listener(callers, stop.clone(), move |request| {
+    let limited = Rc::clone(&hub);
+    let options = move || caller_connections(&limited.routes());
+    spawn_listener(callers, options, stop.clone(), move |request| {
         answer_caller(Rc::clone(&front), request)
     });
     log_start(&settings);
@@ -106,6 +120,18 @@
     Ok(())
 }
 
+/// How callers' connections are served by the published limits.
+fn caller_connections(routes: &RouteTable) -> ServeOptions {
+    if routes.version == 0 {
+        return USUAL_CONNECTIONS;
+    }
+    ServeOptions {
+        idle_timeout: routes.limits.idle_timeout + IDLE_SLACK,
+        head_timeout: routes.limits.head_timeout,
+        ..USUAL_CONNECTIONS
+    }
+}
+
 fn relay_options(settings: &RelaySettings) -> RelayOptions {
     RelayOptions {
         data_centre: settings.data_centre.clone(),
@@ -118,17 +144,16 @@
 }
 
 /// Serves a listener until the token is cancelled.
-fn spawn_listener<F, Fut>(listener: TcpListener, stop: CancellationToken, handler: F)
-where
+fn spawn_listener<F, Fut>(
+    listener: TcpListener,
+    options: impl Fn() -> ServeOptions + 'static,
+    stop: CancellationToken,
+    handler: F,
+) where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
 {
-    actix_rt::spawn(yuccalift_exchange::serve(
-        listener,
-        CALLER_CONNECTIONS,
-        stop,
-        handler,
-    ));
+    actix_rt::spawn(yuccalift_exchange::serve(listener, options, stop, handler));
 }
 
 /// Answers whoever reads the metrics, at any path.
--- a/exchange/src/server.rs
+++ b/exchange/src/server.rs
@@ -7,7 +7,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use crate::socket::LinkOptions;
@@ -26,29 +26,24 @@
     pub link: LinkOptions,
 }
 
-/// Serves a listener's connections, each as a task of this thread, until the token is cancelled.
+/// Serves a listener's connections, each as a task of this thread, until the token is cancelled. Each
+/// connection is served as `options` says when it is accepted.
 ///
 /// A request whose connection ends is dropped at once; a caller that closes only its half is taken
 /// for gone as well, since the two can't be told apart before an answer is written.
 pub async fn serve<F, Fut>(
     listener: TcpListener,
-    options: ServeOptions,
+    options: impl Fn() -> ServeOptions,
     stop: CancellationToken,
     handler: F,
 ) where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
 {
-    let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(options.idle_timeout))
-        .client_request_timeout(options.head_timeout)
-        .h1_allow_half_closed(false)
-        .h1(fn_service(handler))
-        .tcp();
-    let Ok(service) = factory.new_service(()).await else {
+    let mut current = options();
+    let Some(mut service) = connection_service(current, handler.clone()).await else {
         return;
     };
-    let service = Rc::new(service);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -58,8 +53,14 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let wanted = options();
+        if wanted != current
+            && let Some(changed) = connection_service(wanted, handler.clone()).await
+        {
+            (current, service) = (wanted, changed);
+        }
         let _unset_options_do_no_harm = stream.set_nodelay(true);
-        let _unset_options_do_no_harm = options.link.watch(&stream);
+        let _unset_options_do_no_harm = current.link.watch(&stream);
         let service = Rc::clone(&service);
         let stop = stop.clone();
         tokio::task::spawn_local(async move {
@@ -71,3 +72,21 @@
         });
     }
 }
+
+/// What serves one connection after the other with these options.
+async fn connection_service<F, Fut>(
+    options: ServeOptions,
+    handler: F,
+) -> Option<Rc<impl Service<TcpStream>>>
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
+{
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(options.idle_timeout))
+        .client_request_timeout(options.head_timeout)
+        .h1_allow_half_closed(false)
+        .h1(fn_service(handler))
+        .tcp();
+    factory.new_service(()).await.ok().map(Rc::new)
+}
