Give up overdue attempts at targets that are silent

Its daemons asked a target whether it is there only when an attempt at it had ended, which it did with its request: callers were held for up to 3 s and got a 502 or 504. Also: a target that resets a probe, as one does that is short of connections, was taken for crashed, and what it ran was suspected. Ruled out: hedges; their targets were as silent. Change: the target of an attempt in flight that is overdue is asked for a connection, once a second at the most; if it is silent, its overdue attempts that may be repeated end. A reset counts as being there (TargetReach).

--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -137,6 +137,7 @@
             usual,
             need: AttemptNeed::Wanted,
             paid,
+            probed: false,
         });
         if cause != SendCause::First {
             actions.push(RelayAction::Decided(RelayDecision::SentAgain {
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -39,8 +39,8 @@
     Probed {
         /// The target.
         target: TargetKey,
-        /// Whether it gave one.
-        reachable: bool,
+        /// What came of it.
+        reach: TargetReach,
     },
     /// A peer says something of a request that crashes targets.
     Noticed(QuarantineNotice),
@@ -135,3 +135,14 @@
         (200..300).contains(&self.status) && self.signature.is_some()
     }
 }
+
+/// What came of asking a target for a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetReach {
+    /// It is there.
+    Reached,
+    /// Its host is there, but nothing listens.
+    Refused,
+    /// Nothing came back in time.
+    Silent,
+}
--- a/core/src/relay/hedging.rs
+++ b/core/src/relay/hedging.rs
@@ -56,6 +56,10 @@
             return;
         };
         let delay = self.hedge_delay(state);
+        self.probe_overdue_attempts(now, request, actions);
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
         let mut next: Option<Instant> = None;
         let mut slow = Vec::new();
         for (place, leg) in state.legs.iter().enumerate() {
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -51,7 +51,7 @@
 pub use action::{
     AttemptOrder, ProbeOrder, RefusalCause, RelayAction, RelayAnswer, RelayDecision, RelayRefusal,
 };
-pub use event::{RelayEvent, RelayRequest, TargetOutcome, TargetReply};
+pub use event::{RelayEvent, RelayRequest, TargetOutcome, TargetReach, TargetReply};
 pub use idle_links::IdlePolicy;
 pub use route::{MergeRule, RepeatKind, RouteDestination, RouteEntry, RouteTable};
 pub use target_record::{TargetPhase, TargetRecord};
@@ -140,9 +140,9 @@
             RelayEvent::AttemptEnded { attempt, outcome } => {
                 self.end_attempt(now, attempt, outcome, actions);
             }
-            RelayEvent::Probed { target, reachable } => {
-                self.end_probe(now, target, reachable, actions);
-                self.end_doubt(now, target, reachable, actions);
+            RelayEvent::Probed { target, reach } => {
+                self.end_probe(now, target, reach, actions);
+                self.end_doubt(now, target, reach, actions);
             }
             RelayEvent::Noticed(notice) => self.learn_notice(now, &notice),
             RelayEvent::NoticeEnded(fingerprint) => self.lift_notice(now, fingerprint),
--- a/core/src/relay/probing.rs
+++ b/core/src/relay/probing.rs
@@ -8,15 +8,22 @@
 use std::time::{Duration, Instant};
 
 use super::action::{ProbeOrder, RelayAction, RelayDecision};
+use super::event::TargetReach;
 use super::request::LiveAttempt;
 use super::timers::TimerKind;
-use super::{RelayEngine, TargetKey};
+use super::{AttemptKey, RelayEngine, RequestKey, TargetKey};
 
 /// After how many usual latencies without an answer a target is asked whether it is there.
 const OVERDUE_LATENCIES: u32 = 4;
 /// The least time after which it is asked; a paused process takes longer than a usual request.
 const LEAST_OVERDUE: Duration = Duration::from_millis(100);
 
+/// Whether an attempt has taken far longer than is usual.
+fn is_overdue(now: Instant, attempt: &LiveAttempt) -> bool {
+    let took = now.saturating_duration_since(attempt.sent_at);
+    took >= (attempt.usual * OVERDUE_LATENCIES).max(LEAST_OVERDUE)
+}
+
 impl RelayEngine {
     /// Asks a target for a connection, unless it is being asked.
     pub(super) fn probe(&mut self, target: TargetKey, actions: &mut Vec<RelayAction>) {
@@ -51,32 +58,88 @@
     /// Asks a target that has owed an answer for far longer than is usual.
     pub(super) fn probe_if_overdue(
         &mut self,
+        now: Instant,
         attempt: &LiveAttempt,
-        took: Duration,
         actions: &mut Vec<RelayAction>,
     ) {
-        if took >= (attempt.usual * OVERDUE_LATENCIES).max(LEAST_OVERDUE) {
+        if is_overdue(now, attempt) {
             self.probe(attempt.target, actions);
         }
     }
 
+    /// Asks the targets of a request's attempts in flight that are overdue, once for each attempt:
+    /// a target that is slow answers, and one whose connections have fallen silent is found out
+    /// long before the request's deadline.
+    pub(super) fn probe_overdue_attempts(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get(request) else {
+            return;
+        };
+        let live = state.legs.iter().filter(|leg| leg.is_open());
+        let live: Vec<AttemptKey> = live.flat_map(|leg| leg.live.iter().copied()).collect();
+        for key in live {
+            let Some(attempt) = self.requests.attempt_mut(key) else {
+                continue;
+            };
+            if !is_overdue(now, attempt) || std::mem::replace(&mut attempt.probed, true) {
+                continue;
+            }
+            let target = attempt.target;
+            let reached = self.targets.get(target);
+            if !reached.is_some_and(|target| target.is_reached_lately(now)) {
+                self.probe(target, actions);
+            }
+        }
+    }
+
+    /// Gives up the overdue attempts at a target that is silent, so that their requests go on without
+    /// it. What can't be repeated is left: its answer may still come.
+    fn end_silent_attempts(
+        &mut self,
+        now: Instant,
+        target: TargetKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let silent = self.requests.attempts().filter(|attempt| {
+            attempt.target == target && attempt.is_wanted() && is_overdue(now, attempt)
+        });
+        let ended = silent.filter(|attempt| {
+            let state = self.requests.get(attempt.request);
+            state.is_some_and(|state| !state.is_careful())
+        });
+        actions.extend(ended.map(|attempt| RelayAction::Cancel {
+            attempt: attempt.attempt,
+        }));
+    }
+
     /// Takes what a target's answer says of its reach.
     pub(super) fn end_probe(
         &mut self,
         now: Instant,
         target: TargetKey,
-        reachable: bool,
+        reach: TargetReach,
         actions: &mut Vec<RelayAction>,
     ) {
         let Some(state) = self.targets.get_mut(target) else {
             return;
         };
         state.probed = false;
-        if !reachable {
-            self.suspend_unreachable(now, target, actions);
-            return;
+        match reach {
+            TargetReach::Reached => {}
+            TargetReach::Refused => return self.suspend_unreachable(now, target, actions),
+            TargetReach::Silent => {
+                self.suspend_unreachable(now, target, actions);
+                return self.end_silent_attempts(now, target, actions);
+            }
         }
-        if state.note_reached() {
+        let Some(state) = self.targets.get_mut(target) else {
+            return;
+        };
+        if state.note_reached(now) {
             let record = state.record.clone();
             let decision = RelayDecision::Resumed {
                 target: record.name,
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -101,7 +101,7 @@
             TargetOutcome::Abandoned { .. } => {
                 if took > attempt.usual && !paused {
                     target.note_overdue(now, took, attempt.usual);
-                    self.probe_if_overdue(attempt, took, actions);
+                    self.probe_if_overdue(now, attempt, actions);
                 }
             }
         }
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -185,6 +185,8 @@
     pub(super) need: AttemptNeed,
     /// Whether it took leave from the service's budget.
     pub(super) paid: bool,
+    /// Whether its target has been asked for a connection since it is overdue.
+    pub(super) probed: bool,
 }
 
 impl LiveAttempt {
--- a/core/src/relay/suspicion.rs
+++ b/core/src/relay/suspicion.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use super::action::RelayAction;
-use super::event::TargetOutcome;
+use super::event::{TargetOutcome, TargetReach};
 use super::request::{LiveAttempt, RequestState};
 use super::timers::TimerKind;
 use super::{RelayEngine, RequestKey, TargetKey};
@@ -117,7 +117,7 @@
         &mut self,
         now: Instant,
         target: TargetKey,
-        reachable: bool,
+        reach: TargetReach,
         actions: &mut Vec<RelayAction>,
     ) {
         let doubted = &mut self.suspicion.doubted;
@@ -125,7 +125,7 @@
             return;
         };
         let entry = doubted.swap_remove(place);
-        if !reachable {
+        if reach != TargetReach::Reached {
             let notices = self.suspicion.table.target_lost(now, target, &entry.runs);
             actions.extend(notices.into_iter().map(RelayAction::Tell));
         }
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -18,6 +18,9 @@
 const FAILURE_FACTOR: f64 = 6.0;
 /// The time in which half of what is known of failures is forgotten, in seconds.
 const FAILURE_HALF_LIFE: f64 = 2.0;
+/// The least time between two questions to a target that is there but slow: a connection costs it
+/// some of its room.
+const PROBE_GAP: Duration = Duration::from_secs(1);
 /// What a cold target's score is multiplied by.
 const COLD_FACTOR: f64 = 1.6;
 /// What a target of another data centre has its score multiplied by: its answers take longer.
@@ -72,6 +75,8 @@
     reachable: bool,
     /// Whether it is being asked for a connection.
     pub(super) probed: bool,
+    /// When it last gave one that it was asked for.
+    probed_at: Option<Instant>,
     suspended_until: Option<Instant>,
 }
 
@@ -92,6 +97,7 @@
             strikes: 0,
             reachable: true,
             probed: false,
+            probed_at: None,
             suspended_until: None,
         }
     }
@@ -112,8 +118,15 @@
         !self.reachable && !self.probed && due
     }
 
+    /// Whether it gave a connection just now, so that it needs not be asked again yet.
+    pub(super) fn is_reached_lately(&self, now: Instant) -> bool {
+        self.probed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < PROBE_GAP)
+    }
+
     /// Notes that it gave a connection; true if it had been taken for unreachable.
-    pub(super) fn note_reached(&mut self) -> bool {
+    pub(super) fn note_reached(&mut self, now: Instant) -> bool {
+        self.probed_at = Some(now);
         if self.reachable {
             return false;
         }
--- a/core/tests/relay/departures.rs
+++ b/core/tests/relay/departures.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use yuccalift_core::relay::{RelayEvent, RepeatKind, TargetOutcome, TargetPhase, TargetRecord};
+use yuccalift_core::relay::{
+    RelayEvent, RepeatKind, TargetOutcome, TargetPhase, TargetReach, TargetRecord,
+};
 use yuccalift_testkit::cases;
 
 use crate::support::{DRAIN_TIME, RelayStage, TIMEOUT, forward_route, ms, success, target};
@@ -126,7 +128,7 @@
         for probe in std::mem::take(&mut stage.probes) {
             stage.feed(RelayEvent::Probed {
                 target: probe.target,
-                reachable: true,
+                reach: TargetReach::Reached,
             });
         }
         tried |= next_target(&mut stage).as_deref() == Some(order.name.as_ref());
--- a/core/tests/relay/unreachable.rs
+++ b/core/tests/relay/unreachable.rs
@@ -2,22 +2,39 @@
 
 use std::time::Duration;
 
-use yuccalift_core::relay::{RelayEvent, RepeatKind, TargetOutcome};
+use yuccalift_core::relay::{
+    RelayAnswer, RelayEvent, RelayRefusal, RepeatKind, RouteEntry, TargetOutcome, TargetReach,
+};
 use yuccalift_testkit::cases;
 
 use crate::support::{RelayStage, TIMEOUT, forward_route, gather_route, ms, success, target};
 
+/// After how long a connection attempt without an answer is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 fn stage() -> RelayStage {
     let route = forward_route("orders", RepeatKind::Idempotent, 2);
     let targets = ["a", "b"].map(|name| target(name, "orders"));
     RelayStage::new(vec![route], targets.into())
 }
 
+/// What comes of asking a target that is there, or is dark.
+fn reach(reachable: bool) -> TargetReach {
+    if reachable {
+        TargetReach::Reached
+    } else {
+        TargetReach::Silent
+    }
+}
+
 /// Answers the last question to a target.
 fn answer_probe(stage: &mut RelayStage, reachable: bool) {
     let probe = *stage.probes.last().expect("the target is asked");
     let target = probe.target;
-    stage.feed(RelayEvent::Probed { target, reachable });
+    stage.feed(RelayEvent::Probed {
+        target,
+        reach: reach(reachable),
+    });
 }
 
 /// Sends requests, which all succeed; to which targets.
@@ -116,14 +133,73 @@
         while let Some(probe) = stage.probes.get(answered).copied() {
             answered += 1;
             let target = probe.target;
-            stage.feed(RelayEvent::Probed { target, reachable });
+            stage.feed(RelayEvent::Probed {
+                target,
+                reach: reach(reachable),
+            });
         }
         stage.pass(ms(1));
     }
     answered
 }
 
+/// The way to a data centre is cut without a word while requests are in flight there: they end as
+/// soon as that is known, not at their deadline, and the next are refused at once.
+fn silent_data_centre_holds_nobody(least_coverage: f64) {
+    let services = ["s0", "s1", "s2"];
+    let targets = services.map(|name| target(name, name));
+    let route = RouteEntry {
+        timeout: Duration::from_secs(10),
+        ..gather_route(&services, least_coverage)
+    };
+    let mut stage = RelayStage::new(vec![route], targets.into());
+    stage.warm_up("gather", 30, ms(15));
+    let asked_before = stage.probes.len();
+    let begun = stage.now;
+    let request = stage.submit("gather", Duration::from_secs(3));
+    let (mut answered, mut cancelled) = (asked_before, 0);
+    while !stage.has_ended(request) {
+        stage.pass(CONNECT_TIMEOUT);
+        answered = answer_probes_for(&mut stage, ms(1), answered, false);
+        while let Some(attempt) = stage.cancels.get(cancelled).copied() {
+            cancelled += 1;
+            stage.end(attempt, TargetOutcome::Abandoned { sent: true });
+        }
+    }
+    let took = stage.end_of(request).at - begun;
+    assert!(took <= ms(600), "it was held for {took:?}");
+    let next = stage.submit("gather", Duration::from_secs(3));
+    let refused = &stage.end_of(next).result;
+    assert!(
+        matches!(refused, Err(RelayRefusal::NotRun { .. })),
+        "{refused:?}"
+    );
+}
+
+/// A target that only takes long keeps its attempt.
+fn slow_target_keeps_its_attempt() {
+    let mut stage = RelayStage::new(
+        vec![forward_route("orders", RepeatKind::Idempotent, 2)],
+        vec![target("a", "orders")],
+    );
+    stage.warm_up("to-orders", 80, ms(5));
+    let request = stage.submit("to-orders", TIMEOUT);
+    let slow = stage.last_send().attempt;
+    answer_probes_for(&mut stage, ms(400), 0, true);
+    assert!(
+        (1..=2).contains(&stage.probes.len()),
+        "it is asked, not flooded"
+    );
+    assert!(stage.cancels.is_empty());
+    stage.end(slow, success(b""));
+    let result = &stage.end_of(request).result;
+    assert!(matches!(result, Ok(RelayAnswer::Whole(_))), "{result:?}");
+}
+
 cases! {
+    a_silent_data_centre_holds_no_request: silent_data_centre_holds_nobody(1.0);
+    a_silent_data_centre_holds_none_that_may_lack_parts: silent_data_centre_holds_nobody(0.5);
+    a_slow_target_keeps_its_attempt: slow_target_keeps_its_attempt();
     the_way_back_to_a_data_centre_is_told_by_the_first: way_back_is_told_by_the_first();
     an_unreachable_target_gets_no_request: unreachable_gets_no_request();
     a_silent_target_that_is_dark_is_found_out: silent_target_is_asked(false);
--- a/daemon/src/relay/hub.rs
+++ b/daemon/src/relay/hub.rs
@@ -206,9 +206,9 @@
     fn probe(self: &Rc<Self>, probe: ProbeOrder) {
         let hub = Rc::clone(self);
         actix_rt::spawn(async move {
-            let reachable = hub.pool.probe(&probe).await;
+            let reach = hub.pool.probe(&probe).await;
             let target = probe.target;
-            hub.feed(RelayEvent::Probed { target, reachable });
+            hub.feed(RelayEvent::Probed { target, reach });
         });
     }
 
--- a/daemon/src/relay/pool.rs
+++ b/daemon/src/relay/pool.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::ServiceConfig;
-use yuccalift_core::relay::{AttemptOrder, IdlePolicy, ProbeOrder, TargetKey};
+use yuccalift_core::relay::{AttemptOrder, IdlePolicy, ProbeOrder, TargetKey, TargetReach};
 use yuccalift_exchange::{ExchangeLink, LinkOptions};
 
 /// How connections to targets find out that the other end is gone. A target that can't be reached
@@ -73,9 +73,14 @@
 
     /// Whether a target gives a connection. It is not kept: a target that is short of connections
     /// would be held to it by every daemon that asks.
-    pub(super) async fn probe(&self, probe: &ProbeOrder) -> bool {
+    pub(super) async fn probe(&self, probe: &ProbeOrder) -> TargetReach {
         let link = ExchangeLink::open(probe.address, &TARGET_LINKS, &self.config).await;
-        link.is_ok()
+        match link.map_err(|error| error.kind()) {
+            // A target that resets a connection is there, and short of connections.
+            Ok(_) | Err(io::ErrorKind::ConnectionReset) => TargetReach::Reached,
+            Err(io::ErrorKind::ConnectionRefused) => TargetReach::Refused,
+            Err(_) => TargetReach::Silent,
+        }
     }
 
     fn take_idle(&self, order: &AttemptOrder) -> Option<ExchangeLink> {
