Soak clocks that are set back

Cause: the system uses the time of day once, for a daemon's incarnation among its peers, and the soak did not touch it.

--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -306,9 +306,11 @@
 }
 
 fn control_settings(settings: &RelaySettings) -> ControlSettings {
-    let incarnation = SystemTime::now()
+    let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .unwrap_or(Duration::ZERO)
+        .unwrap_or(Duration::ZERO);
+    let incarnation = since_epoch
+        .saturating_sub(settings.clock_behind)
         .as_micros() as u64;
     ControlSettings {
         own: MemberRecord {
--- a/daemon/src/relay/settings_watch.rs
+++ b/daemon/src/relay/settings_watch.rs
@@ -191,6 +191,7 @@
                 "store_calls_per_second",
                 old.fleet_daemons != new.fleet_daemons,
             ),
+            ("clock_behind", old.clock_behind != new.clock_behind),
             ("log", old.log != new.log),
         ];
         Self {
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -49,6 +49,8 @@
     pub retry_window: Duration,
     /// How long a graceful stop may take.
     pub stop_timeout: Duration,
+    /// How far the time of day is taken back; soaks play a host's wrong clock by it.
+    pub clock_behind: Duration,
     /// How logs are written.
     pub log: LogSettings,
 }
@@ -145,6 +147,15 @@
         default: FieldDefault::Value("6s"),
         help: "how long a graceful stop may take before the process ends all the same",
     },
+    FieldSpec {
+        name: "clock_behind",
+        kind: FieldKind::Duration {
+            min: Duration::ZERO,
+            max: Duration::from_secs(86_400),
+        },
+        default: FieldDefault::Value("0s"),
+        help: "how far the time of day is taken back; for soaks, which play a wrong clock by it",
+    },
     LOG_FORMAT,
     LOG_LEVEL,
 ];
@@ -178,6 +189,7 @@
         retry_share: reader.share("retries.share")?,
         retry_window: reader.duration("retries.window")?,
         stop_timeout: reader.duration("stop_timeout")?,
+        clock_behind: reader.duration("clock_behind")?,
         log: log_settings(reader)?,
     })
 }
