--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::target_record::TargetRecord;
+use super::target_record::{TargetName, TargetRecord};
 use super::{AttemptKey, TargetKey};
 use crate::engine::latency::LatencyAverage;
 
@@ -251,10 +251,12 @@
     }
 }
 
-/// All targets that are listed or leaving, sorted by key.
+/// All targets that are listed or leaving, sorted by key, and the newest of each name.
 #[derive(Debug, Default)]
 pub(super) struct RelayTargets {
     entries: Vec<RelayTarget>,
+    /// Sorted by name.
+    names: Vec<(TargetName, TargetKey)>,
     last_key: TargetKey,
 }
 
@@ -265,8 +267,13 @@
         self.last_key
     }
 
-    /// Adds a target.
+    /// Adds a target, which is the newest of its name from now on.
     pub(super) fn insert(&mut self, target: RelayTarget) {
+        let (name, key) = (target.record.name.clone(), target.key);
+        match self.name_place(&name) {
+            Ok(place) => self.names[place].1 = key,
+            Err(place) => self.names.insert(place, (name, key)),
+        }
         self.entries.push(target);
     }
 
@@ -284,15 +291,20 @@
 
     /// The newest incarnation of a name.
     pub(super) fn find_name(&self, name: &str) -> Option<TargetKey> {
-        let found = self.entries.iter().rev();
-        let mut found = found.filter(|target| target.record.name.as_ref() == name);
-        found.next().map(|target| target.key)
+        let place = self.name_place(name).ok()?;
+        self.names.get(place).map(|(_, key)| *key)
     }
 
     /// Forgets a target.
     pub(super) fn remove(&mut self, key: TargetKey) -> Option<RelayTarget> {
         let place = self.place(key).ok()?;
-        Some(self.entries.remove(place))
+        let target = self.entries.remove(place);
+        if let Ok(place) = self.name_place(&target.record.name)
+            && self.names[place].1 == key
+        {
+            self.names.remove(place);
+        }
+        Some(target)
     }
 
     /// All targets.
@@ -303,4 +315,9 @@
     fn place(&self, key: TargetKey) -> Result<usize, usize> {
         self.entries.binary_search_by_key(&key, |target| target.key)
     }
+
+    fn name_place(&self, name: &str) -> Result<usize, usize> {
+        let names = &self.names;
+        names.binary_search_by(|(other, _)| other.as_ref().cmp(name))
+    }
 }
