Ask targets on that lapsed while the store was out of reach

When it is back, 23 targets are missing from the list; they list themselves again at 24.0 s, but counted as leaving after 0.3 s and were forgotten after 1.2 s. From 23.2 s on every daemon refused all searches as no_target, and those of data centre a, which is cut off at 24 s, until 30 s. Ruled out: late news; all daemons had the removals within 20 ms. Change: a reader whose store did not answer for 1.2 times a watch's wait marks its next sign of life; who hears it asks targets that are then missing as before until 2.2 s after, when what lives is listed again.

--- a/core/src/control/event.rs
+++ b/core/src/control/event.rs
@@ -97,6 +97,9 @@
         /// Whether it is said from now on.
         active: bool,
     },
+    /// The platform can be read again after it could not be for a while: what it says to be gone may
+    /// only have lapsed meanwhile.
+    PlatformRegained,
     /// Whether the configuration is known well enough to take requests.
     Ready(bool),
     /// A later process runs on this daemon's host; this one must stop.
--- a/core/src/control/node/messages.rs
+++ b/core/src/control/node/messages.rs
@@ -58,7 +58,7 @@
         }
         for beat in &message.beats {
             if beat.host != self.own_beat.host {
-                self.beats.merge(now, beat);
+                self.hear_beat(now, beat, actions);
             }
         }
         self.take_config(message, actions);
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -106,6 +106,7 @@
             host: settings.own.host.clone(),
             incarnation: settings.own.incarnation,
             count: 0,
+            regained: 0,
         };
         let reading = ReadingPlan::new(now, settings.pace, settings.seeds.is_empty(), &mut rng);
         Self {
@@ -244,6 +245,7 @@
     fn forget_ages(&mut self, now: Instant) {
         self.members.forget_ages(now);
         self.beats.forget_ages();
+        self.reading.forget_ages();
         self.pending.clear();
         self.exchange_plan.restart(now);
         self.ready = ReadyPlan {
--- a/core/src/control/node/reading.rs
+++ b/core/src/control/node/reading.rs
@@ -10,6 +10,7 @@
 use crate::control::config_store::OfferVerdict;
 use crate::control::event::{ControlAction, ControlNotice, HostHint};
 use crate::control::fleet_bounds::FleetBounds;
+use crate::control::reader_beat::{BeatNews, ReaderBeat};
 use crate::control::reader_election::{poll_interval, reader_count, reader_rank};
 use crate::ids::ConfigVersion;
 
@@ -19,6 +20,9 @@
 const HOSTS_PERIOD: Duration = Duration::from_secs(2);
 /// How long without a sign of a reader a daemon takes it that nobody relays.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(6);
+/// A reader without an answer for so many times the wait of a watch could not reach the platform: a
+/// watch without changes ends after one.
+const SILENT_WATCHES: f64 = 1.2;
 /// Over which time the first calls of daemons without peers to ask are spread.
 const LONE_WINDOW: Duration = Duration::from_secs(2);
 /// When a fresh daemon that has found peers looks whether it is the first among them.
@@ -69,6 +73,8 @@
     next_poll: Instant,
     first_look: Option<Instant>,
     wants_hosts: bool,
+    /// When the platform last answered, while this daemon is a reader.
+    answered: Option<Instant>,
 }
 
 impl ReadingPlan {
@@ -90,9 +96,22 @@
             next_poll: now + window.mul_f64(rng.random()),
             first_look: Some(now + settled),
             wants_hosts: false,
+            answered: None,
         }
     }
 
+    /// Notes an answer of the platform; true if it is a reader's first after an outage.
+    fn note_answer(&mut self, now: Instant) -> bool {
+        let silence = self.pace.watch_wait.mul_f64(SILENT_WATCHES);
+        let before = self.answered.replace(now).filter(|_| self.is_reader);
+        before.is_some_and(|before| now.saturating_duration_since(before) > silence)
+    }
+
+    /// Forgets when the platform last answered, after a pause.
+    pub(super) fn forget_ages(&mut self) {
+        self.answered = None;
+    }
+
     pub(super) fn is_reader(&self) -> bool {
         self.is_reader
     }
@@ -149,7 +168,7 @@
         plan.in_flight = false;
         plan.failures = 0;
         plan.next_read = now + plan.pace.watch_gap;
-        self.raise_beat(now);
+        self.raise_beat(now, actions);
         let before = self.store.version();
         let mut changes = Vec::new();
         let verdict = self.store.take_published(version, values, &mut changes);
@@ -180,7 +199,7 @@
         actions: &mut Vec<ControlAction>,
     ) {
         if self.reading.failures == 0 {
-            self.raise_beat(now);
+            self.raise_beat(now, actions);
         }
         let is_first = !self.knows_peers();
         self.take_hints(now, hints);
@@ -196,6 +215,7 @@
             return;
         }
         self.reading.is_reader = is_reader;
+        self.reading.answered = None;
         self.reading.next_read = now;
         self.reading.next_hosts = now;
         let notice = ControlNotice::ReaderChanged(is_reader);
@@ -252,8 +272,26 @@
         }
     }
 
-    fn raise_beat(&mut self, now: Instant) {
+    /// Counts an answer of the platform, and tells all whether it is the first after an outage.
+    fn raise_beat(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
         self.own_beat.count += 1;
-        self.beats.merge(now, &self.own_beat);
+        if self.reading.note_answer(now) {
+            self.own_beat.regained = self.own_beat.count;
+        }
+        let beat = self.own_beat.clone();
+        self.hear_beat(now, &beat, actions);
+    }
+
+    /// Takes a sign that somebody reads the platform.
+    pub(super) fn hear_beat(
+        &mut self,
+        now: Instant,
+        beat: &ReaderBeat,
+        actions: &mut Vec<ControlAction>,
+    ) {
+        match self.beats.merge(now, beat) {
+            BeatNews::Known | BeatNews::Raised => {}
+            BeatNews::Regained => actions.push(ControlAction::PlatformRegained),
+        }
     }
 }
--- a/core/src/control/reader_beat.rs
+++ b/core/src/control/reader_beat.rs
@@ -28,6 +28,21 @@
     /// How many answers it had.
     #[serde(rename = "c")]
     pub count: u64,
+    /// Which of them was the first after the platform had been out of its reach for a while; 0 if
+    /// none was.
+    #[serde(rename = "r", default)]
+    pub regained: u64,
+}
+
+/// What a beat says that was not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BeatNews {
+    /// Nothing.
+    Known,
+    /// That its reader was answered.
+    Raised,
+    /// That its reader was answered for the first time after an outage of the platform.
+    Regained,
 }
 
 #[derive(Clone, Debug)]
@@ -49,21 +64,27 @@
         self.latest
     }
 
-    /// Takes a beat; true if it was news.
-    pub fn merge(&mut self, now: Instant, beat: &ReaderBeat) -> bool {
+    /// Takes a beat, and tells what is new in it.
+    pub fn merge(&mut self, now: Instant, beat: &ReaderBeat) -> BeatNews {
         self.heard
             .retain(|known| now.saturating_duration_since(known.raised) < KEPT_FOR);
         let known = self
             .heard
             .iter_mut()
             .find(|known| known.beat.host == beat.host);
+        let mut news = BeatNews::Raised;
         match known {
             Some(known)
                 if (known.beat.incarnation, known.beat.count) >= (beat.incarnation, beat.count) =>
             {
-                return false;
+                return BeatNews::Known;
             }
             Some(known) => {
+                let is_same = known.beat.incarnation == beat.incarnation;
+                let known_count = if is_same { known.beat.count } else { 0 };
+                if beat.regained > known_count {
+                    news = BeatNews::Regained;
+                }
                 known.beat = beat.clone();
                 known.raised = now;
             }
@@ -73,7 +94,7 @@
             }),
         }
         self.latest = Some(now);
-        true
+        news
     }
 
     /// The beats to send: the most recently raised.
--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -2,7 +2,7 @@
 //!
 //! See `docs/PLATFORM.md`, "A target's state".
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::action::{RelayAction, RelayDecision};
 use super::target::{RelayTarget, Standing};
@@ -14,6 +14,9 @@
 /// goes on serving for the drain time if it is leaving, and may only have lapsed while the list
 /// was out of reach; then it is listed again soon.
 const UNLISTED_SHARE: f64 = 0.1;
+/// For how long after the list is back targets may be missing that only lapsed meanwhile: they list
+/// themselves again within about two seconds.
+const LAPSE_TIME: Duration = Duration::from_millis(2_200);
 /// The part of the drain time in which a leaving target is still asked for want of another. Three
 /// fifths of the drain time are for the way of the news from daemon to daemon.
 const LAST_RESORT_SHARE: f64 = 0.3;
@@ -89,7 +92,7 @@
         let Some(key) = self.targets.find_name(name) else {
             return;
         };
-        let until = now + self.options.tuning.drain_time.mul_f64(UNLISTED_SHARE);
+        let until = self.unlisted_until(now);
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
@@ -101,6 +104,13 @@
         }
     }
 
+    /// Until when a target that is listed no longer is asked as before.
+    fn unlisted_until(&self, now: Instant) -> Instant {
+        let usual = now + self.options.tuning.drain_time.mul_f64(UNLISTED_SHARE);
+        let lapsed = self.list_regained_at.map(|regained| regained + LAPSE_TIME);
+        lapsed.map_or(usual, |lapsed| lapsed.max(usual))
+    }
+
     /// Takes a target out of the first choice; it is forgotten when its time is over.
     fn begin_departure(&mut self, now: Instant, key: TargetKey, actions: &mut Vec<RelayAction>) {
         let until = now + self.options.tuning.drain_time.mul_f64(LAST_RESORT_SHARE);
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -48,6 +48,8 @@
     NoticeEnded(Fingerprint),
     /// How many daemons there seem to be.
     FleetSized(u32),
+    /// The list of targets can be read again after it could not be for a while.
+    ListRegained,
     /// Its options have changed.
     Retuned(super::RelayTuning),
     /// The process was paused; what looks late may not be.
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -104,6 +104,7 @@
     suspicion: SuspicionBoard,
     timers: TimerQueue,
     resumed_at: Option<Instant>,
+    list_regained_at: Option<Instant>,
     split_turn: u64,
     fleet_daemons: u32,
 }
@@ -121,6 +122,7 @@
             suspicion: SuspicionBoard::default(),
             timers: TimerQueue::default(),
             resumed_at: None,
+            list_regained_at: None,
             split_turn: 0,
             fleet_daemons: 0,
         }
@@ -150,6 +152,7 @@
                 self.fleet_daemons = daemons;
                 self.services.put_connection_limits(&self.routes, daemons);
             }
+            RelayEvent::ListRegained => self.list_regained_at = Some(now),
             RelayEvent::Retuned(tuning) => self.options.tuning = tuning,
             RelayEvent::Paused => self.resumed_at = Some(now),
             RelayEvent::Tick => {}
--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -241,7 +241,38 @@
     exchanges(&first).remove(0).2
 }
 
+/// Nobody could read the platform for a while: the first answer after it says so, since what the
+/// platform says to be gone may only have lapsed meanwhile.
+fn says_that_the_platform_is_back(silence: Duration, told: bool) {
+    let now = Instant::now();
+    let (mut reader, mut other) = (node(now, 1, &[]), node(now, 2, &[1]));
+    let is_told = |actions: &[ControlAction]| {
+        let told = |action: &ControlAction| matches!(action, ControlAction::PlatformRegained);
+        actions.iter().any(told)
+    };
+    let bounds = FleetBounds {
+        daemons: 30,
+        daemons_per_data_centre: 30,
+    };
+    handle(&mut reader, now, ControlEvent::BoundsChanged(bounds));
+    assert!(reader.is_reader(), "it is the first of those it knows");
+    handle(&mut reader, now, published(1));
+    let asked = handle(&mut other, now, ControlEvent::Tick);
+    let heard = deliver(now, &mut other, &mut reader, &exchanges(&asked)[0]);
+    assert!(!is_told(&heard), "the first sign of all says nothing");
+    let later = now + silence;
+    run(&mut reader, now, silence);
+    run(&mut other, now, silence);
+    let read = handle(&mut reader, later, published(2));
+    assert_eq!(is_told(&read), told, "by the reader's own answer");
+    let asked = run(&mut other, later, 3 * SECOND);
+    let heard = deliver(later, &mut other, &mut reader, &exchanges(&asked)[0]);
+    assert_eq!(is_told(&heard), told, "by what a peer says");
+}
+
 yuccalift_testkit::cases! {
+    a_platform_that_is_back_is_told: says_that_the_platform_is_back(20 * SECOND, true);
+    a_platform_that_was_there_is_not_told: says_that_the_platform_is_back(2 * SECOND, false);
     a_daemon_alone_on_its_host_claims_succession:
         hears_of_a_later_process(Succession::Claim, false);
     another_daemon_yields_to_a_later_process:
--- a/core/tests/relay/departures.rs
+++ b/core/tests/relay/departures.rs
@@ -136,7 +136,30 @@
     assert!(tried, "it gets another chance");
 }
 
+/// The list was out of reach and is back, without a target that could not list itself meanwhile: it is
+/// asked as before until it should be listed again, and given up like others then.
+fn lapsed_in_an_outage_is_asked_on(after: Duration, asked: bool) {
+    let mut stage = stage(&["a"]);
+    stage.feed(RelayEvent::ListRegained);
+    stage.feed(unlisted("a"));
+    stage.pass(after);
+    assert_eq!(next_target(&mut stage).is_some(), asked);
+}
+
+/// Long after the list is back a target that it lacks is given up as usual.
+fn unlisted_later_is_given_up() {
+    let mut stage = stage(&["a"]);
+    stage.feed(RelayEvent::ListRegained);
+    stage.pass(ms(4_000));
+    stage.feed(unlisted("a"));
+    stage.pass(DRAIN_TIME / 2);
+    assert_eq!(next_target(&mut stage), None);
+}
+
 cases! {
+    a_target_that_lapsed_in_an_outage_is_asked_on: lapsed_in_an_outage_is_asked_on(ms(2_100), true);
+    a_target_that_stays_lapsed_is_given_up: lapsed_in_an_outage_is_asked_on(ms(3_300), false);
+    a_target_unlisted_later_is_given_up_as_usual: unlisted_later_is_given_up();
     a_draining_target_gets_nothing: leaving_gets_nothing(draining("a"));
     a_draining_target_is_the_last_resort: leaving_is_the_last_resort(draining("a"));
     an_unlisted_target_is_asked_for_a_while: unlisted_is_asked_for_a_while();
--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -191,6 +191,8 @@
             } => self.exchange(exchange, address, message, context),
             ControlAction::ReadValues { after, wait } => self.read_values(after, wait, context),
             ControlAction::ReadHosts => self.read_hosts(context),
+            // Shard maps name their targets, and nothing of them lapses.
+            ControlAction::PlatformRegained => {}
             ControlAction::PutInForce(value) => self.tell(ControlOutput::InForce(value)),
             ControlAction::News { kind, active } => {
                 self.tell(ControlOutput::News { kind, active });
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -190,6 +190,8 @@
     }
     #[doc = "A request that must not run twice was sent to a target, which has `time_left_ms` for it."]
     616 INFO "order_sent" OrderSent { request: &'a str, target: &'a str, time_left_ms: u64 }
+    #[doc = "The store was out of reach of its readers and is back; targets that it lacks may have lapsed meanwhile."]
+    617 INFO "outage_ended" OutageEnded { host: &'a str }
     #[doc = "A target was lost while it ran a request; `blame` is its part of the blame so far, in thousandths of a target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is held back, since targets were lost whenever they ran it."]
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -189,6 +189,10 @@
                 message,
             } => self.exchange(exchange, address, message),
             ControlAction::ReadValues { after, wait } => self.read(after, wait),
+            ControlAction::PlatformRegained => {
+                LogEvent::OutageEnded { host: &self.host }.emit();
+                self.hub.feed(RelayEvent::ListRegained);
+            }
             ControlAction::PutInForce(value) => self.put_in_force(&value),
             ControlAction::Noticed(notice) => log_notice(&self.host, &notice),
             // The platform lists no daemons, a host runs one, and readiness is by what is in force.
