Tell a daemon's own errors from a target's when it is asked for a connection

Cause, from reading the change: any error of a probe but a refusal or a reset was taken for a silent target, also one of the daemon's own, such as a want of descriptors; its overdue attempts would have been given up for it. Change: only a time-out or an unreachable host or network counts as silence.

--- a/daemon/src/relay/pool.rs
+++ b/daemon/src/relay/pool.rs
@@ -75,11 +75,17 @@
     /// would be held to it by every daemon that asks.
     pub(super) async fn probe(&self, probe: &ProbeOrder) -> TargetReach {
         let link = ExchangeLink::open(probe.address, &TARGET_LINKS, &self.config).await;
-        match link.map_err(|error| error.kind()) {
-            // A target that resets a connection is there, and short of connections.
-            Ok(_) | Err(io::ErrorKind::ConnectionReset) => TargetReach::Reached,
-            Err(io::ErrorKind::ConnectionRefused) => TargetReach::Refused,
-            Err(_) => TargetReach::Silent,
+        let Err(error) = link else {
+            return TargetReach::Reached;
+        };
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => TargetReach::Refused,
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable => TargetReach::Silent,
+            // A target that resets a connection is there, and short of connections; any other error,
+            // such as a want of descriptors, is this daemon's own and says nothing of the target.
+            _ => TargetReach::Reached,
         }
     }
 
