Check the deployed template of a relay's settings

Cause: yuccalift check refused deploy/relay.yaml.template, so a fault in it showed only when the platform had filled it in and the daemon ended with status 2. Change: a template is filled in with sample values, then checked like settings; a name that the platform does not fill in is told. Tests: two cases of the command line; the first failed with "found a name that is not text" before.

--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -1,6 +1,7 @@
 //! `yuccalift check`: checks settings and published documents, and shows every fault.
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
+use yuccalift_platform::template::{fill_sample, is_template};
 use yuccalift_settings::SiteCheck;
 
 use crate::error::CommandError;
@@ -12,7 +13,8 @@
 Usage: yuccalift check FILE...
 
 FILE is the settings of a daemon (YAML), templates and accounts (YAML), a shard map (JSON) or the
-bounds of the fleet (JSON); its kind is told from its text. Each fault is one line on standard
+bounds of the fleet (JSON), or the template from which the users' platform makes a relay's settings; its
+kind is told from its text. Each fault is one line on standard
 error: FILE:LINE: FIELD: found ...; allowed: ...
 
 Files that are given together are also checked to go together: accounts ask only collections with a
@@ -76,9 +78,19 @@
             return false;
         }
     };
+    let template = is_template(&text);
+    let text = match template.then(|| fill_sample(&text)) {
+        None => text,
+        Some(Ok(filled)) => filled,
+        Some(Err(error)) => {
+            eprintln!("{file}: {error}");
+            return false;
+        }
+    };
     match site.add(file, &text) {
         Ok(kind) => {
-            println!("{file}: valid {}", kind.describe());
+            let template = if template { "template of " } else { "" };
+            println!("{file}: valid {template}{}", kind.describe());
             true
         }
         Err(errors) => {
--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -27,6 +27,10 @@
 yuccalift_testkit::cases! {
     check_accepts_an_example:
         file_ends_with("check", "examples/quito/accounts.yaml", &[], 0, "valid templates and accounts");
+    check_accepts_the_deployed_template:
+        file_ends_with("check", "deploy/relay.yaml.template", &[], 0, "valid template of settings of a relay");
+    check_refuses_a_template_with_an_unknown_value:
+        file_ends_with("check", "cli/tests/broken.yaml.template", &[], 2, "{{nobody}} is no value");
     check_refuses_a_broken_file:
         file_ends_with("check", "settings/tests/broken/07-contradictions.yaml", &[], 2, ":8: templates.search.urgency");
     check_refuses_a_missing_file: ends_with(&["check", "/no/such/file"], 2, "read file /no/such/file");
