Bound how long a lapsed target is asked, and pass over one reader's outage

A reader that was cut off by itself came back at 13.6 s and told of an outage, which all daemons took for everybody's; a target that left without a word at 13.669 s was then asked until 16.69 s, 2.2 s as lapsed and 0.9 s more as the last resort.

--- a/core/src/control/node/reading.rs
+++ b/core/src/control/node/reading.rs
@@ -282,16 +282,20 @@
         self.hear_beat(now, &beat, actions);
     }
 
-    /// Takes a sign that somebody reads the platform.
+    /// Takes a sign that somebody reads the platform. That one reader was without it for a while says
+    /// nothing where others were answered meanwhile.
     pub(super) fn hear_beat(
         &mut self,
         now: Instant,
         beat: &ReaderBeat,
         actions: &mut Vec<ControlAction>,
     ) {
+        let latest = self.beats.latest();
+        let silence = self.reading.pace.watch_wait;
+        let silent = latest.is_some_and(|at| now.saturating_duration_since(at) > silence);
         match self.beats.merge(now, beat) {
-            BeatNews::Known | BeatNews::Raised => {}
-            BeatNews::Regained => actions.push(ControlAction::PlatformRegained),
+            BeatNews::Regained if silent => actions.push(ControlAction::PlatformRegained),
+            BeatNews::Known | BeatNews::Raised | BeatNews::Regained => {}
         }
     }
 }
--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -14,6 +14,9 @@
 /// goes on serving for the drain time if it is leaving, and may only have lapsed while the list
 /// was out of reach; then it is listed again soon.
 const UNLISTED_SHARE: f64 = 0.1;
+/// The part of the drain time after which a target that is listed no longer is asked no more, whatever
+/// is hoped of it: the rest is for the way of the news.
+const LAST_ASKED_SHARE: f64 = 0.75;
 /// For how long after the list is back targets may be missing that only lapsed meanwhile: they list
 /// themselves again within about two seconds.
 const LAPSE_TIME: Duration = Duration::from_millis(2_200);
@@ -97,7 +100,7 @@
             return;
         };
         if target.standing == Standing::Listed {
-            target.standing = Standing::Unlisted { until };
+            target.standing = Standing::Unlisted { since: now, until };
             note_change(&target.record, "unlisted", actions);
             let due = TimerKind::Departure { target: key };
             self.timers.add(until, due);
@@ -107,20 +110,25 @@
     /// Until when a target that is listed no longer is asked as before.
     fn unlisted_until(&self, now: Instant) -> Instant {
         let usual = now + self.options.tuning.drain_time.mul_f64(UNLISTED_SHARE);
+        let latest = now + self.options.tuning.drain_time.mul_f64(LAST_ASKED_SHARE);
         let lapsed = self.list_regained_at.map(|regained| regained + LAPSE_TIME);
-        lapsed.map_or(usual, |lapsed| lapsed.max(usual))
+        lapsed.map_or(usual, |lapsed| lapsed.min(latest).max(usual))
     }
 
     /// Takes a target out of the first choice; it is forgotten when its time is over.
     fn begin_departure(&mut self, now: Instant, key: TargetKey, actions: &mut Vec<RelayAction>) {
-        let until = now + self.options.tuning.drain_time.mul_f64(LAST_RESORT_SHARE);
+        let drain_time = self.options.tuning.drain_time;
+        let until = now + drain_time.mul_f64(LAST_RESORT_SHARE);
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
-        match target.standing {
+        let until = match target.standing {
             Standing::Leaving { .. } | Standing::Replaced => return,
-            Standing::Listed | Standing::Unlisted { .. } => {}
-        }
+            Standing::Listed => until,
+            Standing::Unlisted { since, .. } => {
+                until.min(since + drain_time.mul_f64(LAST_ASKED_SHARE))
+            }
+        };
         target.standing = Standing::Leaving { until };
         note_change(&target.record, "leaving", actions);
         let due = TimerKind::Departure { target: key };
@@ -138,7 +146,7 @@
             return;
         };
         match target.standing {
-            Standing::Unlisted { until } if until <= now => {
+            Standing::Unlisted { until, .. } if until <= now => {
                 self.begin_departure(now, key, actions);
             }
             Standing::Leaving { until } if until <= now => self.forget_target(key, actions),
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -33,6 +33,8 @@
     Listed,
     /// No longer listed, but perhaps only lapsed while the list was out of reach.
     Unlisted {
+        /// Since when.
+        since: Instant,
         /// When it counts as leaving unless it comes back.
         until: Instant,
     },
--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -270,7 +270,41 @@
     assert_eq!(is_told(&heard), told, "by what a peer says");
 }
 
+/// One reader of two could not reach the platform for a while; the other could: nothing has lapsed.
+fn outage_of_one_reader_is_passed_over() {
+    let now = Instant::now();
+    let bounds = FleetBounds {
+        daemons: 30,
+        daemons_per_data_centre: 30,
+    };
+    let (mut cut, mut well) = (node(now, 1, &[]), node(now, 2, &[1]));
+    for reader in [&mut cut, &mut well] {
+        handle(reader, now, ControlEvent::BoundsChanged(bounds.clone()));
+        handle(reader, now, published(1));
+    }
+    let mut version = 1;
+    let mut time = now;
+    while time < now + 20 * SECOND {
+        run(&mut cut, time, SECOND);
+        let asked = run(&mut well, time, SECOND);
+        time += SECOND;
+        version += 1;
+        handle(&mut well, time, published(version));
+        for exchange in exchanges(&asked) {
+            deliver(time, &mut well, &mut cut, &exchange);
+        }
+        let asked = handle(&mut cut, time, ControlEvent::Tick);
+        for exchange in exchanges(&asked) {
+            deliver(time, &mut cut, &mut well, &exchange);
+        }
+    }
+    let read = handle(&mut cut, time, published(version));
+    let told = |action: &ControlAction| matches!(action, ControlAction::PlatformRegained);
+    assert!(!read.iter().any(told), "the other was answered meanwhile");
+}
+
 yuccalift_testkit::cases! {
+    an_outage_of_one_reader_is_not_told: outage_of_one_reader_is_passed_over();
     a_platform_that_is_back_is_told: says_that_the_platform_is_back(20 * SECOND, true);
     a_platform_that_was_there_is_not_told: says_that_the_platform_is_back(2 * SECOND, false);
     a_daemon_alone_on_its_host_claims_succession:
