Ask a store that failed by calls that end at once

The store is silent from 31 to 34.7 s. A reader whose call had failed sent the next watch at 34.1 s; it hung on a connection that the store had lost until 38.8 s, 4.7 s after it began. Change: after a failure a reader asks without waiting until one call is answered. Test: control_node.rs a_reader_waits_only_where_it_is_answered, which failed first.

--- a/core/src/control/node/reading.rs
+++ b/core/src/control/node/reading.rs
@@ -227,7 +227,9 @@
         if !plan.in_flight && now >= plan.next_read && plan.budget.take(now) {
             plan.in_flight = true;
             let after = self.store.version();
-            let wait = if after == 0 {
+            // After a failure a call that ends at once shows soonest that the platform is back: one
+            // that waits, sent just before, would hang on a connection that is lost.
+            let wait = if after == 0 || plan.failures > 0 {
                 Duration::ZERO
             } else {
                 plan.pace.watch_wait
--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -303,7 +303,35 @@
     assert!(!read.iter().any(told), "the other was answered meanwhile");
 }
 
+/// A reader whose call failed asks with calls that end at once until one is answered.
+fn reader_waits_only_where_it_is_answered() {
+    let now = Instant::now();
+    let mut reader = node(now, 1, &[]);
+    let bounds = FleetBounds {
+        daemons: 30,
+        daemons_per_data_centre: 30,
+    };
+    handle(&mut reader, now, ControlEvent::BoundsChanged(bounds));
+    handle(&mut reader, now, published(1));
+    let waits = |actions: &[ControlAction]| -> Vec<Duration> {
+        let wait = |action: &ControlAction| match action {
+            ControlAction::ReadValues { wait, .. } => Some(*wait),
+            _ => None,
+        };
+        actions.iter().filter_map(wait).collect()
+    };
+    let watch = ReadingPace::default().watch_wait;
+    assert_eq!(waits(&run(&mut reader, now, SECOND)), [watch]);
+    let time = now + SECOND;
+    handle(&mut reader, time, ControlEvent::ReadFailed);
+    assert_eq!(waits(&run(&mut reader, time, 3 * SECOND)), [Duration::ZERO]);
+    let time = time + 3 * SECOND;
+    handle(&mut reader, time, published(2));
+    assert_eq!(waits(&run(&mut reader, time, SECOND)), [watch]);
+}
+
 yuccalift_testkit::cases! {
+    a_reader_waits_only_where_it_is_answered: reader_waits_only_where_it_is_answered();
     an_outage_of_one_reader_is_not_told: outage_of_one_reader_is_passed_over();
     a_platform_that_is_back_is_told: says_that_the_platform_is_back(20 * SECOND, true);
     a_platform_that_was_there_is_not_told: says_that_the_platform_is_back(2 * SECOND, false);
