Scale the readers of the store with its call rate

Cause: the number of readers in the whole fleet was bounded by 200 for any platform, while the assumed size of the fleet is a tenth of the platform's calls per second. On a platform of 16,000 calls a second a data centre with fewer than eight daemons therefore had no reader at all (4 * 200 / 1,600 = 0). Its daemons polled alone, once in five seconds each, and none logged that it was not a reader.

Change: readers and polls are bounded in proportion to the platform's calls per second, one reader for each ten of them and 15 in 100 for polls. At 2,000 calls a second this is what it was.

The cases small_data_centre_of_a_large_platform and lone_daemon_of_a_large_platform fail with the fixed bound (left 0, right 2).

--- a/core/src/control/call_budget.rs
+++ b/core/src/control/call_budget.rs
@@ -5,12 +5,17 @@
 
 use super::fleet_bounds::FleetBounds;
 
-/// Maximum calls per second by all daemons of the fleet that are not readers.
-pub const MAX_FLEET_POLLS_PER_SECOND: f64 = 300.0;
+/// Calls per second that the platform answers, over all daemons.
+pub type PlatformCallRate = u32;
+
+/// Share of the platform's calls that all daemons that are not readers may make together.
+const POLL_SHARE: f64 = 0.15;
 /// Maximum calls per second by one daemon that is not a reader.
 const MAX_DAEMON_POLLS_PER_SECOND: f64 = 1.0;
 /// Maximum calls per second by a reader; [`super::reader_election`] bounds the number of readers.
 const READER_CALLS_PER_SECOND: f64 = 4.0;
+/// Assumed call rate of a platform that does not publish one.
+pub const DEFAULT_PLATFORM_CALLS: PlatformCallRate = 2_000;
 /// Capacity of the token bucket.
 const MAX_TOKENS: f64 = 2.0;
 
@@ -28,17 +33,24 @@
         Self {
             tokens: 1.0,
             refilled_at: now,
-            rate: poll_rate(&FleetBounds::default()),
+            rate: poll_rate(&FleetBounds::default(), DEFAULT_PLATFORM_CALLS),
         }
     }
 
-    /// Sets the refill rate from the fleet bounds and from whether this daemon is a reader.
-    pub fn set_rate(&mut self, now: Instant, bounds: &FleetBounds, is_reader: bool) {
+    /// Sets the refill rate from the fleet bounds, the platform's call rate and whether this daemon
+    /// is a reader.
+    pub fn set_rate(
+        &mut self,
+        now: Instant,
+        bounds: &FleetBounds,
+        platform_calls: PlatformCallRate,
+        is_reader: bool,
+    ) {
         self.refill(now);
         self.rate = if is_reader {
             READER_CALLS_PER_SECOND
         } else {
-            poll_rate(bounds)
+            poll_rate(bounds, platform_calls)
         };
     }
 
@@ -76,7 +88,13 @@
     }
 }
 
+/// Returns the maximum calls per second by all daemons of the fleet that are not readers.
+pub fn max_fleet_polls(platform_calls: PlatformCallRate) -> f64 {
+    f64::from(platform_calls) * POLL_SHARE
+}
+
 /// Returns the maximum calls per second by one daemon that is not a reader.
-pub fn poll_rate(bounds: &FleetBounds) -> f64 {
-    (MAX_FLEET_POLLS_PER_SECOND / f64::from(bounds.daemons.max(1))).min(MAX_DAEMON_POLLS_PER_SECOND)
+pub fn poll_rate(bounds: &FleetBounds, platform_calls: PlatformCallRate) -> f64 {
+    (max_fleet_polls(platform_calls) / f64::from(bounds.daemons.max(1)))
+        .min(MAX_DAEMON_POLLS_PER_SECOND)
 }
--- a/core/src/control/node/platform_reads.rs
+++ b/core/src/control/node/platform_reads.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::ControlNode;
-use crate::control::call_budget::CallBudget;
+use crate::control::call_budget::{CallBudget, DEFAULT_PLATFORM_CALLS, PlatformCallRate};
 use crate::control::config_delta::ConfigValue;
 use crate::control::config_store::UpdateOutcome;
 use crate::control::event::{ControlAction, ControlNotice, ListedHost};
@@ -46,6 +46,8 @@
     pub start_window: Duration,
     /// Whether the platform provides a list of the daemons' hosts.
     pub lists_hosts: bool,
+    /// Calls per second that the platform answers, over all daemons.
+    pub platform_calls: PlatformCallRate,
 }
 
 impl Default for ReadSettings {
@@ -57,6 +59,7 @@
             max_backoff: Duration::from_secs(4),
             start_window: Duration::from_secs(7),
             lists_hosts: true,
+            platform_calls: DEFAULT_PLATFORM_CALLS,
         }
     }
 }
@@ -152,7 +155,9 @@
         let alive = self.members.alive().map(|record| record.host.as_ref());
         let rank = reader_rank(&self.members.own().host, alive);
         let is_leaving = self.is_leaving();
-        let is_reader = !is_leaving && rank < reader_count(view, &self.bounds);
+        let platform_calls = self.read_schedule.settings.platform_calls;
+        let readers = reader_count(view, &self.bounds, platform_calls);
+        let is_reader = !is_leaving && rank < readers;
         self.set_reader(now, is_reader, actions);
         if is_reader {
             self.read_as_reader(now, actions);
@@ -221,7 +226,10 @@
 
     fn set_reader(&mut self, now: Instant, is_reader: bool, actions: &mut Vec<ControlAction>) {
         let bounds: &FleetBounds = &self.bounds;
-        self.read_schedule.budget.set_rate(now, bounds, is_reader);
+        let platform_calls = self.read_schedule.settings.platform_calls;
+        self.read_schedule
+            .budget
+            .set_rate(now, bounds, platform_calls, is_reader);
         if is_reader == self.read_schedule.is_reader {
             return;
         }
@@ -278,7 +286,12 @@
         if now < self.read_schedule.next_poll {
             return;
         }
-        let interval = poll_interval(view, &self.bounds, &mut self.rng);
+        let interval = poll_interval(
+            view,
+            &self.bounds,
+            self.read_schedule.settings.platform_calls,
+            &mut self.rng,
+        );
         let reader_deadline = self
             .heartbeats
             .last_advanced()
--- a/core/tests/fleet_limits.rs
+++ b/core/tests/fleet_limits.rs
@@ -6,14 +6,14 @@
 
 use proptest::prelude::*;
 use yuccalift_core::TargetEntry;
-use yuccalift_core::control::call_budget::MAX_FLEET_POLLS_PER_SECOND;
+use yuccalift_core::control::call_budget::{PlatformCallRate, max_fleet_polls};
 use yuccalift_core::control::connection_share::mean_admitted_daemons;
-use yuccalift_core::control::reader_election::{MAX_FLEET_READERS, reader_count, reader_rank};
+use yuccalift_core::control::reader_election::{max_fleet_readers, reader_count, reader_rank};
 use yuccalift_core::control::{CallBudget, DaemonLocation, FleetBounds, connection_shares};
 use yuccalift_testkit::cases;
 
 /// Calls per second that the platform can answer, over all daemons.
-const PLATFORM_LIMIT: f64 = 2_000.0;
+const PLATFORM_LIMIT: PlatformCallRate = 2_000;
 
 fn target(number: u32, connections: u32, data_centre: &str) -> TargetEntry {
     TargetEntry {
@@ -66,49 +66,66 @@
     fn readers_of_a_partitioned_fleet_stay_within_the_bound(
         daemons in 1..5_000_u32,
         view in 1..300_u32,
+        platform_calls in 100..60_000_u32,
     ) {
         let bounds = FleetBounds { daemons, daemons_per_data_centre: daemons };
         let views = daemons / view;
-        let readers = views as usize * reader_count(view as usize, &bounds);
-        prop_assert!(readers <= MAX_FLEET_READERS as usize);
+        let readers = views as usize * reader_count(view as usize, &bounds, platform_calls);
+        prop_assert!(readers <= max_fleet_readers(platform_calls) as usize);
     }
 }
 
 /// Returns how many calls one daemon makes in ten seconds if it tries every millisecond.
-fn calls_in_ten_seconds(bounds: &FleetBounds, is_reader: bool) -> u32 {
+fn calls_in_ten_seconds(
+    bounds: &FleetBounds,
+    platform_calls: PlatformCallRate,
+    is_reader: bool,
+) -> u32 {
     let start = Instant::now();
     let mut budget = CallBudget::new(start);
-    budget.set_rate(start, bounds, is_reader);
+    budget.set_rate(start, bounds, platform_calls, is_reader);
     (0..10_000_u64)
         .filter(|&millisecond| budget.take(start + Duration::from_millis(millisecond)))
         .count() as u32
 }
 
 /// A fleet in which every daemon sees only itself and calls as often as its budget allows.
-fn isolated_fleet_stays_under_the_limit(daemons: u32) {
+fn isolated_fleet_stays_under_the_limit(daemons: u32, platform_calls: PlatformCallRate) {
     let bounds = FleetBounds {
         daemons,
         daemons_per_data_centre: daemons.min(206),
     };
     assert_eq!(
-        reader_count(1, &bounds),
+        reader_count(1, &bounds, platform_calls),
         0,
         "a single daemon in its view is not a reader"
     );
-    let calls = f64::from(daemons * calls_in_ten_seconds(&bounds, false)) / 10.0;
+    let calls = f64::from(daemons * calls_in_ten_seconds(&bounds, platform_calls, false)) / 10.0;
     assert!(
-        calls <= 2.5 * MAX_FLEET_POLLS_PER_SECOND,
+        calls <= 2.5 * max_fleet_polls(platform_calls),
         "{calls} calls a second"
     );
-    assert!(calls < PLATFORM_LIMIT / 2.0);
+    assert!(calls < f64::from(platform_calls) / 2.0);
 }
 
 /// The maximum number of readers, each calling as often as its budget allows.
-#[test]
-fn busy_readers_stay_under_the_limit() {
-    let calls = calls_in_ten_seconds(&FleetBounds::default(), true);
-    let fleet = f64::from(MAX_FLEET_READERS * calls) / 10.0;
-    assert!(fleet < PLATFORM_LIMIT / 2.0, "{fleet} calls a second");
+fn busy_readers_stay_under_the_limit(platform_calls: PlatformCallRate) {
+    let calls = calls_in_ten_seconds(&FleetBounds::default(), platform_calls, true);
+    let fleet = f64::from(max_fleet_readers(platform_calls) * calls) / 10.0;
+    assert!(
+        fleet < f64::from(platform_calls) / 2.0,
+        "{fleet} calls a second"
+    );
+}
+
+/// A small data centre has its readers also if the platform serves a large fleet, of which it may
+/// be a partitioned part.
+fn small_view_has_readers(view: usize, readers: usize, platform_calls: PlatformCallRate) {
+    let bounds = FleetBounds {
+        daemons: platform_calls / 10,
+        daemons_per_data_centre: platform_calls / 10,
+    };
+    assert_eq!(reader_count(view, &bounds, platform_calls), readers);
 }
 
 /// Hashing admits no more daemons to any of 500 targets than its limit, and on average as many as
@@ -139,8 +156,14 @@
 }
 
 cases! {
-    isolated_fleet_of_250_daemons: isolated_fleet_stays_under_the_limit(250);
-    isolated_fleet_of_3500_daemons: isolated_fleet_stays_under_the_limit(3_500);
+    isolated_fleet_of_250_daemons: isolated_fleet_stays_under_the_limit(250, PLATFORM_LIMIT);
+    isolated_fleet_of_3500_daemons: isolated_fleet_stays_under_the_limit(3_500, PLATFORM_LIMIT);
+    isolated_fleet_of_a_large_platform: isolated_fleet_stays_under_the_limit(3_500, 16_000);
+    readers_of_a_small_platform: busy_readers_stay_under_the_limit(PLATFORM_LIMIT);
+    readers_of_a_large_platform: busy_readers_stay_under_the_limit(16_000);
+    small_data_centre_of_a_small_platform: small_view_has_readers(3, 2, PLATFORM_LIMIT);
+    small_data_centre_of_a_large_platform: small_view_has_readers(4, 2, 16_000);
+    lone_daemon_of_a_large_platform: small_view_has_readers(1, 1, 16_000);
     hashing_with_30_connections: hashing_keeps_the_limit(30);
     hashing_with_110_connections: hashing_keeps_the_limit(110);
 }
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -52,14 +52,15 @@
 /// Returns the timing of store reads. A change must take effect within 3 s of its acknowledgement
 /// by a store that has been available for 4 s. A watch that the store has lost must therefore end
 /// within that time, and failed calls are repeated within a second.
-pub(super) fn store_read_settings(fleet_daemons: u32) -> ReadSettings {
+pub(super) fn store_read_settings(settings: &RelaySettings) -> ReadSettings {
     ReadSettings {
         watch_wait: Duration::from_secs(3),
         watch_gap: Duration::from_millis(60),
         initial_backoff: Duration::from_millis(100),
         max_backoff: Duration::from_millis(800),
-        start_window: START_READ_SPACING * fleet_daemons,
+        start_window: START_READ_SPACING * settings.fleet_daemons,
         lists_hosts: false,
+        platform_calls: settings.store_calls,
     }
 }
 
@@ -334,7 +335,7 @@
         seeds: settings.seed_peers.clone(),
         seed: rand::random(),
         check: check_value,
-        read_settings: store_read_settings(settings.fleet_daemons),
+        read_settings: store_read_settings(settings),
         host_conflict: HostConflictPolicy::Supersede,
     }
 }
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -73,7 +73,7 @@
     let report = RelayReport::new(Instant::now(), metrics.clone());
     let (sender, notices) = mpsc::unbounded_channel();
     let driver = EngineDriver::new(engine, LinkPool::new(link_config.clone()), report, sender);
-    let start_window = store_read_settings(settings.fleet_daemons).start_window;
+    let start_window = store_read_settings(&settings).start_window;
     let readiness = Rc::new(RelayReadiness::new(start_window));
     let stop = CancellationToken::new();
     actix_rt::spawn(Rc::clone(&driver).run_timers(stop.clone()));
--- a/daemon/src/relay/settings_watch.rs
+++ b/daemon/src/relay/settings_watch.rs
@@ -195,10 +195,7 @@
             ("listen.metrics", old.metrics_listen != new.metrics_listen),
             ("store", old.store != new.store),
             ("seed_peers", old.seed_peers != new.seed_peers),
-            (
-                "store_calls_per_second",
-                old.fleet_daemons != new.fleet_daemons,
-            ),
+            ("store_calls_per_second", old.store_calls != new.store_calls),
             ("clock_behind", old.clock_behind != new.clock_behind),
             ("log", old.log != new.log),
         ];
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use yuccalift_core::control::call_budget::PlatformCallRate;
 use yuccalift_core::ids::{DataCentreName, HostName};
 
 use crate::daemon::LogSettings;
@@ -19,7 +20,7 @@
 /// Minimum number of calls per second that the store grants each daemon. The size of the fleet is
 /// not published, but the call rate of its store grows with it: existing sites grant 67 or more per
 /// daemon.
-const MIN_CALLS_PER_DAEMON: u64 = 10;
+const MIN_CALLS_PER_DAEMON: PlatformCallRate = 10;
 
 /// Validated settings of a relay.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,6 +41,8 @@
     pub store: SocketAddr,
     /// Peers contacted first.
     pub seed_peers: Vec<SocketAddr>,
+    /// Read calls per second that the store accepts from all daemons together.
+    pub store_calls: PlatformCallRate,
     /// Maximum number of daemons in the fleet, which determines how many of them read the store.
     pub fleet_daemons: u32,
     /// How long a target keeps serving after it was reported to be leaving.
@@ -176,6 +179,7 @@
     let peer_listen = reader.address(PEERS)?;
     let mut seed_peers = reader.addresses("seed_peers");
     seed_peers.retain(|seed| *seed != peer_listen);
+    let store_calls = reader.integer("store_calls_per_second")? as PlatformCallRate;
     Some(RelaySettings {
         host: reader.text("host")?,
         data_centre: reader.text("data_centre")?,
@@ -185,7 +189,8 @@
         metrics_listen: reader.address(METRICS),
         store: reader.address("store")?,
         seed_peers,
-        fleet_daemons: (reader.integer("store_calls_per_second")? / MIN_CALLS_PER_DAEMON) as u32,
+        store_calls,
+        fleet_daemons: store_calls / MIN_CALLS_PER_DAEMON,
         drain_time: reader.duration("drain_time")?,
         retry_share: reader.share("retries.share")?,
         retry_window: reader.duration("retries.window")?,
