Show how old a daemon's knowledge of the platform is

Cause: a daemon whose readers learn nothing new, while all connections stand and no call fails, said so nowhere.

Change: each daemon keeps the time since it last learned of an answer of the platform to any reader (KnowledgeAge, free of I/O). It is a metric (config.age); beyond 6 s, when daemons begin to read by themselves, event 207 is logged once, and 208 when a reader is answered again.

The case blind_reader_reports_old_knowledge_once needs it; before there was nothing to observe. Decisions do not change.

--- a/core/src/control/event.rs
+++ b/core/src/control/event.rs
@@ -8,6 +8,7 @@
 use super::config_store::RefusedValue;
 use super::exchange::ExchangeMessage;
 use super::fleet_bounds::FleetBounds;
+use super::knowledge_age::KnowledgeChange;
 use crate::ids::{ConfigVersion, DataCentreName, HostName};
 
 /// Number of an exchange that this daemon started.
@@ -142,4 +143,6 @@
     Refuted,
     /// This daemon became a reader of the platform for its data centre, or stopped being one.
     ReaderChanged(bool),
+    /// The daemon's knowledge of the platform became too old, or is recent again.
+    KnowledgeChanged(KnowledgeChange),
 }
--- a/core/src/control/mod.rs
+++ b/core/src/control/mod.rs
@@ -7,6 +7,7 @@
 //! - [`fleet_bounds`], [`connection_share`]: how many connections this daemon may hold.
 //! - [`reader_election`], [`call_budget`], [`reader_heartbeat`]: which daemons read the platform,
 //!   and how often.
+//! - [`knowledge_age`]: how old this daemon's knowledge of the platform is.
 //! - [`exchange`]: the message that daemons exchange.
 //! - [`event`], [`node`]: input and output of the control plane, and its state machine.
 //!
@@ -21,6 +22,7 @@
 pub mod event;
 pub mod exchange;
 pub mod fleet_bounds;
+pub mod knowledge_age;
 pub mod member_record;
 pub mod member_table;
 pub mod node;
@@ -37,6 +39,7 @@
 pub use event::{ControlAction, ControlEvent, ControlNotice, ListedHost};
 pub use exchange::{ConfigDigest, ExchangeMessage, ExchangeWants};
 pub use fleet_bounds::FleetBounds;
+pub use knowledge_age::{KnowledgeAge, KnowledgeChange};
 pub use member_record::{MemberRecord, MemberState};
 pub use member_table::MemberTable;
 pub use node::{ControlNode, ControlSettings, HostConflictPolicy, ReadSettings};
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -20,7 +20,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use self::exchanges::{ExchangeSchedule, PendingExchange};
-use self::platform_reads::ReadSchedule;
+use self::platform_reads::{READER_TIMEOUT, ReadSchedule};
 pub use self::platform_reads::{ReadSettings, WATCH_WAIT};
 use super::announcements::{AnnouncementKind, AnnouncementRecord, AnnouncementTable};
 use super::config_store::{ConfigStore, StoreChange, ValueCheck};
@@ -28,6 +28,7 @@
 use super::event::{ControlAction, ControlEvent, ControlNotice, ListedHost};
 use super::exchange::ExchangeMessage;
 use super::fleet_bounds::FleetBounds;
+use super::knowledge_age::KnowledgeAge;
 use super::member_record::MemberRecord;
 use super::member_table::MemberTable;
 use super::reader_heartbeat::{HeartbeatTable, ReaderHeartbeat};
@@ -91,6 +92,7 @@
     announcements: AnnouncementTable,
     heartbeats: HeartbeatTable,
     own_heartbeat: ReaderHeartbeat,
+    knowledge: KnowledgeAge,
     exchange_schedule: ExchangeSchedule,
     pending: Vec<PendingExchange>,
     read_schedule: ReadSchedule,
@@ -128,6 +130,7 @@
             announcements: AnnouncementTable::default(),
             heartbeats: HeartbeatTable::default(),
             own_heartbeat,
+            knowledge: KnowledgeAge::new(now, READER_TIMEOUT),
             exchange_schedule: ExchangeSchedule::new(now, &mut rng),
             pending: Vec::new(),
             read_schedule,
@@ -173,6 +176,11 @@
         self.readiness.confirmed
     }
 
+    /// Returns the time since the platform last answered a reader, as far as this daemon knows.
+    pub fn knowledge_age(&self, now: Instant) -> Duration {
+        self.knowledge.elapsed(now)
+    }
+
     /// Returns when the next [`ControlEvent::Tick`] is due.
     pub fn next_wake(&self) -> Instant {
         self.next_tick
@@ -222,6 +230,7 @@
     /// Runs all work that is due and schedules the next tick.
     fn run_due_work(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
         self.expire_records(now, actions);
+        self.check_knowledge(now, actions);
         self.run_reads(now, actions);
         self.run_exchanges(now, actions);
         self.update_readiness(now, actions);
@@ -237,6 +246,7 @@
         let expiries = [
             self.members.next_expiry(),
             self.announcements.next_expiry(now),
+            self.knowledge.next_check(),
         ];
         for expiry in expiries.into_iter().flatten() {
             next_tick = next_tick.min(expiry);
--- a/core/src/control/node/platform_reads.rs
+++ b/core/src/control/node/platform_reads.rs
@@ -10,6 +10,7 @@
 use crate::control::config_store::UpdateOutcome;
 use crate::control::event::{ControlAction, ControlNotice, ListedHost};
 use crate::control::fleet_bounds::FleetBounds;
+use crate::control::knowledge_age::KnowledgeChange;
 use crate::control::reader_election::{poll_interval, reader_count, reader_rank};
 use crate::control::reader_heartbeat::{HeartbeatUpdate, ReaderHeartbeat};
 use crate::ids::ConfigVersion;
@@ -20,7 +21,7 @@
 const HOSTS_PERIOD: Duration = Duration::from_secs(2);
 /// Time without a new reader heartbeat after which a daemon assumes that no reader is distributing
 /// changes.
-const READER_TIMEOUT: Duration = Duration::from_secs(6);
+pub(super) const READER_TIMEOUT: Duration = Duration::from_secs(6);
 /// Multiple of the watch wait after which a reader without an answer counts as partitioned from
 /// the platform. A watch without changes ends after one watch wait.
 const OUTAGE_WATCH_FACTOR: f64 = 1.2;
@@ -332,9 +333,22 @@
         let last_advanced = self.heartbeats.last_advanced();
         let silence = self.read_schedule.settings.watch_wait;
         let silent = last_advanced.is_some_and(|at| now.saturating_duration_since(at) > silence);
-        match self.heartbeats.merge(now, heartbeat) {
-            HeartbeatUpdate::Recovered if silent => actions.push(ControlAction::PlatformRecovered),
-            HeartbeatUpdate::Known | HeartbeatUpdate::Advanced | HeartbeatUpdate::Recovered => {}
+        let update = self.heartbeats.merge(now, heartbeat);
+        if update == HeartbeatUpdate::Recovered && silent {
+            actions.push(ControlAction::PlatformRecovered);
         }
+        if update != HeartbeatUpdate::Known {
+            push_knowledge_change(self.knowledge.refresh(now), actions);
+        }
+    }
+
+    /// Reports that no reader has been answered for too long.
+    pub(super) fn check_knowledge(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        push_knowledge_change(self.knowledge.check(now), actions);
     }
 }
+
+fn push_knowledge_change(change: Option<KnowledgeChange>, actions: &mut Vec<ControlAction>) {
+    let notice = change.map(ControlNotice::KnowledgeChanged);
+    actions.extend(notice.map(ControlAction::Notice));
+}
--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -7,7 +7,8 @@
 
 use yuccalift_core::control::{
     ConfigValue, ControlAction, ControlEvent, ControlNode, ControlNotice, ControlSettings,
-    ExchangeMessage, FleetBounds, HostConflictPolicy, MemberRecord, MemberState, ReadSettings,
+    ExchangeMessage, FleetBounds, HostConflictPolicy, KnowledgeChange, MemberRecord, MemberState,
+    ReadSettings,
 };
 use yuccalift_core::ids::ConfigVersion;
 
@@ -361,6 +362,59 @@
     assert_eq!(waits(&run(&mut reader, time, SECOND)), [watch]);
 }
 
+/// Returns the changes of a node's age of knowledge among the actions.
+fn knowledge_changes(actions: &[ControlAction]) -> Vec<KnowledgeChange> {
+    let change = |action: &ControlAction| match action {
+        ControlAction::Notice(ControlNotice::KnowledgeChanged(change)) => Some(*change),
+        _ => None,
+    };
+    actions.iter().filter_map(change).collect()
+}
+
+/// A reader whose watch stays open without an answer reports that it knows nothing new, although
+/// no call has failed, and reports once that it does again.
+#[test]
+fn blind_reader_reports_old_knowledge_once() {
+    let now = Instant::now();
+    let mut reader = node(now, 1, &[]);
+    handle(&mut reader, now, published(1));
+    let actions = run(&mut reader, now, 30 * SECOND);
+    let bound = 6 * SECOND;
+    assert_eq!(
+        knowledge_changes(&actions),
+        [KnowledgeChange::Stale(bound)],
+        "reported once, when the bound has passed"
+    );
+    let time = now + 30 * SECOND;
+    assert_eq!(reader.knowledge_age(time), 30 * SECOND);
+    let actions = handle(&mut reader, time, published(2));
+    assert_eq!(
+        knowledge_changes(&actions),
+        [KnowledgeChange::Fresh(30 * SECOND)]
+    );
+    assert_eq!(reader.knowledge_age(time), Duration::ZERO);
+}
+
+/// A daemon that does not read the platform keeps the age of what its reader knows.
+#[test]
+fn heartbeats_of_a_reader_keep_knowledge_fresh() {
+    let now = Instant::now();
+    let (mut reader, mut other) = (node(now, 1, &[]), node(now, 2, &[1]));
+    let mut actions = Vec::new();
+    let mut time = now;
+    while time < now + 20 * SECOND {
+        time += SECOND / 2;
+        handle(&mut reader, time, published(9));
+        let next = handle(&mut other, time, ControlEvent::Tick);
+        for exchange in exchanges(&next) {
+            actions.extend(deliver(time, &mut other, &mut reader, &exchange));
+        }
+        actions.extend(next);
+    }
+    assert_eq!(knowledge_changes(&actions), []);
+    assert!(other.knowledge_age(time) < 2 * SECOND);
+}
+
 yuccalift_testkit::cases! {
     watch_only_while_the_platform_answers: reader_watches_only_while_the_platform_answers();
     outage_of_one_reader_is_not_reported: outage_of_one_reader_is_ignored();
--- a/daemon/src/control/config_applier.rs
+++ b/daemon/src/control/config_applier.rs
@@ -20,9 +20,10 @@
 
 use super::control_lane::{Announce, ControlLane, ControlOutput, GetControlSnapshot, SetBounds};
 use super::notice_log::record_notice;
+use crate::decision_log::millis;
 use crate::events::LogEvent;
 use crate::lane::{EngineLane, FeedEngine, ReceiveNotice};
-use crate::metrics::MetricsClient;
+use crate::metrics::{DaemonMetric, MetricsClient};
 use crate::ready_flag::ReadyFlag;
 use crate::shared_status::SharedStatus;
 
@@ -77,6 +78,8 @@
         };
         self.shared_status.set_peers(snapshot.reports);
         self.shared_status.set_control(snapshot.traffic);
+        let age_ms = millis(snapshot.knowledge_age);
+        self.metrics.gauge(DaemonMetric::KnowledgeAge, age_ms);
         let quarantines = snapshot.announcements.iter().filter_map(quarantine_report);
         self.shared_status.set_quarantines(quarantines.collect());
     }
--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -116,6 +116,8 @@
     pub ready: bool,
     /// Whether this daemon reads the platform for its data centre.
     pub is_reader: bool,
+    /// Time since the platform last answered a reader, as far as this daemon knows.
+    pub knowledge_age: Duration,
     /// Configuration version that this daemon holds.
     pub version: ConfigVersion,
     /// Hash of all configuration values, equal on daemons that hold the same values.
@@ -300,6 +302,7 @@
             own: node.members().own().clone(),
             ready: node.is_ready(),
             is_reader: node.is_reader(),
+            knowledge_age: node.knowledge_age(Instant::now()),
             version: node.store().version(),
             hash: node.store().hash(),
             refused: node.store().refused_values(),
--- a/daemon/src/control/notice_log.rs
+++ b/daemon/src/control/notice_log.rs
@@ -1,7 +1,8 @@
 //! Records the control plane's observations as log events and in the status shown to operators.
 
-use yuccalift_core::control::ControlNotice;
+use yuccalift_core::control::{ControlNotice, KnowledgeChange};
 
+use crate::decision_log::millis;
 use crate::events::LogEvent;
 use crate::metrics::{DaemonMetric, MetricsClient};
 use crate::shared_status::SharedStatus;
@@ -29,7 +30,8 @@
         | ControlNotice::PeerSuspected(_)
         | ControlNotice::PeerGone(_)
         | ControlNotice::Refuted
-        | ControlNotice::ReaderChanged(_) => {}
+        | ControlNotice::ReaderChanged(_)
+        | ControlNotice::KnowledgeChanged(_) => {}
     }
     log_notice(host, notice);
 }
@@ -62,5 +64,13 @@
         ControlNotice::PeerGone(peer) => LogEvent::PeerGone { peer }.emit(),
         ControlNotice::Refuted => LogEvent::SuspicionRefuted { host }.emit(),
         ControlNotice::ReaderChanged(reads) => LogEvent::ReaderChanged { reads: *reads }.emit(),
+        ControlNotice::KnowledgeChanged(KnowledgeChange::Stale(age)) => {
+            let age_ms = millis(*age);
+            LogEvent::KnowledgeStale { age_ms }.emit();
+        }
+        ControlNotice::KnowledgeChanged(KnowledgeChange::Fresh(age)) => {
+            let age_ms = millis(*age);
+            LogEvent::KnowledgeFresh { age_ms }.emit();
+        }
     }
 }
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -97,6 +97,10 @@
     205 WARN "configuration_diverged" ConfigurationDiverged { peer: &'a str, version: u64 }
     #[doc = "This daemon started or stopped reading the platform for its data centre."]
     206 INFO "reader_changed" ReaderChanged { reads: bool }
+    #[doc = "No reader's answer from the platform became known for `age_ms`; the last known values stay in effect."]
+    207 WARN "knowledge_stale" KnowledgeStale { age_ms: u64 }
+    #[doc = "A reader's answer from the platform became known again, after `age_ms`."]
+    208 INFO "knowledge_fresh" KnowledgeFresh { age_ms: u64 }
     #[doc = "A peer did not answer and is suspected."]
     301 INFO "peer_suspected" PeerSuspected { peer: &'a str }
     #[doc = "A suspected peer stayed silent and is considered gone."]
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -136,6 +136,8 @@
     StoreCalls "store.calls" Counter "calls"
     #[doc = "The configuration version in effect."]
     ConfigVersion "config.version" Gauge "version"
+    #[doc = "Time since the platform last answered a reader, as far as this daemon knows."]
+    KnowledgeAge "config.age" Gauge "milliseconds"
 }
 
 /// Records metrics: sends them as `StatsD`, exports them as text, or discards them if neither is
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -159,6 +159,8 @@
             self.carry_out(action);
         }
         self.update_daemon_count();
+        let age = self.node.borrow().knowledge_age(Instant::now());
+        self.driver.report.set_knowledge_age(age);
         let due = self.node.borrow().next_wake();
         if due != self.wake_due.replace(due) {
             self.wake.notify_one();
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -156,6 +156,11 @@
         self.metrics.count(DaemonMetric::StoreCalls, 1);
     }
 
+    /// Sets the gauge of how old the knowledge of the store is.
+    pub(super) fn set_knowledge_age(&self, age: Duration) {
+        self.metrics.gauge(DaemonMetric::KnowledgeAge, millis(age));
+    }
+
     /// Logs that a caller disconnected before its answer.
     pub(super) fn log_caller_left(&self, request: &str) {
         self.write_limited(&LogEvent::CallerLeft { request });
