Prefer targets with an open connection, and start a fleet gently

All daemons also began with the same target of each service. Now the expected latency counts a new connection (factor 1.4), the engine keeps the times until which connections stand idle (IdleLinks, free of I/O), the time of a handshake is not held against a target's speed, and ties are broken by host and target.

With readers in small views all 295 daemons read everything from the platform when the fleet started, since each sees only itself then. A daemon with seeds and without a configuration now waits for its place in the start window. Polls stay at 300/s for any platform.

--- a/core/benches/relay.rs
+++ b/core/benches/relay.rs
@@ -88,6 +88,7 @@
 
 fn options() -> RelayOptions {
     RelayOptions {
+        host: "entry-1".into(),
         data_centre: "dc-0".into(),
         tuning: RelayTuning {
             retry_share: 0.2,
--- a/core/src/control/call_budget.rs
+++ b/core/src/control/call_budget.rs
@@ -8,8 +8,11 @@
 /// Calls per second that the platform answers, over all daemons.
 pub type PlatformCallRate = u32;
 
-/// Share of the platform's calls that all daemons that are not readers may make together.
-const POLL_SHARE: f64 = 0.15;
+/// Maximum calls per second by all daemons of the fleet that are not readers. Polls bridge the time
+/// until a reader is found, which a faster platform does not shorten.
+const MAX_FLEET_POLLS_PER_SECOND: f64 = 300.0;
+/// Maximum share of the platform's calls that these daemons may make together.
+const MAX_POLL_SHARE: f64 = 0.15;
 /// Maximum calls per second by one daemon that is not a reader.
 const MAX_DAEMON_POLLS_PER_SECOND: f64 = 1.0;
 /// Maximum calls per second by a reader; [`super::reader_election`] bounds the number of readers.
@@ -90,7 +93,7 @@
 
 /// Returns the maximum calls per second by all daemons of the fleet that are not readers.
 pub fn max_fleet_polls(platform_calls: PlatformCallRate) -> f64 {
-    f64::from(platform_calls) * POLL_SHARE
+    MAX_FLEET_POLLS_PER_SECOND.min(f64::from(platform_calls) * MAX_POLL_SHARE)
 }
 
 /// Returns the maximum calls per second by one daemon that is not a reader.
--- a/core/src/control/node/platform_reads.rs
+++ b/core/src/control/node/platform_reads.rs
@@ -76,6 +76,10 @@
     next_read: Instant,
     next_host_list: Instant,
     next_poll: Instant,
+    /// Time before which a daemon with seed peers but no configuration is not a reader. When a whole
+    /// fleet starts, each daemon at first sees only itself, and most learn the configuration from a
+    /// peer that read it earlier.
+    first_read_at: Instant,
     early_read_at: Option<Instant>,
     wants_hosts: bool,
     /// Time of the platform's last answer while this daemon is a reader.
@@ -95,6 +99,7 @@
             settings.start_window
         };
         let early_read = EARLY_READ_DELAY + EARLY_READ_WINDOW.mul_f64(rng.random());
+        let first_poll = now + window.mul_f64(rng.random());
         Self {
             settings,
             is_reader: false,
@@ -103,7 +108,8 @@
             budget: CallBudget::new(now),
             next_read: now,
             next_host_list: now,
-            next_poll: now + window.mul_f64(rng.random()),
+            next_poll: first_poll,
+            first_read_at: if is_alone { now } else { first_poll },
             early_read_at: Some(now + early_read),
             wants_hosts: false,
             last_answer: None,
@@ -158,7 +164,8 @@
         let is_leaving = self.is_leaving();
         let platform_calls = self.read_schedule.settings.platform_calls;
         let readers = reader_count(view, &self.bounds, platform_calls);
-        let is_reader = !is_leaving && rank < readers;
+        let may_read = self.store.version() > 0 || now >= self.read_schedule.first_read_at;
+        let is_reader = !is_leaving && may_read && rank < readers;
         self.set_reader(now, is_reader, actions);
         if is_reader {
             self.read_as_reader(now, actions);
--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -1,7 +1,8 @@
 //! Selects the target of a service that a request is sent to.
 //!
 //! The selection uses only local observations: requests in flight, response times relative to the
-//! typical latency of their routes, the age of the oldest request in flight, and failures. See
+//! typical latency of their routes, the age of the oldest request in flight, failures, and idle
+//! connections. See
 //! `docs/PLATFORM.md`, "Target choice".
 
 use std::time::Instant;
@@ -110,5 +111,6 @@
         return true;
     }
     // Prefers the target whose latest request was sent earlier, to spread the load.
-    left.1 * SIMILAR_SCORE_RATIO <= right.1 && left.2.last_sent < right.2.last_sent
+    let turn = |target: &RelayTarget| (target.last_sent, target.tie_order);
+    left.1 * SIMILAR_SCORE_RATIO <= right.1 && turn(left.2) < turn(right.2)
 }
--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -48,8 +48,13 @@
         log_target_change(&record, "listed", actions);
         self.services.get_or_add(&record.service).add_target(key);
         let service = record.service.clone();
-        self.targets
-            .insert(RelayTarget::new(now, key, record, is_local));
+        self.targets.insert(RelayTarget::new(
+            now,
+            key,
+            record,
+            is_local,
+            &self.options.host,
+        ));
         self.dispatch_parked(now, &service, actions);
     }
 
--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -117,6 +117,7 @@
         if !leg.tried.contains(&key) {
             leg.tried.push(key);
         }
+        let link_factor = target.link_factor(now);
         let first_sent = *leg.first_sent.get_or_insert(now);
         leg.last_sent = Some(now);
         target.start_attempt(InFlightAttempt {
@@ -141,6 +142,7 @@
             run,
             sent_at: now,
             typical,
+            link_factor,
             disposition: AttemptDisposition::Awaited,
             uses_retry_budget,
             probe_sent: false,
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -35,6 +35,13 @@
         /// The way in which it ended.
         outcome: TargetOutcome,
     },
+    /// A connection to a target became idle and is kept until `expires`.
+    LinkIdle {
+        /// The target of the connection.
+        target: TargetKey,
+        /// Time at which the connection is closed unless a request uses it.
+        expires: Instant,
+    },
     /// A probe ended; follows each [`RelayAction::Probe`](super::RelayAction::Probe) exactly once.
     Probed {
         /// The target that was probed.
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -14,6 +14,7 @@
 //! - `request`: the state of a request and of its legs, one leg for each service that it is sent
 //!   to.
 //! - `target`, `choice`: the state of each target, and the selection of a target.
+//! - `idle_links`: the idle connections to each target.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the stages of request processing.
 //! - `probing`: connection probes of targets that may be unreachable.
 //! - `suspicion`: detection of requests that crash their targets.
@@ -32,6 +33,7 @@
 pub mod event;
 mod finish;
 mod hedging;
+mod idle_links;
 mod idle_policy;
 mod latencies;
 pub mod merge;
@@ -65,7 +67,7 @@
 use target::RelayTargets;
 use timers::{TimerKind, TimerQueue};
 
-use crate::ids::DataCentreName;
+use crate::ids::{DataCentreName, HostName};
 
 /// Identifies a request within this daemon; assigned in ascending order by the daemon.
 pub type RequestKey = u64;
@@ -79,6 +81,8 @@
 pub struct RelayOptions {
     /// Data centre of this daemon; targets in the same data centre are preferred.
     pub data_centre: DataCentreName,
+    /// Host of this daemon; the order of equally good targets differs between hosts.
+    pub host: HostName,
     /// Options that may change at run time.
     pub tuning: RelayTuning,
 }
@@ -151,6 +155,11 @@
             RelayEvent::AttemptEnded { attempt, outcome } => {
                 self.handle_attempt_ended(now, attempt, outcome, actions);
             }
+            RelayEvent::LinkIdle { target, expires } => {
+                if let Some(target) = self.targets.get_mut(target) {
+                    target.idle_links.add(now, expires);
+                }
+            }
             RelayEvent::Probed { target, outcome } => {
                 self.handle_probe_result(now, target, outcome, actions);
                 self.resolve_loss(now, target, outcome, actions);
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -72,7 +72,7 @@
         match outcome {
             TargetOutcome::Replied(reply) if reply.is_success() => {
                 let name = name.clone();
-                if target.record_success(now, timed, attempt.typical) {
+                if target.record_success(now, timed, attempt) {
                     let decision = RelayDecision::Resumed { target: name };
                     actions.push(RelayAction::Decided(decision));
                 }
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -183,6 +183,8 @@
     pub(super) sent_at: Instant,
     /// Typical latency of the route when the attempt was sent.
     pub(super) typical: Duration,
+    /// Factor by which opening a connection was expected to lengthen the attempt.
+    pub(super) link_factor: f64,
     /// Whether the outcome is still needed.
     pub(super) disposition: AttemptDisposition,
     /// Whether the attempt was reserved from the service's retry budget.
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -2,6 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::idle_links::IdleLinks;
+use super::request::LiveAttempt;
 use super::target_record::{TargetName, TargetRecord};
 use super::{AttemptKey, TargetKey};
 use crate::engine::latency::LatencyAverage;
@@ -25,6 +29,8 @@
 const COLD_FACTOR: f64 = 1.6;
 /// Factor on the score of a target in another data centre, whose answers take longer.
 const REMOTE_FACTOR: f64 = 1.35;
+/// Factor on the expected latency of a request that needs a new connection.
+const NEW_LINK_FACTOR: f64 = 1.4;
 
 /// Whether a target is listed, which determines how readily it is used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +74,10 @@
     /// Attempts in flight, in the order in which they were sent.
     pub(super) in_flight: Vec<InFlightAttempt>,
     pub(super) last_sent: Option<Instant>,
+    /// Position among equally good targets. It differs between daemons, which would otherwise all
+    /// begin with the same target.
+    pub(super) tie_order: u64,
+    pub(super) idle_links: IdleLinks,
     cold_until: Instant,
     /// Latency as a multiple of the route's typical latency; a factor of 1 is stored as one second.
     relative_latency: LatencyAverage,
@@ -85,15 +95,24 @@
 
 impl RelayTarget {
     /// Creates the state of a target that has just been listed.
-    pub(super) fn new(now: Instant, key: TargetKey, record: TargetRecord, is_local: bool) -> Self {
+    pub(super) fn new(
+        now: Instant,
+        key: TargetKey,
+        record: TargetRecord,
+        is_local: bool,
+        host: &str,
+    ) -> Self {
+        let host_seed = xxh3_64(host.as_bytes());
         Self {
             key,
             cold_until: now + record.cold_left,
+            tie_order: xxh3_64_with_seed(record.name.as_bytes(), host_seed),
             record,
             listing: ListingState::Listed,
             is_local,
             in_flight: Vec::new(),
             last_sent: None,
+            idle_links: IdleLinks::default(),
             relative_latency: LatencyAverage::default(),
             failure_rate: 0.0,
             failure_updated_at: None,
@@ -156,6 +175,7 @@
     /// Adds an attempt in flight.
     pub(super) fn start_attempt(&mut self, attempt: InFlightAttempt) {
         self.last_sent = Some(attempt.sent_at);
+        self.idle_links.take();
         self.in_flight.push(attempt);
     }
 
@@ -171,10 +191,12 @@
         &mut self,
         now: Instant,
         took: Option<Duration>,
-        typical: Duration,
+        attempt: &LiveAttempt,
     ) -> bool {
         if let Some(took) = took {
-            let ratio = took.as_secs_f64() / typical.as_secs_f64().max(1e-6);
+            let ratio = took.as_secs_f64() / attempt.typical.as_secs_f64().max(1e-6);
+            // The time for a new connection says nothing about the target's speed.
+            let ratio = ratio.min(1.0).max(ratio / attempt.link_factor);
             self.relative_latency
                 .record(now, Duration::from_secs_f64(ratio));
         }
@@ -257,7 +279,22 @@
             1.0
         };
         let distance = if self.is_local { 1.0 } else { REMOTE_FACTOR };
-        load * relative_latency * failure_factor * cold * distance
+        // A request that must not run twice seldom finds a connection that is recent enough for it.
+        let link = if at_most_once {
+            1.0
+        } else {
+            self.link_factor(now)
+        };
+        load * relative_latency * failure_factor * cold * distance * link
+    }
+
+    /// Returns the factor by which opening a connection, if one is needed, lengthens a request.
+    pub(super) fn link_factor(&self, now: Instant) -> f64 {
+        if self.idle_links.is_available(now) {
+            1.0
+        } else {
+            NEW_LINK_FACTOR
+        }
     }
 
     /// Returns the age of the oldest attempt in flight as a multiple of its typical latency.
--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -362,6 +362,34 @@
     assert_eq!(waits(&run(&mut reader, time, SECOND)), [watch]);
 }
 
+/// A fleet of 60 daemons starts at once on a platform that could answer them all. They are spread
+/// over the start window, so that most of them can learn the configuration from a peer instead.
+#[test]
+fn starting_fleet_does_not_read_at_once() {
+    let now = Instant::now();
+    let bounds = FleetBounds {
+        daemons: 60,
+        daemons_per_data_centre: 60,
+    };
+    let window = ReadSettings::default().start_window;
+    let first_reads: Vec<Duration> = (1..=60)
+        .map(|number| {
+            let mut fresh = node(now, number, &[100]);
+            let event = ControlEvent::BoundsChanged(bounds.clone());
+            let mut actions = handle(&mut fresh, now, event);
+            let mut time = now;
+            while !reads_values(&actions) && time < now + 2 * window {
+                time = fresh.next_wake();
+                actions = handle(&mut fresh, time, ControlEvent::Tick);
+            }
+            time.saturating_duration_since(now)
+        })
+        .collect();
+    let early = first_reads.iter().filter(|first| **first < window / 10);
+    assert!(early.count() <= 15, "of 60: {first_reads:?}");
+    assert!(first_reads.iter().all(|first| *first <= window + SECOND));
+}
+
 /// Returns the changes of a node's age of knowledge among the actions.
 fn knowledge_changes(actions: &[ControlAction]) -> Vec<KnowledgeChange> {
     let change = |action: &ControlAction| match action {
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -116,8 +116,14 @@
 impl RelayHarness {
     /// Creates a relay with these routes and targets.
     pub fn new(routes: Vec<RouteEntry>, targets: Vec<TargetRecord>) -> Self {
+        Self::on_host("entry-1", routes, targets)
+    }
+
+    /// Creates a relay on the given host.
+    pub fn on_host(host: &str, routes: Vec<RouteEntry>, targets: Vec<TargetRecord>) -> Self {
         let mut harness = Self {
             engine: RelayEngine::new(RelayOptions {
+                host: host.into(),
                 data_centre: "here".into(),
                 tuning: RelayTuning {
                     retry_share: 0.2,
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -39,33 +39,50 @@
     }
 }
 
+/// The end of an attempt.
+pub(super) struct AttemptEnd {
+    pub(super) outcome: TargetOutcome,
+    /// Time until which the connection of the attempt is kept for another one; `None` if it was
+    /// closed.
+    pub(super) idle_until: Option<Instant>,
+}
+
+impl AttemptEnd {
+    fn closed(outcome: TargetOutcome) -> Self {
+        Self {
+            outcome,
+            idle_until: None,
+        }
+    }
+}
+
 /// Sends a request to a target and waits for the outcome, the deadline or a cancellation.
 pub(super) async fn run_attempt(
     pool: &LinkPool,
     order: &AttemptOrder,
     message: &CallerMessage,
     cancel: CancellationToken,
-) -> TargetOutcome {
+) -> AttemptEnd {
+    let unsent = || AttemptEnd::closed(TargetOutcome::Abandoned { sent: false });
+    let unanswered = || AttemptEnd::closed(TargetOutcome::Abandoned { sent: true });
     let deadline = tokio::time::Instant::from_std(order.deadline);
     let link = tokio::select! {
         link = pool.check_out(order) => link,
-        () = cancel.cancelled() => return TargetOutcome::Abandoned { sent: false },
-        () = tokio::time::sleep_until(deadline) => {
-            return TargetOutcome::Abandoned { sent: false };
-        }
+        () = cancel.cancelled() => return unsent(),
+        () = tokio::time::sleep_until(deadline) => return unsent(),
     };
     let Ok(link) = link else {
-        return TargetOutcome::NotSent;
+        return AttemptEnd::closed(TargetOutcome::NotSent);
     };
     let now = Instant::now();
     if now >= order.deadline || cancel.is_cancelled() {
-        return TargetOutcome::Abandoned { sent: false };
+        return unsent();
     }
     // Dropping the exchange closes the connection, which tells the target to stop.
     tokio::select! {
-        outcome = exchange(pool, link, order, message, now) => outcome,
-        () = cancel.cancelled() => TargetOutcome::Abandoned { sent: true },
-        () = tokio::time::sleep_until(deadline) => TargetOutcome::Abandoned { sent: true },
+        end = exchange(pool, link, order, message, now) => end,
+        () = cancel.cancelled() => unanswered(),
+        () = tokio::time::sleep_until(deadline) => unanswered(),
     }
 }
 
@@ -75,7 +92,7 @@
     order: &AttemptOrder,
     message: &CallerMessage,
     now: Instant,
-) -> TargetOutcome {
+) -> AttemptEnd {
     let PooledLink { mut link, is_new } = pooled;
     let time_left = order.deadline.saturating_duration_since(now);
     let head = target::request_head(
@@ -89,12 +106,15 @@
         body: message.body.clone(),
     };
     let is_answer = |head: &_| target::is_answer_to(head, &message.request_id);
-    match link.exchange(request, is_answer).await {
+    let outcome = match link.exchange(request, is_answer).await {
         Ok(answer) => {
-            if answer.reusable {
-                pool.put_back(order.target, link, answer.idle_timeout());
-            }
-            target::classify_answer(answer)
+            let idle_until = answer
+                .reusable
+                .then(|| pool.put_back(order.target, link, answer.idle_timeout()));
+            return AttemptEnd {
+                outcome: target::classify_answer(answer),
+                idle_until,
+            };
         }
         Err(ExchangeError::Garbled { .. }) => TargetOutcome::Garbled,
         Err(ExchangeError::ConnectionFailed { source, .. }) => {
@@ -104,5 +124,6 @@
             TargetOutcome::Lost
         }
         Err(ExchangeError::UnexpectedEnd { .. }) => TargetOutcome::Lost,
-    }
+    };
+    AttemptEnd::closed(outcome)
 }
--- a/daemon/src/relay/engine_driver.rs
+++ b/daemon/src/relay/engine_driver.rs
@@ -196,8 +196,13 @@
         });
         let driver = Rc::clone(self);
         actix_rt::spawn(async move {
-            let outcome = run_attempt(&driver.pool, &order, &message, cancel).await;
+            let end = run_attempt(&driver.pool, &order, &message, cancel).await;
             driver.remove_attempt(attempt);
+            if let Some(expires) = end.idle_until {
+                let target = order.target;
+                driver.feed(RelayEvent::LinkIdle { target, expires });
+            }
+            let outcome = end.outcome;
             driver.feed(RelayEvent::AttemptEnded { attempt, outcome });
         });
     }
--- a/daemon/src/relay/pool.rs
+++ b/daemon/src/relay/pool.rs
@@ -106,23 +106,25 @@
         }
     }
 
-    /// Returns a connection to the pool that may carry another request.
+    /// Returns a connection to the pool that may carry another request, and until when it is kept.
     pub(super) fn put_back(
         &self,
         target: TargetKey,
         link: ExchangeLink,
         target_idle_timeout: Option<Duration>,
-    ) {
+    ) -> Instant {
         let now = Instant::now();
         let max_idle = self.policy.get().max_idle(now, target_idle_timeout);
+        let expires = now + max_idle;
         let mut idle = self.idle.borrow_mut();
         idle.retain(|link| now < link.expires);
         idle.push(IdleLink {
             target,
             link,
             idle_since: now,
-            expires: now + max_idle,
+            expires,
         });
+        expires
     }
 
     /// Closes the idle connections to a target.
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -140,6 +140,7 @@
 
 fn relay_options(settings: &RelaySettings) -> RelayOptions {
     RelayOptions {
+        host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
         tuning: relay_tuning(settings),
     }
