Bound bytes that never become an answer

Cause: three kinds of bytes without end were read until the deadline of the request: interim answers, the size of a chunk (the codec consumes zeros without yielding), and large bodies on many connections, each up to 16 MiB, so that a few connections fill the memory of a small host. One connection could also keep the thread for a megabyte a turn.

Ruled out: endless header lines and lines, garbage, a huge length and one endless body were already refused by the codec and the bound of a body.

Change: at most eight interim answers; a connection that delivers 256 KiB without a complete head or a part of a body fails as invalid (MeteredStream); answers beyond 64 KiB share 32 MiB a thread (BufferLease), so that usual answers are not starved; after 64 KiB other tasks get their turn. All exchanges use it: to targets, to the store and to peers.

exchange/tests/endless.rs: with the former link.rs interim_answers and size_of_a_chunk do not end within 20 s, and many_connections_at_once (100 connections at once, each of four kinds) does not either; now all nine pass, 100 connections stay under 80 MiB and a usual answer comes within 1 s.

--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -7,8 +7,10 @@
 //! `docs/PLATFORM.md`, "Libraries".
 
 mod answer;
+mod buffer_budget;
 mod error;
 mod link;
+mod metered_stream;
 mod server;
 mod socket;
 
--- a/exchange/src/link.rs
+++ b/exchange/src/link.rs
@@ -12,10 +12,11 @@
 use futures_util::{SinkExt, StreamExt};
 use snafu::ResultExt;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
 
 use crate::answer::ExchangeAnswer;
+use crate::buffer_budget::BufferLease;
 use crate::error::{ConnectionFailedSnafu, ExchangeError, GarbledSnafu, UnexpectedEndSnafu};
+use crate::metered_stream::MeteredStream;
 use crate::socket::LinkOptions;
 
 /// Maximum size of an answer's body, in bytes. It is far above the size of real answers and bounds
@@ -24,6 +25,8 @@
 /// Maximum number of answers to other requests that one exchange skips; one more fails the
 /// exchange.
 const MAX_FOREIGN_ANSWERS: u32 = 2;
+/// Maximum number of interim answers, with a 1xx status, before an answer.
+const MAX_INTERIM_ANSWERS: u32 = 8;
 
 const SEND_STEP: &str = "send request";
 const READ_STEP: &str = "read answer";
@@ -41,12 +44,12 @@
 #[derive(Debug)]
 pub struct ExchangeLink {
     /// TCP connection; `None` after an exchange that left it unusable.
-    stream: Option<TcpStream>,
+    stream: Option<MeteredStream>,
     config: ServiceConfig,
 }
 
-type HeadFrames = Framed<TcpStream, ClientCodec>;
-type BodyFrames = Framed<TcpStream, ClientPayloadCodec>;
+type HeadFrames = Framed<MeteredStream, ClientCodec>;
+type BodyFrames = Framed<MeteredStream, ClientPayloadCodec>;
 
 impl ExchangeLink {
     /// Opens a connection; `config` is shared by all connections of a thread.
@@ -61,7 +64,7 @@
     ) -> io::Result<Self> {
         let stream = options.connect(address).await?;
         Ok(Self {
-            stream: Some(stream),
+            stream: Some(MeteredStream::new(stream)),
             config: config.clone(),
         })
     }
@@ -136,21 +139,27 @@
 
 /// Reads the head of the next answer, skipping interim answers with a 1xx status.
 async fn read_head(frames: &mut HeadFrames) -> Result<ResponseHead, ExchangeError> {
-    loop {
+    for _ in 0..=MAX_INTERIM_ANSWERS {
         let Some(head) = frames.next().await else {
             return UnexpectedEndSnafu { step: READ_STEP }.fail();
         };
         let head = head.map_err(|error| match error {
-            actix_http::error::ParseError::Io(source) => ExchangeError::ConnectionFailed {
-                step: READ_STEP,
-                source,
-            },
+            actix_http::error::ParseError::Io(source)
+                if source.kind() != io::ErrorKind::InvalidData =>
+            {
+                ExchangeError::ConnectionFailed {
+                    step: READ_STEP,
+                    source,
+                }
+            }
             other => garbled(&other.to_string()),
         })?;
+        frames.io_mut().record_progress();
         if !head.status.is_informational() {
             return Ok(head);
         }
     }
+    Err(garbled("too many interim answers"))
 }
 
 /// Reads the body that follows a head. Returns the parts of the connection as well, unless the
@@ -158,7 +167,13 @@
 async fn read_body(
     frames: HeadFrames,
     head: ResponseHead,
-) -> Result<(ExchangeAnswer, Option<FramedParts<TcpStream, ClientCodec>>), ExchangeError> {
+) -> Result<
+    (
+        ExchangeAnswer,
+        Option<FramedParts<MeteredStream, ClientCodec>>,
+    ),
+    ExchangeError,
+> {
     let (body, parts) = match frames.codec_ref().message_type() {
         MessageType::None if ends_with_connection(&head) => (read_to_end(frames).await?, None),
         MessageType::None => (Bytes::new(), Some(frames.into_parts())),
@@ -193,32 +208,42 @@
 async fn read_to_end(frames: HeadFrames) -> Result<Bytes, ExchangeError> {
     let parts = frames.into_parts();
     let (mut stream, mut body) = (parts.io, parts.read_buf);
+    let mut lease = BufferLease::default();
     loop {
         let read = stream.read_buf(&mut body).await;
         if read.context(ConnectionFailedSnafu { step: READ_STEP })? == 0 {
             return Ok(body.freeze());
         }
-        check_size(body.len())?;
+        stream.record_progress();
+        check_size(body.len(), &mut lease)?;
     }
 }
 
 async fn read_framed(mut frames: BodyFrames) -> Result<(Bytes, BodyFrames), ExchangeError> {
     let mut body = BytesMut::new();
+    let mut lease = BufferLease::default();
     loop {
         match frames.next().await {
-            Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+            Some(Ok(Some(chunk))) => {
+                check_size(body.len() + chunk.len(), &mut lease)?;
+                body.extend_from_slice(&chunk);
+                frames.io_mut().record_progress();
+            }
             Some(Ok(None)) => return Ok((body.freeze(), frames)),
             Some(Err(error)) => return Err(garbled(&error.to_string())),
             None => return UnexpectedEndSnafu { step: READ_STEP }.fail(),
         }
-        check_size(body.len())?;
     }
 }
 
-fn check_size(bytes: usize) -> Result<(), ExchangeError> {
+/// Fails if a body of `bytes` bytes is too large, alone or together with those received meanwhile.
+fn check_size(bytes: usize, lease: &mut BufferLease) -> Result<(), ExchangeError> {
     if bytes > MAX_BODY_BYTES {
         return Err(garbled("the body is too large"));
     }
+    if !lease.extend_to(bytes) {
+        return Err(garbled("too many large bodies are received at once"));
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/exchange/src/metered_stream.rs
@@ -0,0 +1,94 @@
+//! TCP connection that stops reading a peer whose bytes make no progress: [`MeteredStream`].
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Maximum number of bytes received since the last complete head or part of a body. It exceeds the
+/// largest head that the codec accepts. A codec can consume more bytes than this without yielding
+/// anything, such as an endless chunk size.
+const MAX_STALLED_BYTES: usize = 256 * 1024;
+
+/// Number of bytes after which other tasks of the thread get a turn.
+const TURN_BYTES: usize = 64 * 1024;
+
+/// TCP connection whose reads fail once too many bytes have made no progress.
+#[derive(Debug)]
+pub(crate) struct MeteredStream {
+    stream: TcpStream,
+    stalled_bytes: usize,
+    /// Bytes received in the present turn.
+    turn_bytes: usize,
+}
+
+impl MeteredStream {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            stalled_bytes: 0,
+            turn_bytes: 0,
+        }
+    }
+
+    /// Records that a complete head or a part of a body was decoded.
+    pub(crate) fn record_progress(&mut self) {
+        self.stalled_bytes = 0;
+    }
+
+    /// Reads bytes that have already arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`io::Error`], of kind [`io::ErrorKind::WouldBlock`] if none have arrived.
+    pub(crate) fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        self.stream.try_read(buffer)
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.stalled_bytes > MAX_STALLED_BYTES {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        if self.turn_bytes > TURN_BYTES {
+            self.turn_bytes = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_pending() {
+            self.turn_bytes = 0;
+        }
+        ready!(read)?;
+        let received = buf.filled().len() - before;
+        self.stalled_bytes += received;
+        self.turn_bytes += received;
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
