Survive malformed messages of peers

Cause: a peer's record of this daemon's own host with the greatest refutation count or incarnation overflowed the counter, and a last valid value newer than the newest one broke an assertion of the configuration store. Release builds check for overflow, so each ended the process; a table sent with all hosts in it would have ended each daemon that read it. A notice's blame could overflow in the same way once a target was lost.

--- a/core/src/control/config_store.rs
+++ b/core/src/control/config_store.rs
@@ -218,7 +218,9 @@
         };
         let entry = &mut self.entries[position];
         let in_effect = entry.in_effect.as_ref().map_or(0, |value| value.version);
-        if entry.rejection.is_none() || good.version <= in_effect {
+        // A last valid value that claims to be newer than the newest one comes from a faulty peer.
+        let is_plausible = good.version > in_effect && good.version <= entry.newest.version;
+        if entry.rejection.is_none() || !is_plausible {
             return;
         }
         if check_value(self.check, good, false).is_ok() {
--- a/core/src/control/member_table.rs
+++ b/core/src/control/member_table.rs
@@ -109,7 +109,7 @@
 
     /// Raises this daemon's incarnation above the one that peers report for its host.
     pub fn supersede(&mut self, incarnation: Incarnation) {
-        self.own.incarnation = self.own.incarnation.max(incarnation + 1);
+        self.own.incarnation = self.own.incarnation.max(incarnation.saturating_add(1));
     }
 
     /// Returns the other members that are gone but still remembered.
@@ -247,7 +247,14 @@
         if !record.supersedes(&self.own) {
             return MergeOutcome::Known;
         }
-        self.own.refutation = record.refutation + 1;
+        // A malformed record must not overflow the counter, which would end the process.
+        match record.refutation.checked_add(1) {
+            Some(refutation) => self.own.refutation = refutation,
+            None => {
+                self.own.incarnation = self.own.incarnation.saturating_add(1);
+                self.own.refutation = 0;
+            }
+        }
         MergeOutcome::Refuted
     }
 
--- a/core/src/quarantine/suspect.rs
+++ b/core/src/quarantine/suspect.rs
@@ -75,7 +75,7 @@
     /// share among them.
     pub(super) fn add_loss(&mut self, now: Instant, shard: ShardId, loss_share: LossShare) {
         match loss_share {
-            LossShare::Trial(blame) => self.blame += blame,
+            LossShare::Trial(blame) => self.blame = self.blame.saturating_add(blame),
             LossShare::OutsideTrial(blame) => self.blame = self.blame.max(blame),
         }
         self.add_shard(shard);
