--- a/core/src/control/member_table.rs
+++ b/core/src/control/member_table.rs
@@ -248,12 +248,11 @@
             return MergeOutcome::Known;
         }
         // A malformed record must not overflow the counter, which would end the process.
-        match record.refutation.checked_add(1) {
-            Some(refutation) => self.own.refutation = refutation,
-            None => {
-                self.own.incarnation = self.own.incarnation.saturating_add(1);
-                self.own.refutation = 0;
-            }
+        if let Some(refutation) = record.refutation.checked_add(1) {
+            self.own.refutation = refutation;
+        } else {
+            self.own.incarnation = self.own.incarnation.saturating_add(1);
+            self.own.refutation = 0;
         }
         MergeOutcome::Refuted
     }
