Bound the log lines about targets and hedges

Cause: each daemon wrote a line for each target that was listed, left or was forgotten, and one for each hedged leg. The number grows as daemons times targets.

The hedges of one check are one decision and one line (event 619); a lone one is event 609 as before. No change is lost, and a target that changes twice has both lines in order.

Ruled out: that these lines cost the processor time by which answers are late there.

--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -160,14 +160,21 @@
         /// Time left until the request's deadline.
         time_left: Duration,
     },
-    /// A hedge or a retry was sent.
+    /// Slow legs of a request were sent to a second target each.
+    Hedged {
+        /// The request whose legs were slow.
+        request: RequestKey,
+        /// Names of the second targets, at least one.
+        targets: Vec<TargetName>,
+        /// Greatest time since the first attempt of one of the legs was sent.
+        after: Duration,
+    },
+    /// A leg was sent again after a failed attempt.
     AttemptRepeated {
         /// The request that was sent again.
         request: RequestKey,
         /// Name of the target that received it.
         target: TargetName,
-        /// Whether the attempt is a hedge or a retry.
-        cause: SendCause,
         /// Time since the leg's first attempt was sent.
         after: Duration,
     },
--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -147,11 +147,10 @@
             uses_retry_budget,
             probe_sent: false,
         });
-        if cause != SendCause::First {
+        if cause == SendCause::Retry {
             actions.push(RelayAction::Decided(RelayDecision::AttemptRepeated {
                 request,
                 target: order.name.clone(),
-                cause,
                 after: now.saturating_duration_since(first_sent),
             }));
         } else if at_most_once {
--- a/core/src/relay/hedging.rs
+++ b/core/src/relay/hedging.rs
@@ -5,12 +5,12 @@
 
 use std::time::{Duration, Instant};
 
-use super::action::{RelayAction, SendCause};
+use super::action::{RelayAction, RelayDecision, SendCause};
 use super::choice::TargetChoice;
 use super::request::RequestState;
 use super::submit::response_due;
 use super::timers::TimerKind;
-use super::{RelayEngine, RequestKey};
+use super::{RelayEngine, RequestKey, TargetKey};
 
 /// Minimum time between two checks of a request's legs.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(4);
@@ -62,6 +62,7 @@
         let Some(state) = self.requests.get(request) else {
             return;
         };
+        let recheck_at = now + delay / RECHECKS_PER_DELAY;
         let mut next: Option<Instant> = None;
         let mut slow = Vec::new();
         for (leg_index, leg) in state.legs.iter().enumerate() {
@@ -78,12 +79,15 @@
                 next = next.into_iter().chain([due]).min();
             }
         }
+        let mut hedged = Vec::new();
         for leg_index in slow {
-            if !self.hedge(now, request, leg_index, actions) {
-                let recheck_at = now + delay / RECHECKS_PER_DELAY;
+            if let Some(target) = self.hedge(now, request, leg_index, actions) {
+                hedged.push((leg_index, target));
+            } else {
                 next = next.into_iter().chain([recheck_at]).min();
             }
         }
+        self.log_hedges(now, request, &hedged, actions);
         // Parked legs, and legs that were retried after a failure, are checked again as well.
         let open = self
             .requests
@@ -96,30 +100,55 @@
         }
     }
 
-    /// Sends a slow leg to a second target; returns false if that is not possible now.
+    /// Logs all hedges of one check as one decision.
+    fn log_hedges(
+        &self,
+        now: Instant,
+        request: RequestKey,
+        hedged: &[(usize, TargetKey)],
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(state) = self.requests.get(request).filter(|_| !hedged.is_empty()) else {
+            return;
+        };
+        let first_sent = hedged
+            .iter()
+            .filter_map(|(leg_index, _)| state.legs[*leg_index].first_sent)
+            .min();
+        let targets = hedged
+            .iter()
+            .filter_map(|(_, target)| self.targets.get(*target))
+            .map(|target| target.record.name.clone())
+            .collect();
+        actions.push(RelayAction::Decided(RelayDecision::Hedged {
+            request,
+            targets,
+            after: first_sent.map_or(Duration::ZERO, |sent| now.saturating_duration_since(sent)),
+        }));
+    }
+
+    /// Sends a slow leg to a second target and returns it; `None` if that is not possible now.
     fn hedge(
         &mut self,
         now: Instant,
         request: RequestKey,
         leg_index: usize,
         actions: &mut Vec<RelayAction>,
-    ) -> bool {
-        let Some(state) = self.requests.get(request) else {
-            return false;
-        };
+    ) -> Option<TargetKey> {
+        let state = self.requests.get(request)?;
         let leg = &state.legs[leg_index];
         let choice = self.choose_target(now, &leg.service, &leg.tried, false);
         let TargetChoice::Send(target) = choice else {
-            return false;
+            return None;
         };
         let suspected = self.suspicion.table.is_suspected(state.fingerprint);
         if suspected
             || leg.tried.contains(&target)
             || !self.reserve_attempt(now, request, leg_index)
         {
-            return false;
+            return None;
         }
         self.send(now, request, leg_index, target, SendCause::Hedge, actions);
-        true
+        Some(target)
     }
 }
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -196,6 +196,12 @@
     616 INFO "order_sent" OrderSent { request: &'a str, target: &'a str, time_left_ms: u64 }
     #[doc = "The store was unreachable for its readers and is reachable again; targets missing from it may have expired meanwhile."]
     617 INFO "outage_ended" OutageEnded { host: &'a str }
+    #[doc = "The state of several targets changed within 100 ms, as in event 606; `targets` are their names."]
+    618 INFO "targets_changed" TargetsChanged { state: &'a str, count: u64, targets: &'a str }
+    #[doc = "A request was sent to a second target of several services, since the first ones had not answered after up to `after_ms`."]
+    619 INFO "legs_hedged" LegsHedged {
+        request: &'a str, count: u64, targets: &'a str, after_ms: u64,
+    }
     #[doc = "A target was lost while it ran a request; `blame` is the request's share of the blame so far, in thousandths of a lost target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is quarantined, since targets were lost whenever they ran it."]
--- a/daemon/src/relay/engine_driver.rs
+++ b/daemon/src/relay/engine_driver.rs
@@ -47,6 +47,8 @@
     last_key: Cell<RequestKey>,
     wake: Notify,
     wake_due: Cell<Option<Instant>>,
+    /// When the report must next write the lines that it collects.
+    lines_due: Cell<Option<Instant>>,
 }
 
 impl EngineDriver {
@@ -68,6 +70,7 @@
             last_key: Cell::new(0),
             wake: Notify::new(),
             wake_due: Cell::new(None),
+            lines_due: Cell::new(None),
         })
     }
 
@@ -126,16 +129,18 @@
     pub(super) async fn run_timers(self: Rc<Self>, stop: CancellationToken) {
         loop {
             let due = self.wake_due.get();
-            let sleep = async {
-                match due {
-                    Some(due) => tokio::time::sleep_until(due.into()).await,
-                    None => std::future::pending().await,
-                }
-            };
+            let lines_due = self.lines_due.get();
             tokio::select! {
-                () = stop.cancelled() => return,
+                () = stop.cancelled() => {
+                    self.report.write_all_target_changes();
+                    return;
+                }
                 () = self.wake.notified() => {}
-                () = sleep => {
+                () = sleep_until(lines_due) => {
+                    self.lines_due.set(None);
+                    self.report.write_target_changes();
+                }
+                () = sleep_until(due) => {
                     self.wake_due.set(None);
                     self.check_pause(due);
                     self.feed(RelayEvent::Tick);
@@ -153,6 +158,10 @@
     }
 
     fn schedule_wake(&self) {
+        if self.report.target_changes_due() != self.lines_due.get() {
+            self.lines_due.set(self.report.target_changes_due());
+            self.wake.notify_one();
+        }
         let next = self.engine.borrow().next_wake();
         let Some(next) = next else {
             return;
@@ -269,3 +278,11 @@
             .map_or_else(Box::default, |message| message.request_id.clone())
     }
 }
+
+/// Waits until a time, or for ever if there is none.
+async fn sleep_until(due: Option<Instant>) {
+    match due {
+        Some(due) => tokio::time::sleep_until(due.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -10,7 +10,7 @@
 //! - `attempt`, `pool`: one request to one target, and the pool of connections to targets.
 //! - `control`: the control plane of [`yuccalift_core::control`], its exchanges with peers, and the
 //!   application of its values; `store_reader` reads the platform's store for it.
-//! - `report`: log lines and metrics.
+//! - `report`: log lines and metrics; [`target_change_log`] coalesces lines about targets.
 //! - `settings_watch`: settings that change while the relay runs.
 //!
 //! See `docs/PLATFORM.md`.
@@ -25,3 +25,4 @@
 mod report;
 pub(crate) mod settings_watch;
 mod store_reader;
+pub mod target_change_log;
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -6,11 +6,12 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
-use yuccalift_core::relay::action::SendCause;
+use yuccalift_core::relay::target_record::TargetName;
 use yuccalift_core::relay::{RelayDecision, RequestKey, RouteTable};
 use yuccalift_platform::DecodeError;
 use yuccalift_platform::store::StoreError;
 
+use super::target_change_log::{ChangeLine, TargetChangeLog};
 use crate::decision_log::millis;
 use crate::events::LogEvent;
 use crate::metrics::{DaemonMetric, MetricsClient};
@@ -75,6 +76,7 @@
     last_drop_report: Cell<Instant>,
     good_requests: Cell<u64>,
     store_lost_at: Cell<Option<Instant>>,
+    target_changes: RefCell<TargetChangeLog>,
 }
 
 impl RelayReport {
@@ -87,6 +89,7 @@
             last_drop_report: Cell::new(now),
             good_requests: Cell::new(0),
             store_lost_at: Cell::new(None),
+            target_changes: RefCell::default(),
         }
     }
 
@@ -182,17 +185,25 @@
                 target,
                 time_left_ms: millis(*time_left),
             }),
+            RelayDecision::Hedged {
+                request,
+                targets,
+                after,
+            } => {
+                let count = targets.len() as u64;
+                self.metrics.count(DaemonMetric::RelayHedges, count);
+                self.log_hedges(&request_id(*request), targets, *after);
+            }
             RelayDecision::AttemptRepeated {
                 request,
                 target,
-                cause,
                 after,
             } => {
-                self.count_repeated_attempt(*cause);
+                self.metrics.count(DaemonMetric::RelayRetries, 1);
                 self.write_limited(&LogEvent::AttemptRepeated {
                     request: &request_id(*request),
                     target,
-                    cause: cause_name(*cause),
+                    cause: "retry",
                     after_ms: millis(*after),
                 });
             }
@@ -226,18 +237,44 @@
             }
             RelayDecision::Resumed { target } => LogEvent::TargetResumed { target }.emit(),
             RelayDecision::TargetChanged { target, state } => {
-                LogEvent::TargetChanged { target, state }.emit();
+                let mut changes = self.target_changes.borrow_mut();
+                write_changes(&changes.record(Instant::now(), target, state));
             }
         }
     }
 
-    fn count_repeated_attempt(&self, cause: SendCause) {
-        let metric = match cause {
-            SendCause::First => return,
-            SendCause::Hedge => DaemonMetric::RelayHedges,
-            SendCause::Retry => DaemonMetric::RelayRetries,
-        };
-        self.metrics.count(metric, 1);
+    fn log_hedges(&self, request: &str, targets: &[TargetName], after: Duration) {
+        let after_ms = millis(after);
+        if let [target] = targets {
+            self.write_limited(&LogEvent::AttemptRepeated {
+                request,
+                target,
+                cause: "hedge",
+                after_ms,
+            });
+            return;
+        }
+        self.write_limited(&LogEvent::LegsHedged {
+            request,
+            count: targets.len() as u64,
+            targets: &targets.join(" "),
+            after_ms,
+        });
+    }
+
+    /// Returns when [`RelayReport::write_target_changes`] is due; `None` if no change waits.
+    pub(super) fn target_changes_due(&self) -> Option<Instant> {
+        self.target_changes.borrow().next_due()
+    }
+
+    /// Writes the lines of target changes whose interval is over.
+    pub(super) fn write_target_changes(&self) {
+        write_changes(&self.target_changes.borrow_mut().take_due(Instant::now()));
+    }
+
+    /// Writes the lines of all target changes, before the process ends.
+    pub(super) fn write_all_target_changes(&self) {
+        write_changes(&self.target_changes.borrow_mut().take_all());
     }
 
     pub(super) fn log_pause(gap: Duration) {
@@ -282,10 +319,17 @@
     }
 }
 
-fn cause_name(cause: SendCause) -> &'static str {
-    match cause {
-        SendCause::First => "first",
-        SendCause::Hedge => "hedge",
-        SendCause::Retry => "retry",
+fn write_changes(lines: &[ChangeLine]) {
+    for line in lines {
+        let state = line.state;
+        match line.targets.as_slice() {
+            [target] => LogEvent::TargetChanged { target, state }.emit(),
+            targets => LogEvent::TargetsChanged {
+                state,
+                count: targets.len() as u64,
+                targets: &targets.join(" "),
+            }
+            .emit(),
+        }
     }
 }
