Hedge stragglers only

Load: a burst, a start or a repartition on hosts with a fraction of a core.

Cause: a leg was hedged by its own age alone.

Change: legs are hedged when at least half of the request's legs are settled; before, only at twice the delay, since their targets may all be silent.

The cases common_delay and stragglers_after_a_common_delay fail with the factor set to 1.

--- a/core/src/relay/hedging.rs
+++ b/core/src/relay/hedging.rs
@@ -2,6 +2,10 @@
 //!
 //! A leg that has been in flight for longer than nearly all recent attempts on its route is also
 //! sent to a second target, within the service's retry budget; the first answer wins.
+//!
+//! A leg is a straggler only in comparison with the other legs of its request. If most of them are
+//! late as well, the cause is common to them: a busy processor, or connections that are being
+//! opened after a start. Hedging them all would double the load just then, so it waits.
 
 use std::time::{Duration, Instant};
 
@@ -21,6 +25,11 @@
 const MIN_HEDGE_LATENCIES: f64 = 1.3;
 /// Number of further checks per hedge delay for a leg that could not be hedged.
 const RECHECKS_PER_DELAY: u32 = 4;
+/// Share of a request's legs that must be settled before the others count as stragglers.
+const SETTLED_SHARE: f64 = 0.5;
+/// Age, as a multiple of the hedge delay, from which legs are hedged even if most are late: their
+/// targets may all be silent.
+const COMMON_DELAY_FACTOR: u32 = 2;
 
 impl RelayEngine {
     /// Schedules the first check of a request's legs.
@@ -63,7 +72,11 @@
             return;
         };
         let recheck_at = now + delay / RECHECKS_PER_DELAY;
-        let mut next: Option<Instant> = None;
+        let (delay, mut next) = if has_stragglers_only(state) {
+            (delay, None)
+        } else {
+            (delay * COMMON_DELAY_FACTOR, Some(recheck_at))
+        };
         let mut slow = Vec::new();
         for (leg_index, leg) in state.legs.iter().enumerate() {
             if !leg.is_open() || leg.in_flight.len() != 1 {
@@ -152,3 +165,9 @@
         Some(target)
     }
 }
+
+/// Returns whether enough legs are settled for the open ones to be stragglers.
+fn has_stragglers_only(state: &RequestState) -> bool {
+    let settled = state.legs.iter().filter(|leg| !leg.is_open()).count();
+    state.legs.len() == 1 || settled as f64 >= SETTLED_SHARE * state.legs.len() as f64
+}
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod forwarding;
 mod gathering;
+mod hedging;
 mod idle_links;
 mod idle_policy;
 mod load;
