Close the connection of a caller whose body never ends

Cause: an answer that is given before the request's body was read drops the rest of the body. The server library then reads a chunked body on to its end and discards it, without a bound in bytes or time. One caller that sends chunks without end kept its connection for more than 20 s after its 413; forty of them made other callers' requests time out (504). The same held for answers that read no body, such as 404 and 503, and for the peers' listener.

Ruled out: heads without end and bytes outside the protocol, which the bounds of the head already end; bodies with a length, which the library closes; the close of the connection by the answer's head, after which the library reads on as well.

Change: the unread rest of a body is held with the answer (RequestBody), so that the library closes the connection after it. A body that has arrived whole is not affected.

--- a/daemon/src/relay/caller_listener.rs
+++ b/daemon/src/relay/caller_listener.rs
@@ -6,10 +6,8 @@
 use std::time::Instant;
 
 use actix_http::body::BoxBody;
-use actix_http::error::PayloadError;
-use actix_http::{ConnectionType, Payload, Request, Response, StatusCode};
-use actix_web::web::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use actix_http::{ConnectionType, Request, Response, StatusCode};
+use actix_web::web::Bytes;
 use yuccalift_core::relay::{RelayAnswer, RelayRefusal, RelayRequest, RequestKey, RouteEntry};
 use yuccalift_platform::caller::{self, CallerHead};
 use yuccalift_platform::target::forwarded_headers;
@@ -18,6 +16,7 @@
 use super::engine_driver::{EngineDriver, RelayResult};
 use super::readiness::RelayReadiness;
 use super::report::RequestEnd;
+use super::request_body::RequestBody;
 
 /// State shared by the handlers of callers' requests.
 pub(super) struct CallerListenerState {
@@ -28,12 +27,15 @@
 /// Answers one request of a caller, and logs its end.
 pub(super) async fn answer_caller(
     state: Rc<CallerListenerState>,
-    request: Request,
+    mut request: Request,
 ) -> Result<Response<BoxBody>, Infallible> {
     let arrived_at = Instant::now();
     let caller = caller::read_head(request.head());
     let mut end = RequestEnd::new(&caller.request);
-    let mut response = state.relay(arrived_at, &caller, request, &mut end).await;
+    let mut body = RequestBody::new(request.take_payload());
+    let mut response = state
+        .relay(arrived_at, &caller, &request, &mut body, &mut end)
+        .await;
     if state.readiness.stopping.get() {
         response
             .head_mut()
@@ -42,7 +44,7 @@
     end.status = response.status().as_u16();
     end.took = arrived_at.elapsed();
     state.driver.report.log_request_end(&end);
-    Ok(response)
+    Ok(body.attach_to(response))
 }
 
 impl CallerListenerState {
@@ -50,7 +52,8 @@
         &self,
         arrived_at: Instant,
         caller: &CallerHead,
-        mut request: Request,
+        request: &Request,
+        body: &mut RequestBody,
         end: &mut RequestEnd,
     ) -> Response<BoxBody> {
         if !self.readiness.configured.get() {
@@ -70,8 +73,7 @@
             end.cause = "large_head";
             return caller::empty_answer(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, None);
         }
-        let body = read_body(request.take_payload(), routes.limits.body_bytes).await;
-        let body = match body {
+        let body = match body.read(routes.limits.body_bytes).await {
             Ok(body) => body,
             Err(status) => {
                 end.cause = "bad_body";
@@ -79,7 +81,7 @@
             }
         };
         let timeout = caller.time_left.unwrap_or(route.timeout);
-        let message = Rc::new(caller_message(caller, &request, body));
+        let message = Rc::new(caller_message(caller, request, body));
         let result = self
             .submit_and_wait(message, &route, arrived_at + timeout)
             .await;
@@ -144,26 +146,6 @@
     copy
 }
 
-pub(super) async fn read_body(payload: Payload, limit: usize) -> Result<Bytes, StatusCode> {
-    let mut payload = payload;
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error: PayloadError| body_status(&error))?;
-        if body.len() + chunk.len() > limit {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
-
-fn body_status(error: &PayloadError) -> StatusCode {
-    match error {
-        PayloadError::Overflow => StatusCode::PAYLOAD_TOO_LARGE,
-        _ => StatusCode::BAD_REQUEST,
-    }
-}
-
 fn response(caller: &CallerHead, result: RelayResult, end: &mut RequestEnd) -> Response<BoxBody> {
     match result {
         Ok(RelayAnswer::Forwarded(reply)) => {
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -33,10 +33,10 @@
 use yuccalift_wire::codec::{from_rmp, to_rmp};
 use yuccalift_wire::peer::EXCHANGE_PATH;
 
-use super::caller_listener::read_body;
 use super::engine_driver::EngineDriver;
 use super::readiness::RelayReadiness;
 use super::report::RelayReport;
+use super::request_body::RequestBody;
 use super::store_reader::StoreReader;
 use crate::control::{EXCHANGE_TIMEOUT, log_notice};
 use crate::events::LogEvent;
@@ -386,16 +386,17 @@
     control: Rc<RelayControl>,
     mut request: Request,
 ) -> Result<Response<BoxBody>, Infallible> {
+    let mut request_body = RequestBody::new(request.take_payload());
     let is_exchange = request.path() == EXCHANGE_PATH && request.method() == Method::POST;
     if !is_exchange {
-        return Ok(empty_answer(StatusCode::NOT_FOUND, None));
+        return Ok(request_body.attach_to(empty_answer(StatusCode::NOT_FOUND, None)));
     }
     let peer = request
         .peer_addr()
         .map_or_else(String::new, |peer| peer.to_string());
-    let body = match read_body(request.take_payload(), MAX_MESSAGE_BYTES).await {
+    let body = match request_body.read(MAX_MESSAGE_BYTES).await {
         Ok(body) => body,
-        Err(status) => return Ok(empty_answer(status, None)),
+        Err(status) => return Ok(request_body.attach_to(empty_answer(status, None))),
     };
     let message = from_rmp::<ExchangeMessage>("read exchange", &peer, &body);
     let reply = message.and_then(|message| {
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`process`]: one relay process, its services and their order.
 //! - `caller_listener`: the listener for callers. `readiness`: the listener for the balancer.
+//! - `request_body`: the body of a request, which may never end.
 //! - `engine_driver`: drives the engine of [`yuccalift_core::relay`], its timers and its callers.
 //! - `attempt`, `pool`: one request to one target, and the pool of connections to targets.
 //! - `control`: the control plane of [`yuccalift_core::control`], its exchanges with peers, and the
@@ -23,6 +24,7 @@
 pub mod process;
 mod readiness;
 mod report;
+mod request_body;
 pub(crate) mod settings_watch;
 mod store_reader;
 pub mod target_change_log;
