Answer every accepted request before a planned stop ends

Cause: a stopping relay exited when its engine had no request, at the end of the grace period at the earliest. The engine does not know a request whose body is still arriving, nor an answer that has been decided but not written: such requests were cut off, and a caller can't tell whether an order ran. Connections without a request were read once more and then dropped, so that a request could be read and lost.

Ruled out: the graceful shutdown signal of the server library, which reads an idle connection once more before it closes it (and is not a documented part of its interface); counting requests in the handlers alone, which ends before the answer is written.

Change: the server of exchange/ has two ways to end. Draining accepts nothing, closes connections without a request unread, and lets each other one end with its answer; aborting ends all at once, as before. The relay drains callers after the grace period and aborts the rest when that has ended.

--- a/daemon/src/relay/engine_driver.rs
+++ b/daemon/src/relay/engine_driver.rs
@@ -79,11 +79,6 @@
         std::sync::Arc::clone(self.engine.borrow().routes())
     }
 
-    /// Returns the number of requests that have not ended.
-    pub(super) fn active_requests(&self) -> usize {
-        self.engine.borrow().active_requests()
-    }
-
     /// Submits a request; the returned channel receives its result.
     pub(super) fn submit(
         self: &Rc<Self>,
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -12,9 +12,10 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::relay::{RelayEngine, RelayOptions, RouteTable};
-use yuccalift_exchange::{LinkOptions, ServeOptions, listen};
+use yuccalift_exchange::{LinkOptions, ServeOptions, StopTokens, listen};
 use yuccalift_settings::RelaySettings;
 
 use super::caller_listener::{CallerListenerState, answer_caller};
@@ -47,8 +48,6 @@
 const BALANCER_GRACE: Duration = Duration::from_secs(3);
 /// Time before the stop limit at which the process exits by itself.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
-/// Interval at which a stopping relay checks whether any request is left.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Runs a relay until it is told to stop; `settings` were read from `file`.
 ///
@@ -76,6 +75,12 @@
     let start_window = store_read_settings(&settings).start_window;
     let readiness = Rc::new(RelayReadiness::new(start_window));
     let stop = CancellationToken::new();
+    let caller_stop = StopTokens::default();
+    // The listeners other than that of the callers end with the process.
+    let listener_stop = StopTokens {
+        abort: stop.clone(),
+        ..StopTokens::default()
+    };
     actix_rt::spawn(Rc::clone(&driver).run_timers(stop.clone()));
     let control = RelayControl::new(
         &settings,
@@ -88,14 +93,14 @@
     spawn_listener(
         peers,
         || DEFAULT_SERVE_OPTIONS,
-        stop.clone(),
+        listener_stop.clone(),
         move |request| answer_peer(Rc::clone(&peer_control), request),
     );
     let balancer_readiness = Rc::clone(&readiness);
     spawn_listener(
         balancer,
         || DEFAULT_SERVE_OPTIONS,
-        stop.clone(),
+        listener_stop.clone(),
         move |request| answer_balancer(Rc::clone(&balancer_readiness), request),
     );
     if let Some(address) = settings.metrics_listen {
@@ -103,7 +108,7 @@
         spawn_listener(
             listener,
             || DEFAULT_SERVE_OPTIONS,
-            stop.clone(),
+            listener_stop,
             move |_request| std::future::ready(Ok(answer_metrics(&metrics))),
         );
     }
@@ -113,7 +118,7 @@
     });
     let caller_driver = Rc::clone(&driver);
     let options = move || caller_serve_options(&caller_driver.routes());
-    spawn_listener(callers, options, stop.clone(), move |request| {
+    let callers_served = spawn_listener(callers, options, caller_stop.clone(), move |request| {
         answer_caller(Rc::clone(&caller_state), request)
     });
     log_start(&settings);
@@ -121,7 +126,9 @@
     actix_rt::spawn(Rc::clone(&watch).run(stop.clone()));
     signals.wait(&watch).await;
     control.leave();
-    stop_gracefully(&settings.host, watch.stop_timeout(), &driver, &readiness).await;
+    readiness.stopping.set(true);
+    let drain = caller_stop.drain;
+    stop_gracefully(&settings.host, watch.stop_timeout(), drain, callers_served).await;
     stop.cancel();
     Ok(())
 }
@@ -150,17 +157,18 @@
     listen(address).context(BindSnafu { listener, address })
 }
 
-/// Serves a listener until `stop` is cancelled.
+/// Serves a listener until `stop` tells it to end.
 fn spawn_listener<F, Fut>(
     listener: TcpListener,
     options: impl Fn() -> ServeOptions + 'static,
-    stop: CancellationToken,
+    stop: StopTokens,
     handler: F,
-) where
+) -> JoinHandle<()>
+where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
 {
-    actix_rt::spawn(yuccalift_exchange::serve(listener, options, stop, handler));
+    actix_rt::spawn(yuccalift_exchange::serve(listener, options, stop, handler))
 }
 
 /// Returns the metrics as text, whatever the path.
@@ -170,32 +178,27 @@
     builder.body(metrics.text()).map_into_boxed_body()
 }
 
-/// Reports not ready, keeps serving for a grace period, and waits until no request is left or the
-/// limit is reached.
+/// Keeps serving callers for a grace period, in which the balancer learns that this relay is not
+/// ready, and then until each request that was received has its answer or the limit is reached.
 async fn stop_gracefully(
     host: &str,
     limit: Duration,
-    driver: &EngineDriver,
-    readiness: &RelayReadiness,
+    drain: CancellationToken,
+    callers_served: JoinHandle<()>,
 ) {
-    readiness.stopping.set(true);
     LogEvent::StopStarted {
         host,
         limit_ms: limit.as_millis() as u64,
     }
     .emit();
     let started_at = Instant::now();
-    let grace = BALANCER_GRACE.min(limit / 2);
-    tokio::time::sleep(grace).await;
-    let drain_limit = limit.saturating_sub(STOP_RESERVE);
-    while driver.active_requests() > 0 && started_at.elapsed() < drain_limit {
-        tokio::time::sleep(STOP_POLL_INTERVAL).await;
-    }
-    let overdue = if driver.active_requests() > 0 {
-        "requests"
-    } else {
-        ""
-    };
+    tokio::time::sleep(BALANCER_GRACE.min(limit / 2)).await;
+    drain.cancel();
+    let time_left = limit
+        .saturating_sub(STOP_RESERVE)
+        .saturating_sub(started_at.elapsed());
+    let ended = tokio::time::timeout(time_left, callers_served).await;
+    let overdue = if ended.is_err() { "requests" } else { "" };
     LogEvent::DaemonStopped { host, overdue }.emit();
 }
 
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod buffer_budget;
+mod connection_table;
 mod error;
 mod link;
 mod metered_stream;
@@ -17,5 +18,5 @@
 pub use answer::ExchangeAnswer;
 pub use error::ExchangeError;
 pub use link::{ExchangeLink, OutgoingRequest};
-pub use server::{ServeOptions, serve};
+pub use server::{ServeOptions, StopTokens, serve};
 pub use socket::{LinkOptions, listen};
--- a/exchange/src/server.rs
+++ b/exchange/src/server.rs
@@ -1,15 +1,18 @@
 //! HTTP/1 server on the current thread: [`serve`].
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{HttpService, KeepAlive, Request, Response};
+use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
+use crate::connection_table::ConnectionTable;
 use crate::socket::LinkOptions;
 
 /// Delay after a failed accept, such as when file descriptors run out; descriptors are released as
@@ -27,31 +30,46 @@
     pub link: LinkOptions,
 }
 
-/// Serves the connections of a listener, each as a task of this thread, until the token is
-/// cancelled. `options` is called for each accepted connection, so changed options apply to new
-/// connections.
+/// The two ways to end a server.
+#[derive(Clone, Debug, Default)]
+pub struct StopTokens {
+    /// Ends the server without losing an answer: it accepts no connection, closes those without a
+    /// request, and closes each other one after its answer. Requests on connections that are closed
+    /// have not been read, so that their callers may send them again.
+    pub drain: CancellationToken,
+    /// Ends the server and all connections at once.
+    pub abort: CancellationToken,
+}
+
+/// Serves the connections of a listener, each as a task of this thread, until it is told to end;
+/// returns when all of them have ended. `options` is called for each accepted connection, so
+/// changed options apply to new connections.
 ///
 /// A request whose connection ends is dropped at once. A caller that closes only its sending half
 /// is treated as disconnected too, since the two can't be distinguished before an answer is written.
 pub async fn serve<F, Fut>(
     listener: TcpListener,
     options: impl Fn() -> ServeOptions,
-    stop: CancellationToken,
+    stop: StopTokens,
     handler: F,
 ) where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
 {
+    let connections = Rc::new(ConnectionTable::default());
+    let handler = drainable(handler, Rc::clone(&connections), stop.drain.clone());
+    let tasks = TaskTracker::new();
     let mut current_options = options();
     let Some(mut service) = connection_service(current_options, handler.clone()).await else {
         return;
     };
     loop {
         let accepted = tokio::select! {
+            () = stop.abort.cancelled() => return,
+            () = stop.drain.cancelled() => break,
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
         };
-        let Ok((stream, _peer)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
@@ -64,18 +82,77 @@
         let _best_effort = stream.set_nodelay(true);
         let _best_effort = current_options.link.enable_keepalive(&stream);
         let service = Rc::clone(&service);
-        let stop = stop.clone();
-        tokio::task::spawn_local(async move {
+        let (connections, stop) = (Rc::clone(&connections), stop.clone());
+        tasks.spawn_local(async move {
+            connections.add(peer);
             // When the connection ends, its requests have been dropped, so the result is not
             // needed.
-            tokio::select! {
-                _ended = service.call(stream) => {}
-                () = stop.cancelled() => {}
-            }
+            run_connection(service.call(stream), peer, &connections, &stop).await;
+            connections.remove(peer);
         });
     }
+    drop(listener);
+    tasks.close();
+    tokio::select! {
+        () = stop.abort.cancelled() => {}
+        () = tasks.wait() => {}
+    }
+}
+
+/// Runs a connection until it ends or the server does. A connection without a request is not polled
+/// once the server drains, as that would read a request that has just arrived.
+async fn run_connection(
+    connection: impl Future,
+    peer: SocketAddr,
+    connections: &ConnectionTable,
+    stop: &StopTokens,
+) {
+    tokio::pin!(connection);
+    tokio::select! {
+        biased;
+        () = stop.abort.cancelled() => return,
+        () = stop.drain.cancelled() => {}
+        _ended = &mut connection => return,
+    }
+    if connections.is_idle(peer) {
+        return;
+    }
+    tokio::select! {
+        () = stop.abort.cancelled() => {}
+        _ended = &mut connection => {}
+    }
 }
 
+/// Returns a handler that records which connections wait for an answer, and whose answers close
+/// their connections once the server drains.
+fn drainable<F, Fut>(
+    handler: F,
+    connections: Rc<ConnectionTable>,
+    drain: CancellationToken,
+) -> impl Fn(Request) -> std::pin::Pin<Box<dyn Future<Output = HandlerResult>>> + Clone + 'static
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = HandlerResult> + 'static,
+{
+    move |request: Request| {
+        let guard = connections.begin_request(request.peer_addr());
+        let answer = handler(request);
+        let drain = drain.clone();
+        Box::pin(async move {
+            let mut response = answer.await?;
+            if drain.is_cancelled() {
+                response
+                    .head_mut()
+                    .set_connection_type(ConnectionType::Close);
+            }
+            Ok(guard.attach_to(response))
+        })
+    }
+}
+
+/// The result of a handler, which always answers.
+type HandlerResult = Result<Response<BoxBody>, Infallible>;
+
 /// Creates the service that serves connections with the given options.
 async fn connection_service<F, Fut>(
     options: ServeOptions,
@@ -83,7 +160,7 @@
 ) -> Option<Rc<impl Service<TcpStream>>>
 where
     F: Fn(Request) -> Fut + Clone + 'static,
-    Fut: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
+    Fut: Future<Output = HandlerResult> + 'static,
 {
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(options.idle_timeout))
