Count the memory that is allocated for large answers, not the part in use

Cause: answers beyond 64 KiB share 32 MiB, but only their filled part was counted, and a buffer grows by doubling. So up to twice the budget was allocated.

Change: AnswerBuffer leases what it allocates.

--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/PLATFORM.md`, "Libraries".
 
 mod answer;
+mod answer_buffer;
 mod buffer_budget;
 mod connection_table;
 mod error;
--- a/exchange/src/link.rs
+++ b/exchange/src/link.rs
@@ -14,14 +14,13 @@
 use tokio::io::AsyncReadExt;
 
 use crate::answer::ExchangeAnswer;
-use crate::buffer_budget::BufferLease;
+use crate::answer_buffer::AnswerBuffer;
 use crate::error::{ConnectionFailedSnafu, ExchangeError, GarbledSnafu, UnexpectedEndSnafu};
 use crate::metered_stream::MeteredStream;
 use crate::socket::LinkOptions;
 
-/// Maximum size of an answer's body, in bytes. It is far above the size of real answers and bounds
-/// the memory that a faulty peer can take.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Room for a read of a body that extends to the end of the connection, in bytes.
+const READ_BYTES: usize = 4 * 1024;
 /// Maximum number of answers to other requests that one exchange skips; one more fails the
 /// exchange.
 const MAX_FOREIGN_ANSWERS: u32 = 2;
@@ -207,46 +206,33 @@
 
 async fn read_to_end(frames: HeadFrames) -> Result<Bytes, ExchangeError> {
     let parts = frames.into_parts();
-    let (mut stream, mut body) = (parts.io, parts.read_buf);
-    let mut lease = BufferLease::default();
+    let (mut stream, mut body) = (parts.io, AnswerBuffer::new(parts.read_buf));
     loop {
-        let read = stream.read_buf(&mut body).await;
+        body.reserve(READ_BYTES).map_err(garbled)?;
+        let read = stream.read_buf(body.bytes_mut()).await;
         if read.context(ConnectionFailedSnafu { step: READ_STEP })? == 0 {
-            return Ok(body.freeze());
+            return Ok(body.into_bytes());
         }
         stream.record_progress();
-        check_size(body.len(), &mut lease)?;
     }
 }
 
 async fn read_framed(mut frames: BodyFrames) -> Result<(Bytes, BodyFrames), ExchangeError> {
-    let mut body = BytesMut::new();
-    let mut lease = BufferLease::default();
+    let mut body = AnswerBuffer::new(BytesMut::new());
     loop {
         match frames.next().await {
             Some(Ok(Some(chunk))) => {
-                check_size(body.len() + chunk.len(), &mut lease)?;
-                body.extend_from_slice(&chunk);
+                body.reserve(chunk.len()).map_err(garbled)?;
+                body.bytes_mut().extend_from_slice(&chunk);
                 frames.io_mut().record_progress();
             }
-            Some(Ok(None)) => return Ok((body.freeze(), frames)),
+            Some(Ok(None)) => return Ok((body.into_bytes(), frames)),
             Some(Err(error)) => return Err(garbled(&error.to_string())),
             None => return UnexpectedEndSnafu { step: READ_STEP }.fail(),
         }
     }
 }
 
-/// Fails if a body of `bytes` bytes is too large, alone or together with those received meanwhile.
-fn check_size(bytes: usize, lease: &mut BufferLease) -> Result<(), ExchangeError> {
-    if bytes > MAX_BODY_BYTES {
-        return Err(garbled("the body is too large"));
-    }
-    if !lease.extend_to(bytes) {
-        return Err(garbled("too many large bodies are received at once"));
-    }
-    Ok(())
-}
-
 fn garbled(reason: &str) -> ExchangeError {
     GarbledSnafu {
         step: READ_STEP,
