Refuse answers that may be late copies of earlier ones

Cause: an answer without the request's id was accepted on any connection. A target that sends a second copy of an answer late, when its connection carries another request, would have its caller get another request's answer if the copy bears no id, or if the target never echoes ids.

Ruled out: bytes that wait on an idle connection, which is not used then; copies that bear the id, which were skipped.

Change: an answer without an id is accepted on a new connection only, and that connection carries no other request. On one that is used again it ends the exchange as invalid.

--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -105,12 +105,12 @@
         head,
         body: message.body.clone(),
     };
-    let is_answer = |head: &_| target::is_answer_to(head, &message.request_id);
-    let outcome = match link.exchange(request, is_answer).await {
+    let owner_of = |head: &_| target::answer_owner(head, &message.request_id, is_new);
+    let outcome = match link.exchange(request, owner_of).await {
         Ok(answer) => {
-            let idle_until = answer
-                .reusable
-                .then(|| pool.put_back(order.target, link, answer.idle_timeout()));
+            let is_reusable = answer.reusable && target::is_distinguishable(&answer);
+            let idle_until =
+                is_reusable.then(|| pool.put_back(order.target, link, answer.idle_timeout()));
             return AttemptEnd {
                 outcome: target::classify_answer(answer),
                 idle_until,
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -24,7 +24,7 @@
 use yuccalift_core::ids::{ConfigVersion, HostName};
 use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
 use yuccalift_core::relay::RelayEvent;
-use yuccalift_exchange::{ExchangeLink, LinkOptions, OutgoingRequest};
+use yuccalift_exchange::{AnswerOwner, ExchangeLink, LinkOptions, OutgoingRequest};
 use yuccalift_platform::caller::empty_answer;
 use yuccalift_platform::listing::decode_target;
 use yuccalift_platform::routes::decode_routes;
@@ -373,7 +373,9 @@
         head,
         body: Some(body.into()),
     };
-    let answer = link.exchange(request, |_head| true).await;
+    let answer = link
+        .exchange(request, |_head| AnswerOwner::ThisRequest)
+        .await;
     let answer = answer.map_err(|error| error.to_string())?;
     if answer.status != StatusCode::OK {
         return Err(format!("status {}", answer.status));
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use answer::ExchangeAnswer;
 pub use error::ExchangeError;
-pub use link::{ExchangeLink, OutgoingRequest};
+pub use link::{AnswerOwner, ExchangeLink, OutgoingRequest};
 pub use server::{ServeOptions, StopTokens, serve};
 pub use socket::{LinkOptions, listen};
--- a/exchange/src/link.rs
+++ b/exchange/src/link.rs
@@ -39,6 +39,17 @@
     pub body: Option<Bytes>,
 }
 
+/// The request that an answer belongs to, as its head tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerOwner {
+    /// The request of the present exchange.
+    ThisRequest,
+    /// A request that the connection carried before; a peer may send an answer twice.
+    EarlierRequest,
+    /// The present request or an earlier one; such an answer is refused.
+    Unknown,
+}
+
 /// Client connection that carries one exchange at a time.
 #[derive(Debug)]
 pub struct ExchangeLink {
@@ -79,8 +90,8 @@
         matches!(read, Some(Err(error)) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and reads the complete answer. An answer for which `is_own` returns false
-    /// belongs to an earlier request and is skipped.
+    /// Sends a request and reads the complete answer. `owner_of` tells by an answer's head whether it
+    /// is the answer to this request; one to an earlier request is skipped.
     ///
     /// # Errors
     ///
@@ -88,7 +99,7 @@
     pub async fn exchange(
         &mut self,
         request: OutgoingRequest,
-        is_own: impl Fn(&ResponseHead) -> bool,
+        owner_of: impl Fn(&ResponseHead) -> AnswerOwner,
     ) -> Result<ExchangeAnswer, ExchangeError> {
         let Some(stream) = self.stream.take() else {
             return UnexpectedEndSnafu { step: SEND_STEP }.fail();
@@ -99,12 +110,16 @@
         let mut foreign = 0;
         loop {
             let head = read_head(&mut frames).await?;
-            let own = is_own(&head);
+            let is_own = match owner_of(&head) {
+                AnswerOwner::ThisRequest => true,
+                AnswerOwner::EarlierRequest => false,
+                AnswerOwner::Unknown => return Err(garbled("the answer names no request")),
+            };
             let (answer, parts) = read_body(frames, head).await?;
             let Some(parts) = parts else {
-                return own.then_some(answer).ok_or(unexpected_end());
+                return is_own.then_some(answer).ok_or(unexpected_end());
             };
-            if own {
+            if is_own {
                 if answer.reusable {
                     self.stream = Some(parts.io);
                 }
--- a/exchange/tests/endless.rs
+++ b/exchange/tests/endless.rs
@@ -8,7 +8,7 @@
 use actix_http::{RequestHead, ServiceConfig};
 use futures_util::future::join_all;
 use yuccalift_exchange::{
-    ExchangeAnswer, ExchangeError, ExchangeLink, LinkOptions, OutgoingRequest,
+    AnswerOwner, ExchangeAnswer, ExchangeError, ExchangeLink, LinkOptions, OutgoingRequest,
 };
 use yuccalift_testkit::cases;
 
@@ -104,7 +104,8 @@
         .expect("the peer accepts");
     let head = RequestHead::default();
     let request = OutgoingRequest { head, body: None };
-    link.exchange(request, |_head| true).await
+    link.exchange(request, |_head| AnswerOwner::ThisRequest)
+        .await
 }
 
 fn check_one(script: PeerScript) {
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -6,7 +6,7 @@
 
 use actix_http::{Method, RequestHead, ServiceConfig};
 use yuccalift_exchange::{
-    ExchangeAnswer, ExchangeError, ExchangeLink, LinkOptions, OutgoingRequest,
+    AnswerOwner, ExchangeAnswer, ExchangeError, ExchangeLink, LinkOptions, OutgoingRequest,
 };
 use yuccalift_testkit::cases;
 
@@ -51,10 +51,10 @@
         head.method = Method::GET;
         head.uri = "/path?query".parse().expect("a valid path");
         let request = OutgoingRequest { head, body: None };
-        let own = |head: &actix_http::ResponseHead| {
-            head.headers
-                .get("id")
-                .is_none_or(|id| id.as_bytes() == b"own")
+        let own = |head: &actix_http::ResponseHead| match head.headers.get("id") {
+            Some(id) if id.as_bytes() == b"other" => AnswerOwner::EarlierRequest,
+            Some(id) if id.as_bytes() == b"?" => AnswerOwner::Unknown,
+            _ => AnswerOwner::ThisRequest,
         };
         let answer = link.exchange(request, own).await;
         tokio::time::sleep(SETTLE_TIME).await;
@@ -113,6 +113,8 @@
     a_truncated_head_is_refused: assert_rejected(b"HTTP/1.1 200 OK\r\nContent-", true);
     a_close_without_an_answer_is_refused: assert_rejected(b"", true);
     bytes_outside_the_protocol_are_refused: assert_rejected(b"\x00\x01 garbage\r\n\r\n", false);
+    an_answer_of_unknown_owner_is_refused:
+        assert_rejected(b"HTTP/1.1 200 OK\r\nid: ?\r\nContent-Length: 3\r\n\r\nold", false);
     only_foreign_answers_are_refused:
         assert_rejected(b"HTTP/1.1 200 OK\r\nid: other\r\nContent-Length: 3\r\n\r\nold", true);
 }
