Give other connections a turn after 16 KiB

Cause: the server library decodes up to 128 KiB of a connection in one turn of the thread. Forty callers that send tiny chunks without end kept a daemon's thread so long that other callers' requests timed out.

Found by callers_with_endless_bodies of endless_bytes, which failed once in a run of the crates' tests.

--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -15,6 +15,7 @@
 mod metered_stream;
 mod server;
 mod socket;
+mod turn_stream;
 
 pub use answer::ExchangeAnswer;
 pub use error::ExchangeError;
--- a/exchange/src/link.rs
+++ b/exchange/src/link.rs
@@ -19,6 +19,7 @@
 use crate::error::{ConnectionFailedSnafu, ExchangeError, GarbledSnafu, UnexpectedEndSnafu};
 use crate::metered_stream::MeteredStream;
 use crate::socket::LinkOptions;
+use crate::turn_stream::TurnStream;
 
 /// Initial size of the buffer for a request, in bytes.
 const HEAD_BYTES: usize = 1024;
@@ -94,7 +95,7 @@
     ) -> io::Result<Self> {
         let stream = options.connect(address).await?;
         Ok(Self {
-            stream: Some(MeteredStream::new(stream)),
+            stream: Some(MeteredStream::new(TurnStream::new(stream))),
             config: config.clone(),
         })
     }
--- a/exchange/src/metered_stream.rs
+++ b/exchange/src/metered_stream.rs
@@ -5,31 +5,26 @@
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::turn_stream::TurnStream;
 
 /// Maximum number of bytes received since the last complete head or part of a body. It exceeds the
 /// largest head that the codec accepts. A codec can consume more bytes than this without yielding
 /// anything, such as an endless chunk size.
 const MAX_STALLED_BYTES: usize = 256 * 1024;
 
-/// Number of bytes after which other tasks of the thread get a turn.
-const TURN_BYTES: usize = 64 * 1024;
-
 /// TCP connection whose reads fail once too many bytes have made no progress.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
-    stream: TcpStream,
+    stream: TurnStream,
     stalled_bytes: usize,
-    /// Bytes received in the present turn.
-    turn_bytes: usize,
 }
 
 impl MeteredStream {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TurnStream) -> Self {
         Self {
             stream,
             stalled_bytes: 0,
-            turn_bytes: 0,
         }
     }
 
@@ -66,20 +61,9 @@
         if self.stalled_bytes > MAX_STALLED_BYTES {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
-        if self.turn_bytes > TURN_BYTES {
-            self.turn_bytes = 0;
-            cx.waker().wake_by_ref();
-            return Poll::Pending;
-        }
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if read.is_pending() {
-            self.turn_bytes = 0;
-        }
-        ready!(read)?;
-        let received = buf.filled().len() - before;
-        self.stalled_bytes += received;
-        self.turn_bytes += received;
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.stalled_bytes += buf.filled().len() - before;
         Poll::Ready(Ok(()))
     }
 }
--- a/exchange/src/server.rs
+++ b/exchange/src/server.rs
@@ -6,14 +6,15 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{ConnectionType, HttpService, KeepAlive, Request, Response};
+use actix_http::{ConnectionType, HttpServiceBuilder, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::connection_table::ConnectionTable;
 use crate::socket::LinkOptions;
+use crate::turn_stream::TurnStream;
 
 /// Delay after a failed accept, such as when file descriptors run out; descriptors are released as
 /// other connections close.
@@ -87,7 +88,8 @@
             connections.add(peer);
             // When the connection ends, its requests have been dropped, so the result is not
             // needed.
-            run_connection(service.call(stream), peer, &connections, &stop).await;
+            let connection = service.call((TurnStream::new(stream), Some(peer)));
+            run_connection(connection, peer, &connections, &stop).await;
             connections.remove(peer);
         });
     }
@@ -157,16 +159,15 @@
 async fn connection_service<F, Fut>(
     options: ServeOptions,
     handler: F,
-) -> Option<Rc<impl Service<TcpStream>>>
+) -> Option<Rc<impl Service<(TurnStream, Option<SocketAddr>)>>>
 where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = HandlerResult> + 'static,
 {
-    let factory = HttpService::build()
+    let factory = HttpServiceBuilder::default()
         .keep_alive(KeepAlive::Timeout(options.idle_timeout))
         .client_request_timeout(options.head_timeout)
         .h1_allow_half_closed(false)
-        .h1(fn_service(handler))
-        .tcp();
+        .h1(fn_service(handler));
     factory.new_service(()).await.ok().map(Rc::new)
 }
