Keep removed keys removed after a restart

Two causes by which a departed target or a withdrawn key came into use again after one daemon had restarted:

A daemon that starts with a listing of the platform never learns what was removed before. A peer that was paused answered a request for changes late. The restarted daemon took its older keys for new ones, since it had no record of their removal.

A delta in parts could end between two keys of one version, which a listing's removals cause; the receiver then never got the second.

Ruled out: remembering removals for ever, which a restart forgets; letting a peer that is behind read the platform, which may be unreachable just then.

Change: each store knows the version after which it knows every removal; a peer behind that gets the names of all keys with the changes and drops its others; a store that is still being filled passes on nothing; older keys that a store does not have are ignored; a listing removes what it does not contain (moved from the store's reader into the decisions); parts end between versions; the hash counts what exists.

--- a/core/src/control/config_delta.rs
+++ b/core/src/control/config_delta.rs
@@ -121,7 +121,10 @@
 }
 
 /// All changes after the version `base` up to and including the version `through`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Fields that an older daemon does not send have their default value.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct ConfigDelta {
     /// Version that the receiver must have reached.
     pub base: ConfigVersion,
@@ -129,12 +132,19 @@
     pub through: ConfigVersion,
     /// Changed keys, sorted by version.
     pub entries: Vec<DeltaEntry>,
+    /// Version after which the sender knows every removal.
+    pub removals_since: ConfigVersion,
+    /// All keys that the sender has a value for, sorted, if it does not know every removal after
+    /// `base`; the receiver's other keys have been removed.
+    pub live_keys: Option<Vec<ValueKey>>,
 }
 
 impl ConfigDelta {
     /// Returns the number of bytes of text in the delta.
     pub fn bytes(&self) -> usize {
-        self.entries.iter().map(DeltaEntry::bytes).sum()
+        let entries: usize = self.entries.iter().map(DeltaEntry::bytes).sum();
+        let keys = self.live_keys.iter().flatten();
+        entries + keys.map(|key| key.len()).sum::<usize>()
     }
 }
 
--- a/core/src/control/config_store.rs
+++ b/core/src/control/config_store.rs
@@ -4,6 +4,10 @@
 //! store: [`ConfigStore::version`] is the version up to which the store has every change. Neither
 //! this version nor that of any key ever decreases, even when a platform replica or a peer is
 //! stale; this is asserted in release builds too. See `docs/DESIGN.md`, "Configuration".
+//!
+//! A store that began with a listing of the platform never learned which keys had been removed
+//! before. It tells a peer that has older keys by the list of the keys that exist, so that the peer
+//! drops the others.
 
 use std::sync::Arc;
 
@@ -56,6 +60,8 @@
 pub struct ConfigStore {
     check: ValueCheck,
     version: ConfigVersion,
+    /// Version after which every removal is known.
+    removals_since: ConfigVersion,
     hash: u64,
     entries: Vec<StoredEntry>,
     keys_to_request: Vec<ValueKey>,
@@ -67,6 +73,7 @@
         Self {
             check,
             version: 0,
+            removals_since: 0,
             hash: 0,
             entries: Vec::new(),
             keys_to_request: Vec::new(),
@@ -78,7 +85,8 @@
         self.version
     }
 
-    /// Returns a hash over the newest change of every key, equal for stores with equal content.
+    /// Returns a hash over the newest value of every key, equal for stores with equal content. Keys
+    /// that were removed do not count, since not all stores have known them.
     pub fn hash(&self) -> u64 {
         self.hash
     }
@@ -110,16 +118,25 @@
         &self.keys_to_request
     }
 
-    /// Applies the platform's answer: every change after a version that the store had reached.
+    /// Applies the platform's answer: every change after a version that the store had reached, or
+    /// all keys that exist (`is_listing`).
     pub fn apply_published(
         &mut self,
         version: ConfigVersion,
         published: &[ConfigValue],
+        is_listing: bool,
         changes: &mut Vec<StoreChange>,
     ) -> UpdateOutcome {
         if version < self.version {
             return UpdateOutcome::Stale;
         }
+        if is_listing {
+            let mut listed: Vec<ValueKey> =
+                published.iter().map(|value| value.key.clone()).collect();
+            listed.sort_unstable();
+            self.remove_other_keys(&listed, version, changes);
+            self.removals_since = version;
+        }
         for value in published {
             let oversize = value
                 .value
@@ -136,9 +153,18 @@
         delta: &ConfigDelta,
         changes: &mut Vec<StoreChange>,
     ) -> UpdateOutcome {
-        if delta.base > self.version {
+        if delta.base > self.version || self.lacks_removals(delta) {
             return UpdateOutcome::Gap;
         }
+        if delta.through >= self.version {
+            if let Some(live_keys) = &delta.live_keys {
+                self.remove_other_keys(live_keys, delta.through, changes);
+                self.removals_since = self.removals_since.max(delta.through);
+            }
+            if self.version < delta.removals_since {
+                self.removals_since = self.removals_since.max(delta.removals_since);
+            }
+        }
         for entry in &delta.entries {
             if !self.apply_entry(entry, changes) {
                 self.request_whole_value(&entry.key);
@@ -152,16 +178,59 @@
         self.advance_version(delta.through)
     }
 
+    /// Returns whether a delta leads to a version by which keys of this store may have been removed
+    /// without the delta telling so. It was made for an empty store, and this one has been filled
+    /// since.
+    fn lacks_removals(&self, delta: &ConfigDelta) -> bool {
+        let is_behind = self.version > 0 && self.version < delta.removals_since;
+        is_behind && delta.base < delta.removals_since && delta.live_keys.is_none()
+    }
+
+    /// Removes the keys that are not among `live_keys`, sorted, which are all that exist at the
+    /// version `through` or a later one.
+    fn remove_other_keys(
+        &mut self,
+        live_keys: &[ValueKey],
+        through: ConfigVersion,
+        changes: &mut Vec<StoreChange>,
+    ) {
+        let removed: Vec<ValueKey> = self
+            .entries
+            .iter()
+            .filter(|entry| entry.newest.version < through && entry.exists())
+            .map(|entry| &entry.newest.key)
+            .filter(|key| live_keys.binary_search(key).is_err())
+            .cloned()
+            .collect();
+        for key in removed {
+            let removal = ConfigValue {
+                key,
+                version: through,
+                value: None,
+            };
+            self.put(removal, false, changes);
+        }
+    }
+
     /// Returns the changes after `base`, with at most `limit` bytes of text unless a single value
     /// is larger.
     ///
-    /// Keys in `whole` are sent as whole values, even if the peer already knows their version.
+    /// Keys in `whole` are sent as whole values, even if the peer already knows their version. A
+    /// store that is still being filled offers nothing, since it can't tell a removed key from one
+    /// that it has not received yet.
     pub fn delta_since(
         &self,
         base: ConfigVersion,
         whole: &[ValueKey],
         limit: usize,
     ) -> ConfigDelta {
+        if self.version < self.removals_since {
+            return ConfigDelta {
+                base,
+                through: base,
+                ..ConfigDelta::default()
+            };
+        }
         let mut due: Vec<&StoredEntry> = self
             .entries
             .iter()
@@ -172,12 +241,17 @@
             .collect();
         due.sort_by_key(|entry| entry.newest.version);
         let mut bytes = 0;
-        let mut entries = Vec::new();
+        let mut entries: Vec<DeltaEntry> = Vec::new();
         for entry in &due {
             let is_whole = whole.contains(&entry.newest.key);
             let next = entry.delta_entry(base, is_whole);
             bytes += next.bytes();
-            if bytes > limit && !entries.is_empty() {
+            // Removals that a listing shows have its version, which other keys may have as well.
+            // The receiver reaches that version, so it must get all of them.
+            let is_complete = entries
+                .last()
+                .is_some_and(|last| last.version < next.version);
+            if bytes > limit && is_complete {
                 break;
             }
             entries.push(next);
@@ -187,15 +261,29 @@
         } else {
             entries.last().map_or(base, |entry| entry.version.max(base))
         };
+        let misses_removals = base > 0 && base < self.removals_since;
         ConfigDelta {
             base,
             through,
             entries,
+            removals_since: self.removals_since,
+            live_keys: misses_removals.then(|| self.live_keys()),
         }
     }
 
+    /// Returns the keys that exist, sorted, also if their value is too large or was refused.
+    fn live_keys(&self) -> Vec<ValueKey> {
+        let existing = self.entries.iter().filter(|entry| entry.exists());
+        existing.map(|entry| entry.newest.key.clone()).collect()
+    }
+
     fn apply_entry(&mut self, entry: &DeltaEntry, changes: &mut Vec<StoreChange>) -> bool {
         let known = self.find(&entry.key).ok();
+        let exists = known.is_some_and(|position| self.entries[position].exists());
+        if !exists && entry.version <= self.version {
+            // The key has been removed or changed since, or this store would have it.
+            return true;
+        }
         let known_version = known.map_or(0, |position| self.entries[position].newest.version);
         if entry.version > known_version {
             let old = known.map(|position| &self.entries[position].newest);
--- a/core/src/control/event.rs
+++ b/core/src/control/event.rs
@@ -48,6 +48,8 @@
         version: ConfigVersion,
         /// Changed values.
         values: Vec<ConfigValue>,
+        /// Whether the values are all that exist, instead of the changes after a version.
+        is_listing: bool,
     },
     /// The platform answered with its list of hosts.
     Listed(Vec<ListedHost>),
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -195,9 +195,11 @@
                 self.handle_reply(now, exchange, &message, actions);
             }
             ControlEvent::Unanswered { exchange } => self.handle_unanswered(now, exchange, actions),
-            ControlEvent::Published { version, values } => {
-                self.apply_published(now, version, &values, actions);
-            }
+            ControlEvent::Published {
+                version,
+                values,
+                is_listing,
+            } => self.apply_published(now, version, &values, is_listing, actions),
             ControlEvent::Listed(listed_hosts) => self.handle_host_list(now, listed_hosts, actions),
             ControlEvent::ReadFailed => self.handle_read_failure(now),
             ControlEvent::BoundsChanged(bounds) => self.bounds = bounds,
--- a/core/src/control/node/platform_reads.rs
+++ b/core/src/control/node/platform_reads.rs
@@ -184,6 +184,7 @@
         now: Instant,
         version: ConfigVersion,
         values: &[ConfigValue],
+        is_listing: bool,
         actions: &mut Vec<ControlAction>,
     ) {
         let schedule = &mut self.read_schedule;
@@ -193,7 +194,9 @@
         self.advance_heartbeat(now, actions);
         let before = self.store.version();
         let mut changes = Vec::new();
-        let outcome = self.store.apply_published(version, values, &mut changes);
+        let outcome = self
+            .store
+            .apply_published(version, values, is_listing, &mut changes);
         self.apply_changes(before, None, changes, actions);
         if outcome == UpdateOutcome::Stale {
             let notice = ControlNotice::PlatformStale {
--- a/core/src/control/stored_entry.rs
+++ b/core/src/control/stored_entry.rs
@@ -124,9 +124,14 @@
         }
     }
 
-    /// Returns the key's contribution to the hash of the store; 0 if the key has never been set.
+    /// Returns whether the key has a value, also if it is too large to be kept.
+    pub(super) fn exists(&self) -> bool {
+        self.newest.value.is_some() || self.oversize
+    }
+
+    /// Returns the key's contribution to the hash of the store; 0 if the key has no value.
     pub(super) fn hash(&self) -> u64 {
-        if self.newest.version == 0 {
+        if !self.exists() {
             return 0;
         }
         let value = self.newest.value.as_deref().unwrap_or("");
--- a/core/tests/config_store.rs
+++ b/core/tests/config_store.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use yuccalift_core::control::config_store::UpdateOutcome;
 use yuccalift_core::control::{ConfigStore, ConfigValue, DeltaContent, StoreChange, ValuePatch};
-use yuccalift_core::ids::ConfigVersion;
+use yuccalift_core::ids::{ConfigVersion, ValueKey};
 use yuccalift_testkit::cases;
 
 const NO_LIMIT: usize = usize::MAX;
@@ -30,7 +30,17 @@
 }
 
 fn publish(store: &mut ConfigStore, version: ConfigVersion, values: &[ConfigValue]) {
-    store.apply_published(version, values, &mut Vec::new());
+    store.apply_published(version, values, false, &mut Vec::new());
+}
+
+/// Publishes all values that exist at a version, as a platform that keeps no removals answers.
+fn publish_listing(store: &mut ConfigStore, version: ConfigVersion, existing: &[ConfigValue]) {
+    store.apply_published(version, existing, true, &mut Vec::new());
+}
+
+/// Returns the keys that have a value.
+fn existing_keys(store: &ConfigStore) -> Vec<ValueKey> {
+    store.keys().cloned().collect()
 }
 
 fn send_delta(from: &ConfigStore, to: &mut ConfigStore, limit: usize) -> UpdateOutcome {
@@ -100,7 +110,112 @@
     (version as ConfigVersion, newest)
 }
 
+/// A step of a random run over three stores whose platform keeps no removals.
+#[derive(Clone, Debug)]
+enum ListingStep {
+    /// The daemon restarts and knows nothing.
+    Restart {
+        store: usize,
+    },
+    List {
+        store: usize,
+        version: usize,
+    },
+    /// The reader gets the changes after its version.
+    Watch {
+        store: usize,
+        version: usize,
+    },
+    SendDelta {
+        from: usize,
+        to: usize,
+        limit: usize,
+    },
+    /// A peer that was paused answers an earlier request for changes only now.
+    AnswerLate {
+        from: usize,
+        to: usize,
+        base: usize,
+    },
+}
+
+fn listing_step() -> impl Strategy<Value = ListingStep> {
+    let (store, version) = (0..3_usize, 0..=40_usize);
+    prop_oneof![
+        1 => store.clone().prop_map(|store| ListingStep::Restart { store }),
+        2 => (store.clone(), version.clone())
+            .prop_map(|(store, version)| ListingStep::List { store, version }),
+        2 => (store.clone(), version)
+            .prop_map(|(store, version)| ListingStep::Watch { store, version }),
+        4 => (store.clone(), store, 1..200_usize)
+            .prop_map(|(from, to, limit)| ListingStep::SendDelta { from, to, limit }),
+        1 => (0..3_usize, 0..3_usize, 0..=40_usize)
+            .prop_map(|(from, to, base)| ListingStep::AnswerLate { from, to, base }),
+    ]
+}
+
+fn valid_change() -> impl Strategy<Value = PublishedChange> {
+    let text = prop_oneof![2 => "[e-h]{0,20}".prop_map(Some), 1 => Just(None)];
+    (0..6_u8, text).prop_map(|(key, text)| PublishedChange { key, text })
+}
+
+fn run_listing_step(history: &[PublishedChange], stores: &mut [ConfigStore], step: &ListingStep) {
+    match *step {
+        ListingStep::Restart { store } => stores[store] = ConfigStore::new(check),
+        ListingStep::List { store, version } => {
+            let (version, mut values) = published_at(history, version);
+            values.retain(|value| value.value.is_some());
+            publish_listing(&mut stores[store], version, &values);
+        }
+        ListingStep::Watch { store, version } => {
+            let (version, mut values) = published_at(history, version);
+            let known = stores[store].version();
+            values.retain(|value| value.version > known);
+            if known > 0 && version >= known {
+                publish(&mut stores[store], version, &values);
+            }
+        }
+        ListingStep::SendDelta { from, to, limit } => {
+            let source = stores[from].clone();
+            send_delta(&source, &mut stores[to], limit);
+        }
+        ListingStep::AnswerLate { from, to, base } => {
+            let base = (base as ConfigVersion).min(stores[to].version());
+            let delta = stores[from].delta_since(base, &[], NO_LIMIT);
+            stores[to].apply_delta(&delta, &mut Vec::new());
+        }
+    }
+}
+
 proptest! {
+    /// A platform that lists what exists, and daemons that restart at any time: once a store has
+    /// caught up, it has what exists and no key that has been removed.
+    #[test]
+    fn removed_keys_stay_removed(
+        history in prop::collection::vec(valid_change(), 1..40),
+        steps in prop::collection::vec(listing_step(), 0..80),
+    ) {
+        let mut stores: Vec<ConfigStore> = (0..3).map(|_| ConfigStore::new(check)).collect();
+        for step in &steps {
+            run_listing_step(&history, &mut stores, step);
+        }
+        let last = ListingStep::List { store: 0, version: history.len() };
+        run_listing_step(&history, &mut stores, &last);
+        let (_, mut values) = published_at(&history, history.len());
+        values.retain(|value| value.value.is_some());
+        for target in 1..3 {
+            let source = stores[0].clone();
+            for _ in 0..200 {
+                send_delta(&source, &mut stores[target], 64);
+            }
+            prop_assert_eq!(stores[target].hash(), stores[0].hash());
+            for value in &values {
+                prop_assert_eq!(stores[target].in_effect(&value.key), Some(value));
+            }
+            prop_assert_eq!(existing_keys(&stores[target]).len(), values.len());
+        }
+    }
+
     /// After any mix of stale reads and partial deltas, exchanges make all stores equal. Meanwhile
     /// neither the version of a store nor that of a value in effect decreases.
     #[test]
@@ -164,12 +279,81 @@
     }
 }
 
+/// A daemon that restarted after a key had been removed tells a peer that still has the key.
+#[test]
+fn restarted_daemon_passes_on_a_removal_it_never_saw() {
+    let mut lagging = ConfigStore::new(check);
+    publish_listing(
+        &mut lagging,
+        2,
+        &[value("a", 1, "kept"), value("b", 2, "withdrawn")],
+    );
+    let mut restarted = ConfigStore::new(check);
+    publish_listing(&mut restarted, 4, &[value("a", 1, "kept")]);
+    let outcome = send_delta(&restarted, &mut lagging, NO_LIMIT);
+    assert_eq!(outcome, UpdateOutcome::Advanced);
+    assert_eq!(lagging.version(), 4);
+    assert_eq!(in_effect(&lagging, "a").as_deref(), Some("kept"));
+    assert_eq!(in_effect(&lagging, "b"), None, "the key is withdrawn");
+    assert_eq!(lagging.hash(), restarted.hash());
+}
+
+/// A daemon that restarted ignores a key that was removed before it listed all keys, also if a peer
+/// that was paused sends the key late.
+#[test]
+fn late_answer_of_a_stale_peer_revives_no_key() {
+    let mut paused = ConfigStore::new(check);
+    publish_listing(
+        &mut paused,
+        2,
+        &[value("a", 1, "kept"), value("b", 2, "withdrawn")],
+    );
+    let late = paused.delta_since(0, &[], NO_LIMIT);
+    let mut restarted = ConfigStore::new(check);
+    publish_listing(&mut restarted, 4, &[value("a", 1, "kept")]);
+    let outcome = restarted.apply_delta(&late, &mut Vec::new());
+    assert_eq!(outcome, UpdateOutcome::Stale);
+    assert_eq!(in_effect(&restarted, "b"), None, "the key stays withdrawn");
+}
+
+/// A daemon that has seen every removal sends no list of keys.
+#[test]
+fn keys_are_listed_only_where_removals_are_unknown() {
+    let mut store = ConfigStore::new(check);
+    publish_listing(&mut store, 4, &[value("a", 1, "one")]);
+    publish(&mut store, 6, &[value("b", 6, "two")]);
+    let keys = |base| store.delta_since(base, &[], NO_LIMIT).live_keys;
+    assert_eq!(keys(0), None, "a fresh peer has nothing to remove");
+    assert_eq!(keys(3), Some(existing_keys(&store)));
+    assert_eq!(keys(4), None);
+}
+
+/// Stores with equal content have equal hashes, whether or not they have seen a removal.
+#[test]
+fn removed_keys_do_not_count_in_the_hash() {
+    let mut first = ConfigStore::new(check);
+    publish(
+        &mut first,
+        2,
+        &[value("a", 1, "kept"), value("b", 2, "withdrawn")],
+    );
+    let removal = ConfigValue {
+        key: "b".into(),
+        version: 3,
+        value: None,
+    };
+    publish(&mut first, 3, &[removal]);
+    let mut second = ConfigStore::new(check);
+    publish_listing(&mut second, 3, &[value("a", 1, "kept")]);
+    assert_eq!(first.hash(), second.hash());
+}
+
 #[test]
 fn stale_platform_changes_nothing() {
     let mut store = ConfigStore::new(check);
     publish(&mut store, 5, &[value("a", 5, "new")]);
     let mut changes = Vec::new();
-    let outcome = store.apply_published(3, &[value("a", 3, "old")], &mut changes);
+    let outcome = store.apply_published(3, &[value("a", 3, "old")], false, &mut changes);
     assert_eq!(
         outcome,
         UpdateOutcome::Stale,
@@ -197,7 +381,7 @@
     let mut store = ConfigStore::new(check);
     publish(&mut store, 1, &[value("a", 1, "good")]);
     let mut changes = Vec::new();
-    store.apply_published(2, &[value("a", 2, "bad idea")], &mut changes);
+    store.apply_published(2, &[value("a", 2, "bad idea")], false, &mut changes);
     assert!(
         matches!(changes.as_slice(), [StoreChange::Refused(refused)] if refused.key.as_ref() == "a")
     );
--- a/core/tests/control_messages.rs
+++ b/core/tests/control_messages.rs
@@ -140,6 +140,7 @@
             base,
             through,
             entries,
+            ..ConfigDelta::default()
         }
     })
 }
--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -13,12 +13,14 @@
 use yuccalift_core::ids::ConfigVersion;
 
 const SECOND: Duration = Duration::from_secs(1);
+/// Port of a host with number 0.
+const FIRST_PORT: u16 = 7000;
 
 fn record(number: u16) -> MemberRecord {
     MemberRecord {
         host: format!("entry-{number}").into(),
         data_centre: "hanoi".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 7000 + number)),
+        address: SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + number)),
         incarnation: 1,
         refutation: 0,
         state: MemberState::Alive,
@@ -34,11 +36,20 @@
     number: u16,
     seeds: &[u16],
     host_conflict: HostConflictPolicy,
+) -> ControlNode {
+    node_of(now, record(number), seeds, host_conflict)
+}
+
+fn node_of(
+    now: Instant,
+    own: MemberRecord,
+    seeds: &[u16],
+    host_conflict: HostConflictPolicy,
 ) -> ControlNode {
     let settings = ControlSettings {
-        own: record(number),
+        seed: u64::from(own.address.port() - FIRST_PORT),
+        own,
         seeds: seeds.iter().map(|&seed| record(seed).address).collect(),
-        seed: u64::from(number),
         check: |_key, _value| Ok(()),
         read_settings: ReadSettings::default(),
         host_conflict,
@@ -55,6 +66,7 @@
     ControlEvent::Published {
         version,
         values: vec![value],
+        is_listing: false,
     }
 }
 
--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -247,7 +247,12 @@
         let call = async move { read_values(client, platform, after, wait, &traffic).await };
         context.spawn(call.into_actor(self).map(|result, lane, context| {
             let event = match result {
-                Ok((version, values)) => ControlEvent::Published { version, values },
+                // The answer to a first read includes what was removed before.
+                Ok((version, values)) => ControlEvent::Published {
+                    version,
+                    values,
+                    is_listing: false,
+                },
                 Err(error) => {
                     lane.platform_index += 1;
                     lane.publish(ControlOutput::PlatformReadFailed(error.to_string().into()));
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -210,20 +210,17 @@
 
     fn read_store(self: &Rc<Self>, after: ConfigVersion, wait: Duration) {
         let control = Rc::clone(self);
-        let known = self
-            .node
-            .borrow()
-            .store()
-            .keys()
-            .cloned()
-            .collect::<Vec<_>>();
         self.driver.report.count_store_call();
         actix_rt::spawn(async move {
-            let reply = control.reader.lock().await.read(after, wait, &known).await;
+            let reply = control.reader.lock().await.read(after, wait).await;
             match reply {
-                Ok((version, values)) => {
+                Ok(changes) => {
                     control.driver.report.record_store_answer();
-                    control.feed(ControlEvent::Published { version, values });
+                    control.feed(ControlEvent::Published {
+                        version: changes.version,
+                        values: changes.values,
+                        is_listing: changes.is_listing,
+                    });
                 }
                 Err(error) => {
                     control.driver.report.record_store_failure(&error);
--- a/daemon/src/relay/store_reader.rs
+++ b/daemon/src/relay/store_reader.rs
@@ -8,7 +8,7 @@
 
 use actix_http::ServiceConfig;
 use yuccalift_core::control::ConfigValue;
-use yuccalift_core::ids::{ConfigVersion, ValueKey};
+use yuccalift_core::ids::ConfigVersion;
 use yuccalift_exchange::LinkOptions;
 use yuccalift_platform::store::{StoreClient, StoreEntry, StoreError};
 
@@ -21,8 +21,16 @@
     keepalive_probes: 2,
 };
 
-/// The store's version, and the requested changes up to it.
-pub(super) type StoreChanges = (ConfigVersion, Vec<ConfigValue>);
+/// What the store answered to a read.
+#[derive(Debug)]
+pub(super) struct StoreChanges {
+    /// The store's version.
+    pub(super) version: ConfigVersion,
+    /// The requested changes up to that version.
+    pub(super) values: Vec<ConfigValue>,
+    /// Whether everything was read, instead of the changes after a version.
+    pub(super) is_listing: bool,
+}
 
 /// Reader of the store, with one call at a time.
 #[derive(Debug)]
@@ -39,8 +47,7 @@
     }
 
     /// Reads the changes after a version, waiting up to `wait` for one. Everything is read if
-    /// `after` is 0 or the store no longer has the history since that version. `known_keys` are the
-    /// keys with a value so far; those that a full read does not find have been removed.
+    /// `after` is 0 or the store no longer has the history since that version.
     ///
     /// # Errors
     ///
@@ -50,9 +57,8 @@
         &mut self,
         after: ConfigVersion,
         wait: Duration,
-        known_keys: &[ValueKey],
     ) -> Result<StoreChanges, StoreError> {
-        let result = self.try_read(after, wait, known_keys).await;
+        let result = self.try_read(after, wait).await;
         if result.is_err() {
             self.client.disconnect();
         }
@@ -63,25 +69,25 @@
         &mut self,
         after: ConfigVersion,
         wait: Duration,
-        known_keys: &[ValueKey],
     ) -> Result<StoreChanges, StoreError> {
         if after == 0 {
-            return self.read_all(known_keys).await;
+            return self.read_all().await;
         }
         let watch = self.client.watch(after, wait);
         match with_timeout(wait + CALL_SLACK, watch).await {
-            Ok(page) => Ok((
-                page.revision,
-                page.entries.into_iter().map(config_value).collect(),
-            )),
-            Err(StoreError::HistoryGone { .. }) => self.read_all(known_keys).await,
+            Ok(page) => Ok(StoreChanges {
+                version: page.revision,
+                values: page.entries.into_iter().map(config_value).collect(),
+                is_listing: false,
+            }),
+            Err(StoreError::HistoryGone { .. }) => self.read_all().await,
             Err(error) => Err(error),
         }
     }
 
     /// Reads everything. The returned version is that of the first page, so that a later watch
     /// misses no change.
-    async fn read_all(&mut self, known_keys: &[ValueKey]) -> Result<StoreChanges, StoreError> {
+    async fn read_all(&mut self) -> Result<StoreChanges, StoreError> {
         let mut page = with_timeout(CALL_SLACK, self.client.read_targets(None)).await?;
         let version = page.revision;
         let mut values = Vec::new();
@@ -95,25 +101,14 @@
         }
         let config = with_timeout(CALL_SLACK, self.client.read_config()).await?;
         values.extend(config.map(config_value));
-        add_removals(&mut values, version, known_keys);
-        Ok((version, values))
+        Ok(StoreChanges {
+            version,
+            values,
+            is_listing: true,
+        })
     }
 }
 
-/// Adds a removal for each known key that was not found.
-fn add_removals(values: &mut Vec<ConfigValue>, version: ConfigVersion, known_keys: &[ValueKey]) {
-    let mut found: Vec<ValueKey> = values.iter().map(|value| value.key.clone()).collect();
-    found.sort_unstable();
-    let removed = known_keys
-        .iter()
-        .filter(|key| found.binary_search(key).is_err());
-    values.extend(removed.map(|key| ConfigValue {
-        key: key.clone(),
-        version,
-        value: None,
-    }));
-}
-
 fn config_value(entry: StoreEntry) -> ConfigValue {
     ConfigValue {
         key: entry.key,
