Push changes to other data centres without their values

Load: a repartition of a large fleet, in which hundreds of targets are listed and leave. Each of 295 daemons pushed each change of up to 8 KB to a daemon of another data centre, four times a second, though the readers there had read it already.

Change: a push to another data centre tells the version only. A daemon that lacks the change asks for it, and gets it in the next message.

push_to_another_data_centre_carries_no_values fails without.

--- a/core/src/control/node/exchanges.rs
+++ b/core/src/control/node/exchanges.rs
@@ -225,18 +225,19 @@
         disconnected_addresses
     }
 
-    /// Pushes changes to a few random peers; configuration changes are included if they are small.
+    /// Pushes changes to a few random peers. Small configuration changes are included within the
+    /// data centre. Another one mostly has them from its own readers and asks for them otherwise.
     fn push_changes(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
         let Some(base) = self.exchange_schedule.push_after.take() else {
             return;
         };
         self.exchange_schedule.next_push = now + MIN_PUSH_INTERVAL;
-        let mut peers: Vec<MemberRecord> = self
+        let peers: Vec<MemberRecord> = self
             .members
             .alive()
             .cloned()
             .choose_multiple(&mut self.rng, PUSH_FANOUT);
-        peers.extend(self.contacts.choose(&mut self.rng).cloned());
+        let remote = self.contacts.choose(&mut self.rng).cloned();
         let delta = (base < self.store.version())
             .then(|| self.store.delta_since(base, &[], MAX_PUSH_BYTES))
             .filter(|delta| delta.bytes() <= MAX_PUSH_BYTES);
@@ -245,6 +246,7 @@
             message.delta.clone_from(&delta);
             self.start_exchange_with(&peer, message, actions);
         }
+        self.start_exchange(now, remote.as_ref(), actions);
     }
 
     fn start_exchange(
--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -57,6 +57,15 @@
     ControlNode::new(now, settings)
 }
 
+/// Returns a node of another data centre.
+fn remote_node(now: Instant, number: u16, seeds: &[u16]) -> ControlNode {
+    let own = MemberRecord {
+        data_centre: "hue".into(),
+        ..record(number)
+    };
+    node_of(now, own, seeds, HostConflictPolicy::Stop)
+}
+
 fn published(version: ConfigVersion) -> ControlEvent {
     let value = ConfigValue {
         key: "accounts".into(),
@@ -455,6 +464,33 @@
     assert!(other.knowledge_age(time) < 2 * SECOND);
 }
 
+/// A change is pushed with its values within a data centre. Another one, whose readers have most
+/// likely read it already, is told the version only, and asks for the values if it lacks them.
+#[test]
+fn push_to_another_data_centre_carries_no_values() {
+    let now = Instant::now();
+    let mut first = node(now, 1, &[]);
+    let mut near = node(now, 2, &[1]);
+    let mut remote = remote_node(now, 3, &[1]);
+    for peer in [&mut near, &mut remote] {
+        let joins = exchanges(&handle(peer, now, ControlEvent::Tick));
+        for join in joins.iter().filter(|join| join.1 == record(1).address) {
+            deliver(now, peer, &mut first, join);
+        }
+    }
+    let pushes = exchanges(&handle(&mut first, now, published(5)));
+    let push_to = |number| pushes.iter().find(|push| push.1 == record(number).address);
+    let near_push = push_to(2).expect("a change is pushed within the data centre");
+    assert!(near_push.2.delta.is_some(), "with its values");
+    let remote_push = push_to(3).expect("a change is pushed to another data centre");
+    assert_eq!(remote_push.2.delta, None, "without its values");
+    let actions = deliver(now, &mut first, &mut remote, remote_push);
+    for change in exchanges(&actions) {
+        deliver(now, &mut first, &mut remote, &change);
+    }
+    assert_eq!(remote.store().version(), 5, "it gets what it lacks at once");
+}
+
 yuccalift_testkit::cases! {
     watch_only_while_the_platform_answers: reader_watches_only_while_the_platform_answers();
     outage_of_one_reader_is_not_reported: outage_of_one_reader_is_ignored();
