Share the body that holds a value, and draw key lists of peers

Cause: the guard of a request and the unread rest of a body were attached to answers by two equal types; the random messages of peers did not yet draw the names of keys that a delta may carry.

Event 205 says what happens then. No behaviour changes.

--- a/core/src/control/config_store.rs
+++ b/core/src/control/config_store.rs
@@ -49,7 +49,8 @@
     Known,
     /// The offered version is older than the store's.
     Stale,
-    /// The changes start after a version that the store has not reached.
+    /// The changes start after a version that the store has not reached, or lack removals that it
+    /// needs.
     Gap,
     /// A patch did not apply; the whole value is requested in the next exchange.
     Mismatch,
--- a/core/tests/control_messages.rs
+++ b/core/tests/control_messages.rs
@@ -135,14 +135,22 @@
             last_good,
         },
     );
-    (number(), number(), prop::collection::vec(entry, 0..3)).prop_map(|(base, through, entries)| {
-        ConfigDelta {
-            base,
-            through,
-            entries,
-            ..ConfigDelta::default()
-        }
-    })
+    let keys = prop::collection::vec(prop_oneof!["accounts", "[a-z]{0,3}"], 0..3);
+    let keys = keys.prop_map(|keys| keys.into_iter().map(Box::from).collect());
+    (
+        (number(), number(), number()),
+        prop::collection::vec(entry, 0..3),
+        prop::option::of(keys),
+    )
+        .prop_map(
+            |((base, through, removals_since), entries, live_keys)| ConfigDelta {
+                base,
+                through,
+                entries,
+                removals_since,
+                live_keys,
+            },
+        )
 }
 
 fn message() -> impl Strategy<Value = ExchangeMessage> {
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -93,7 +93,7 @@
     203 WARN "platform_unread" PlatformUnread { fault: &'a str }
     #[doc = "The platform offered an older version than the known one; it was ignored."]
     204 WARN "platform_stale" PlatformStale { offered: u64, known: u64 }
-    #[doc = "A peer has different values at the same version; they converge as keys change."]
+    #[doc = "A peer has different values at the same version; each keeps its own until the key changes."]
     205 WARN "configuration_diverged" ConfigurationDiverged { peer: &'a str, version: u64 }
     #[doc = "This daemon started or stopped reading the platform for its data centre."]
     206 INFO "reader_changed" ReaderChanged { reads: bool }
--- a/daemon/src/relay/request_body.rs
+++ b/daemon/src/relay/request_body.rs
@@ -1,13 +1,11 @@
 //! Bodies of requests that this process serves: [`RequestBody`].
 
-use std::pin::Pin;
-use std::task::{Context, Poll};
-
-use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::body::BoxBody;
 use actix_http::error::PayloadError;
 use actix_http::{Payload, Response, StatusCode};
 use actix_web::web::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use yuccalift_exchange::hold_with_body;
 
 /// The body of a request, of which none, a part or all has been read.
 ///
@@ -53,12 +51,7 @@
     pub(super) fn attach_to(self, response: Response<BoxBody>) -> Response<BoxBody> {
         match self.unread {
             None => response,
-            Some(payload) => response.map_body(|_head, body| {
-                BoxBody::new(EarlyAnswer {
-                    body,
-                    _unread: payload,
-                })
-            }),
+            Some(payload) => hold_with_body(response, payload),
         }
     }
 }
@@ -69,24 +62,3 @@
         _ => StatusCode::BAD_REQUEST,
     }
 }
-
-/// The body of an answer that was given before the request's body was read.
-struct EarlyAnswer {
-    body: BoxBody,
-    _unread: Payload,
-}
-
-impl MessageBody for EarlyAnswer {
-    type Error = <BoxBody as MessageBody>::Error;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        self.body.as_pin_mut().poll_next(cx)
-    }
-}
--- a/exchange/src/connection_table.rs
+++ b/exchange/src/connection_table.rs
@@ -2,13 +2,12 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 
-use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, Response};
-use bytes::Bytes;
+
+use crate::held_body::hold_with_body;
 
 /// Whether a connection may be closed without losing an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,7 +91,7 @@
         if response.head().connection_type() == ConnectionType::Close {
             self.next_stage = ConnectionStage::Ending;
         }
-        response.map_body(|_head, body| BoxBody::new(GuardedBody { body, _guard: self }))
+        hold_with_body(response, self)
     }
 }
 
@@ -101,24 +100,3 @@
         self.table.set_stage(self.peer, self.next_stage);
     }
 }
-
-/// The body of an answer, with the guard of its request.
-struct GuardedBody {
-    body: BoxBody,
-    _guard: RequestGuard,
-}
-
-impl MessageBody for GuardedBody {
-    type Error = <BoxBody as MessageBody>::Error;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        self.body.as_pin_mut().poll_next(cx)
-    }
-}
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -11,6 +11,7 @@
 mod buffer_budget;
 mod connection_table;
 mod error;
+mod held_body;
 mod link;
 mod metered_stream;
 mod server;
@@ -19,6 +20,7 @@
 
 pub use answer::ExchangeAnswer;
 pub use error::ExchangeError;
+pub use held_body::hold_with_body;
 pub use link::{AnswerOwner, ExchangeLink, OutgoingRequest};
 pub use server::{ServeOptions, StopTokens, serve};
 pub use socket::{LinkOptions, listen};
