--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -28,19 +28,10 @@
 }
 
 fn node(now: Instant, number: u16, seeds: &[u16]) -> ControlNode {
-    node_with(now, number, seeds, HostConflictPolicy::Stop)
+    node_with(now, record(number), seeds, HostConflictPolicy::Stop)
 }
 
 fn node_with(
-    now: Instant,
-    number: u16,
-    seeds: &[u16],
-    host_conflict: HostConflictPolicy,
-) -> ControlNode {
-    node_of(now, record(number), seeds, host_conflict)
-}
-
-fn node_of(
     now: Instant,
     own: MemberRecord,
     seeds: &[u16],
@@ -63,7 +54,7 @@
         data_centre: "hue".into(),
         ..record(number)
     };
-    node_of(now, own, seeds, HostConflictPolicy::Stop)
+    node_with(now, own, seeds, HostConflictPolicy::Stop)
 }
 
 fn published(version: ConfigVersion) -> ControlEvent {
@@ -243,7 +234,7 @@
 /// `Stop` it stops.
 fn check_greater_incarnation(host_conflict: HostConflictPolicy, stops: bool) {
     let now = Instant::now();
-    let mut daemon = node_with(now, 1, &[2], host_conflict);
+    let mut daemon = node_with(now, record(1), &[2], host_conflict);
     let mut peer = node(now, 2, &[]);
     let mut earlier = node(now, 1, &[]);
     let mut ahead = earlier_message(&mut earlier, now);
--- a/exchange/src/server.rs
+++ b/exchange/src/server.rs
@@ -43,7 +43,7 @@
 }
 
 /// Serves the connections of a listener, each as a task of this thread, until it is told to end;
-/// returns when all of them have ended. `options` is called for each accepted connection, so
+/// returns when all of them have ended, or at once when it is aborted. `options` is called for each accepted connection, so
 /// changed options apply to new connections.
 ///
 /// A request whose connection ends is dropped at once. A caller that closes only its sending half
