Show that an order at a silent target is kept

A target falls silent while it runs an order and a search: the search is given up, the order is neither cancelled nor sent elsewhere, and its answer counts. The case fails with the exception for requests that must not run twice taken out of probing.rs.

--- a/core/tests/relay/unreachable.rs
+++ b/core/tests/relay/unreachable.rs
@@ -198,7 +198,43 @@
     );
 }
 
+/// A target falls silent while it runs an order. The search that waits for it as well is given up; the
+/// order is neither cancelled nor sent elsewhere, and its answer counts when the target is back.
+fn order_at_silent_target_is_kept() {
+    let search = forward_route("orders", RepeatKind::Idempotent, 2);
+    let order = RouteEntry {
+        name: "order".into(),
+        repeat: RepeatKind::NonIdempotent,
+        ..search.clone()
+    };
+    let mut harness = RelayHarness::new(vec![search, order], vec![target("a", "orders")]);
+    harness.warm_up("to-orders", 80, ms(5));
+    let order = harness.submit("order", TIMEOUT);
+    let order_attempt = harness.last_send().attempt;
+    harness.submit("to-orders", TIMEOUT);
+    let search_attempt = harness.last_send().attempt;
+    harness.feed(RelayEvent::TargetListed(target("b", "orders")));
+    answer_probes_for(&mut harness, ms(400), 0, false);
+    assert!(harness.cancels.contains(&search_attempt), "the search ends");
+    assert!(
+        !harness.cancels.contains(&order_attempt),
+        "the order goes on"
+    );
+    let sent = harness
+        .sends
+        .iter()
+        .filter(|(_, sent)| sent.request == order);
+    assert_eq!(sent.count(), 1, "the order is sent nowhere else");
+    harness.end(order_attempt, success(b""));
+    let result = &harness.end_of_request(order).result;
+    assert!(
+        matches!(result, Ok(RelayAnswer::Forwarded(_))),
+        "{result:?}"
+    );
+}
+
 cases! {
+    an_order_at_a_silent_target_is_kept: order_at_silent_target_is_kept();
     a_silent_data_centre_delays_no_request: check_silent_data_centre(1.0);
     a_silent_data_centre_delays_no_partial_answer: check_silent_data_centre(0.5);
     a_slow_target_keeps_its_attempt: slow_attempt_is_not_cancelled();
