Log failed exchanges and the size of applied changes

Event 305 is now logged at info, with the text that it carried and the time it took; event 201 tells how much text was transferred.

--- a/core/src/control/event.rs
+++ b/core/src/control/event.rs
@@ -120,6 +120,8 @@
         version: ConfigVersion,
         /// Peer that sent the changes; `None` if they came from the platform.
         peer: Option<HostName>,
+        /// Bytes of text in the changes, as transferred.
+        bytes: usize,
     },
     /// A value was refused; the last valid one stays in effect.
     ValueRefused(RefusedValue),
--- a/core/src/control/exchange.rs
+++ b/core/src/control/exchange.rs
@@ -72,3 +72,10 @@
     #[serde(rename = "w")]
     pub wants: ExchangeWants,
 }
+
+impl ExchangeMessage {
+    /// Returns the number of bytes of configuration text in the message.
+    pub fn text_bytes(&self) -> usize {
+        self.delta.as_ref().map_or(0, ConfigDelta::bytes)
+    }
+}
--- a/core/src/control/node/messages.rs
+++ b/core/src/control/node/messages.rs
@@ -123,7 +123,7 @@
             if matches!(outcome, UpdateOutcome::Advanced | UpdateOutcome::Mismatch) {
                 self.exchange_schedule.delta_granted_until = None;
             }
-            self.apply_changes(before, Some(peer), changes, actions);
+            self.apply_changes(before, Some(peer), delta.bytes(), changes, actions);
         }
         let version = self.store.version();
         if message.config.version == version && message.config.hash != self.store.hash() {
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -334,6 +334,7 @@
         &mut self,
         before: ConfigVersion,
         peer: Option<&HostName>,
+        bytes: usize,
         changes: Vec<StoreChange>,
         actions: &mut Vec<ControlAction>,
     ) {
@@ -349,7 +350,11 @@
         if version > before {
             self.exchange_schedule.schedule_push_after(before);
             let peer = peer.cloned();
-            let notice = ControlNotice::ConfigAdvanced { version, peer };
+            let notice = ControlNotice::ConfigAdvanced {
+                version,
+                peer,
+                bytes,
+            };
             actions.push(ControlAction::Notice(notice));
         }
     }
--- a/core/src/control/node/platform_reads.rs
+++ b/core/src/control/node/platform_reads.rs
@@ -197,7 +197,9 @@
         let outcome = self
             .store
             .apply_published(version, values, is_listing, &mut changes);
-        self.apply_changes(before, None, changes, actions);
+        let texts = values.iter().filter_map(|value| value.value.as_deref());
+        let bytes = texts.map(str::len).sum();
+        self.apply_changes(before, None, bytes, changes, actions);
         if outcome == UpdateOutcome::Stale {
             let notice = ControlNotice::PlatformStale {
                 offered: version,
--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -18,9 +18,9 @@
 use yuccalift_wire::operator::{ControlReport, PeerReport};
 
 use super::control_traffic::ControlTraffic;
+use super::notice_log::log_failed_exchange;
 use super::peer_client::{control_client, exchange};
 use super::platform_client::{leaving_hosts, listed_hosts, read_hosts, read_values};
-use crate::events::LogEvent;
 
 /// Registry name under which the control lane's address is published.
 pub const CONTROL_SERVICE: &str = "control";
@@ -219,6 +219,7 @@
         let client = self.client.0.clone();
         let key = self.key.clone();
         let traffic = Arc::clone(&self.traffic);
+        let (begun, sent_bytes) = (Instant::now(), message.text_bytes());
         let call = async move { exchange(client, peer, &key, &message, &traffic).await };
         context.spawn(call.into_actor(self).map(move |result, lane, context| {
             let event = match result {
@@ -227,10 +228,7 @@
                     message: Box::new(message),
                 },
                 Err(error) => {
-                    LogEvent::ExchangeFailed {
-                        fault: &error.to_string(),
-                    }
-                    .emit();
+                    log_failed_exchange(&error.to_string(), sent_bytes, begun.elapsed());
                     ControlEvent::Unanswered { exchange: number }
                 }
             };
--- a/daemon/src/control/mod.rs
+++ b/daemon/src/control/mod.rs
@@ -31,6 +31,6 @@
 };
 pub use control_traffic::ControlTraffic;
 pub use fleet_probe::{FleetProbe, ProbeDaemon};
-pub(crate) use notice_log::log_notice;
+pub(crate) use notice_log::{log_failed_exchange, log_notice};
 pub(crate) use peer_client::EXCHANGE_TIMEOUT;
 pub use value_check::check_value;
--- a/daemon/src/control/notice_log.rs
+++ b/daemon/src/control/notice_log.rs
@@ -1,5 +1,7 @@
 //! Records the control plane's observations as log events and in the status shown to operators.
 
+use std::time::Duration;
+
 use yuccalift_core::control::{ControlNotice, KnowledgeChange};
 
 use crate::decision_log::millis;
@@ -36,12 +38,27 @@
     log_notice(host, notice);
 }
 
+/// Logs a failed exchange that carried `sent_bytes` of configuration text.
+pub(crate) fn log_failed_exchange(fault: &str, sent_bytes: usize, took: Duration) {
+    LogEvent::ExchangeFailed {
+        fault,
+        sent_bytes: sent_bytes as u64,
+        took_ms: millis(took),
+    }
+    .emit();
+}
+
 /// Logs a notice; `host` is this daemon's own.
 pub(crate) fn log_notice(host: &str, notice: &ControlNotice) {
     match notice {
-        ControlNotice::ConfigAdvanced { version, peer } => LogEvent::ConfigurationInForce {
+        ControlNotice::ConfigAdvanced {
+            version,
+            peer,
+            bytes,
+        } => LogEvent::ConfigurationInForce {
             version: *version,
             source: peer.as_deref().unwrap_or(PLATFORM_SOURCE),
+            bytes: *bytes as u64,
         }
         .emit(),
         ControlNotice::ValueRefused(refused) => LogEvent::ValueRefused {
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -85,8 +85,8 @@
     104 WARN "process_paused" ProcessPaused { pause_ms: u64 }
     #[doc = "The data-path thread was not scheduled for a while; old observations of targets are dropped."]
     105 WARN "lane_paused" LanePaused { gap_ms: u64 }
-    #[doc = "A configuration version took effect; `source` is the platform or the peer that it came from."]
-    201 INFO "configuration_in_force" ConfigurationInForce { version: u64, source: &'a str }
+    #[doc = "A configuration version took effect; `source` is the platform or the peer that it came from, `bytes` the text that was transferred."]
+    201 INFO "configuration_in_force" ConfigurationInForce { version: u64, source: &'a str, bytes: u64 }
     #[doc = "A published value was refused; the last valid one stays in effect."]
     202 WARN "value_refused" ValueRefused { key: &'a str, version: u64, fault: &'a str }
     #[doc = "The platform could not be read; the current configuration stays in effect."]
@@ -109,8 +109,8 @@
     303 INFO "suspicion_refuted" SuspicionRefuted { host: &'a str }
     #[doc = "A later process runs on this host; this one stops."]
     304 WARN "daemon_replaced" DaemonReplaced { host: &'a str }
-    #[doc = "An exchange with a peer failed."]
-    305 DEBUG "exchange_failed" ExchangeFailed { fault: &'a str }
+    #[doc = "An exchange with a peer failed after `took_ms`; `sent_bytes` is the configuration text that it carried."]
+    305 INFO "exchange_failed" ExchangeFailed { fault: &'a str, sent_bytes: u64, took_ms: u64 }
     #[doc = "A query was admitted and its shard requests were planned on one snapshot."]
     401 INFO "query_planned" QueryPlanned {
         query: u64, epoch: u64, version: u64, shards: u32, waited_ms: u64,
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -38,7 +38,7 @@
 use super::report::RelayReport;
 use super::request_body::RequestBody;
 use super::store_reader::StoreReader;
-use crate::control::{EXCHANGE_TIMEOUT, log_notice};
+use crate::control::{EXCHANGE_TIMEOUT, log_failed_exchange, log_notice};
 use crate::events::LogEvent;
 use crate::quarantine_driver::{announcement_of, log_quarantine_notice};
 
@@ -233,6 +233,7 @@
     fn exchange(self: &Rc<Self>, exchange: u64, peer: SocketAddr, message: Box<ExchangeMessage>) {
         let control = Rc::clone(self);
         actix_rt::spawn(async move {
+            let begun = Instant::now();
             let call = call_peer(peer, &message, &control.link_config);
             let result = tokio::time::timeout(EXCHANGE_TIMEOUT, call).await;
             let result = result.unwrap_or_else(|_elapsed| Err("timed out".to_owned()));
@@ -243,7 +244,7 @@
                 },
                 Err(fault) => {
                     let fault = format!("exchange, peer {peer}: {fault}");
-                    LogEvent::ExchangeFailed { fault: &fault }.emit();
+                    log_failed_exchange(&fault, message.text_bytes(), begun.elapsed());
                     ControlEvent::Unanswered { exchange }
                 }
             });
@@ -394,6 +395,7 @@
         Ok(body) => body,
         Err(status) => return Ok(request_body.attach_to(empty_answer(status, None))),
     };
+    let begun = Instant::now();
     let message = from_rmp::<ExchangeMessage>("read exchange", &peer, &body);
     let reply = message.and_then(|message| {
         let reply = control.answer(&message);
@@ -404,8 +406,7 @@
             .body(body)
             .map_into_boxed_body(),
         Err(error) => {
-            let fault = error.to_string();
-            LogEvent::ExchangeFailed { fault: &fault }.emit();
+            log_failed_exchange(&error.to_string(), 0, begun.elapsed());
             empty_answer(StatusCode::BAD_REQUEST, None)
         }
     })
