Compress long values between daemons

Cause: the configuration begins with its version and its routes are sorted by name, so a patch with one kept prefix and one kept suffix is as long as the value. Each change of 4,250 routes crossed the links of 89 daemons as 800 KB of text. Several such transfers share a link of 20 Mbit/s, run into the limit of an exchange (1 s), are dropped and start again with another peer, whose link they fill in turn. Decoding took 68 ms at the most, so it was not the processor; the readers had each change 0.7 s after it was sent, so it was not the reading. Change: a whole value over 4 KB is sent deflated to a peer that says that it reads this form, 64 KB in place of 800 KB.

--- a/core/src/control/config_delta.rs
+++ b/core/src/control/config_delta.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::packed_value::PackedValue;
 use crate::ids::{ConfigVersion, ValueKey};
 
 /// Maximum size of a value that the platform stores, in bytes; a larger one is refused.
@@ -85,6 +86,18 @@
     Whole(Arc<str>),
     /// Patches to apply in order.
     Patches(Vec<ValuePatch>),
+    /// The whole value, compressed; sent only to a receiver that asks for [`DeltaFormat::Packed`].
+    Packed(PackedValue),
+}
+
+/// Forms of [`DeltaContent`] that a receiver can read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DeltaFormat {
+    /// All but [`DeltaContent::Packed`], which older daemons can't read.
+    #[default]
+    Plain,
+    /// All.
+    Packed,
 }
 
 impl DeltaContent {
@@ -94,6 +107,7 @@
             Self::Removed | Self::Oversize => 0,
             Self::Whole(value) => value.len(),
             Self::Patches(patches) => patches.iter().map(|patch| patch.middle.len()).sum(),
+            Self::Packed(packed) => packed.bytes(),
         }
     }
 }
--- a/core/src/control/config_store.rs
+++ b/core/src/control/config_store.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use super::config_delta::{
-    ConfigDelta, ConfigValue, DeltaContent, DeltaEntry, MAX_VALUE_BYTES, ValuePatch,
+    ConfigDelta, ConfigValue, DeltaContent, DeltaEntry, DeltaFormat, MAX_VALUE_BYTES, ValuePatch,
 };
 use super::stored_entry::StoredEntry;
 use crate::ids::{ConfigVersion, ValueKey};
@@ -52,7 +52,7 @@
     /// The changes start after a version that the store has not reached, or lack removals that it
     /// needs.
     Gap,
-    /// A patch did not apply; the whole value is requested in the next exchange.
+    /// A patch did not apply or a packed value was damaged; the whole value is requested in the next exchange.
     Mismatch,
 }
 
@@ -223,6 +223,7 @@
         &self,
         base: ConfigVersion,
         whole: &[ValueKey],
+        format: DeltaFormat,
         limit: usize,
     ) -> ConfigDelta {
         if self.version < self.removals_since {
@@ -245,7 +246,7 @@
         let mut entries: Vec<DeltaEntry> = Vec::new();
         for entry in &due {
             let is_whole = whole.contains(&entry.newest.key);
-            let next = entry.delta_entry(base, is_whole);
+            let next = entry.delta_entry(base, is_whole, format);
             bytes += next.bytes();
             // Removals that a listing shows have its version, which other keys may have as well.
             // The receiver reaches that version, so it must get all of them.
@@ -397,12 +398,14 @@
     }
 }
 
-/// Returns the value that a delta entry leads to, or `None` if a patch does not apply.
+/// Returns the value that a delta entry leads to, or `None` if a patch does not apply or a packed
+/// value is damaged.
 fn resolve(entry: &DeltaEntry, old: Option<&ConfigValue>) -> Option<ConfigValue> {
     let value = match &entry.content {
         DeltaContent::Removed | DeltaContent::Oversize => None,
         DeltaContent::Whole(value) => Some(Arc::clone(value)),
         DeltaContent::Patches(patches) => Some(apply_patches(patches, old?, entry.version)?),
+        DeltaContent::Packed(packed) => Some(packed.unpack()?),
     };
     Some(ConfigValue {
         key: entry.key.clone(),
--- a/core/src/control/exchange.rs
+++ b/core/src/control/exchange.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::announcements::AnnouncementRecord;
-use super::config_delta::{ConfigDelta, MAX_VALUE_BYTES};
+use super::config_delta::{ConfigDelta, DeltaFormat, MAX_VALUE_BYTES};
 use super::member_record::MemberRecord;
 use super::reader_heartbeat::ReaderHeartbeat;
 use crate::ids::{ConfigVersion, ValueKey};
@@ -31,7 +31,10 @@
 }
 
 /// Data that the sender requests from the receiver.
+///
+/// Fields that an older daemon does not send have their default value.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct ExchangeWants {
     /// Whether to send all members of the data centre, contacts elsewhere, and all announcements.
     #[serde(rename = "m")]
@@ -42,6 +45,9 @@
     /// Keys whose whole value the sender lacks, sorted.
     #[serde(rename = "k")]
     pub whole: Vec<ValueKey>,
+    /// Forms of changes that the sender can read; older daemons do not say.
+    #[serde(rename = "p")]
+    pub format: DeltaFormat,
 }
 
 /// A message from one daemon to another.
--- a/core/src/control/mod.rs
+++ b/core/src/control/mod.rs
@@ -8,6 +8,7 @@
 //! - [`reader_election`], [`call_budget`], [`reader_heartbeat`]: which daemons read the platform,
 //!   and how often.
 //! - [`knowledge_age`]: how old this daemon's knowledge of the platform is.
+//! - [`packed_value`]: the compressed form of a long value.
 //! - [`exchange`]: the message that daemons exchange.
 //! - [`event`], [`node`]: input and output of the control plane, and its state machine.
 //!
@@ -26,13 +27,16 @@
 pub mod member_record;
 pub mod member_table;
 pub mod node;
+pub mod packed_value;
 pub mod reader_election;
 pub mod reader_heartbeat;
 mod stored_entry;
 
 pub use announcements::{AnnouncementKind, AnnouncementRecord, AnnouncementTable};
 pub use call_budget::CallBudget;
-pub use config_delta::{ConfigDelta, ConfigValue, DeltaContent, DeltaEntry, ValuePatch};
+pub use config_delta::{
+    ConfigDelta, ConfigValue, DeltaContent, DeltaEntry, DeltaFormat, ValuePatch,
+};
 pub use config_store::{ConfigStore, RefusedValue, StoreChange, ValueCheck};
 pub use connection_share::{DaemonLocation, connection_shares};
 pub use contact_table::ContactTable;
@@ -43,4 +47,5 @@
 pub use member_record::{MemberRecord, MemberState};
 pub use member_table::MemberTable;
 pub use node::{ControlNode, ControlSettings, HostConflictPolicy, ReadSettings};
+pub use packed_value::PackedValue;
 pub use reader_heartbeat::{HeartbeatTable, ReaderHeartbeat};
--- a/core/src/control/node/exchanges.rs
+++ b/core/src/control/node/exchanges.rs
@@ -7,6 +7,7 @@
 use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
 
 use super::ControlNode;
+use crate::control::config_delta::DeltaFormat;
 use crate::control::event::{ControlAction, ExchangeId};
 use crate::control::exchange::ExchangeMessage;
 use crate::control::member_record::{MemberRecord, MemberState};
@@ -239,7 +240,10 @@
             .choose_multiple(&mut self.rng, PUSH_FANOUT);
         let remote = self.contacts.choose(&mut self.rng).cloned();
         let delta = (base < self.store.version())
-            .then(|| self.store.delta_since(base, &[], MAX_PUSH_BYTES))
+            .then(|| {
+                self.store
+                    .delta_since(base, &[], DeltaFormat::Plain, MAX_PUSH_BYTES)
+            })
             .filter(|delta| delta.bytes() <= MAX_PUSH_BYTES);
         for peer in peers {
             let mut message = self.new_message(now, true);
--- a/core/src/control/node/messages.rs
+++ b/core/src/control/node/messages.rs
@@ -5,6 +5,7 @@
 use rand::seq::IteratorRandom;
 
 use super::{ControlNode, HostConflictPolicy};
+use crate::control::config_delta::DeltaFormat;
 use crate::control::config_store::UpdateOutcome;
 use crate::control::event::{ControlAction, ControlNotice, ListedHost};
 use crate::control::exchange::{
@@ -80,7 +81,8 @@
         if message.wants.delta && is_behind {
             let base = message.config.version;
             let whole = &message.wants.whole;
-            let delta = self.store.delta_since(base, whole, MAX_DELTA_BYTES);
+            let format = message.wants.format;
+            let delta = self.store.delta_since(base, whole, format, MAX_DELTA_BYTES);
             reply.delta = (!delta.entries.is_empty() || delta.through > base).then_some(delta);
         }
         self.add_members(now, message, &mut reply);
@@ -149,6 +151,7 @@
                 members: false,
                 delta: wants_delta,
                 whole: self.store.keys_to_request().to_vec(),
+                format: DeltaFormat::Packed,
             },
         }
     }
--- a/core/src/control/node/replies.rs
+++ b/core/src/control/node/replies.rs
@@ -75,7 +75,9 @@
         let base = message.config.version;
         let whole = &message.wants.whole;
         let mut next = self.new_message(now, false);
-        next.delta = Some(self.store.delta_since(base, whole, MAX_DELTA_BYTES));
+        let format = message.wants.format;
+        let delta = self.store.delta_since(base, whole, format, MAX_DELTA_BYTES);
+        next.delta = Some(delta);
         // A peer that requests whole values could not apply a patch and gets another delta.
         let delta_sent_after = whole.is_empty().then_some(base);
         let peer = pending.peer.clone();
--- a/core/src/control/stored_entry.rs
+++ b/core/src/control/stored_entry.rs
@@ -2,12 +2,17 @@
 
 use std::sync::Arc;
 
-use super::config_delta::{ConfigValue, DeltaContent, DeltaEntry, ValuePatch, value_hash};
+use super::config_delta::{
+    ConfigValue, DeltaContent, DeltaEntry, DeltaFormat, ValuePatch, value_hash,
+};
 use super::config_store::StoreChange;
+use super::packed_value::PackedValue;
 use crate::ids::{ConfigVersion, ValueKey};
 
 /// Maximum number of patches retained per key, for peers that lag behind.
 const MAX_PATCHES: usize = 8;
+/// Minimum length of a value that is worth compressing, in bytes.
+const MIN_PACKED_BYTES: usize = 4 * 1024;
 /// Multiplier that spreads a version over all bits of a hash.
 const VERSION_HASH_MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
 
@@ -89,12 +94,23 @@
     }
 
     /// Returns the change to send to a peer that has reached the version `base`.
-    pub(super) fn delta_entry(&self, base: ConfigVersion, is_whole: bool) -> DeltaEntry {
+    pub(super) fn delta_entry(
+        &self,
+        base: ConfigVersion,
+        is_whole: bool,
+        format: DeltaFormat,
+    ) -> DeltaEntry {
         let last_good = self.rejection.as_ref().and(self.in_effect.clone());
+        let content = match (self.content_since(base, is_whole), format) {
+            (DeltaContent::Whole(value), DeltaFormat::Packed) if value.len() > MIN_PACKED_BYTES => {
+                PackedValue::pack(&value).map_or(DeltaContent::Whole(value), DeltaContent::Packed)
+            }
+            (content, _) => content,
+        };
         DeltaEntry {
             key: self.newest.key.clone(),
             version: self.newest.version,
-            content: self.content_since(base, is_whole),
+            content,
             last_good,
         }
     }
--- a/core/tests/config_store.rs
+++ b/core/tests/config_store.rs
@@ -5,7 +5,9 @@
 
 use proptest::prelude::*;
 use yuccalift_core::control::config_store::UpdateOutcome;
-use yuccalift_core::control::{ConfigStore, ConfigValue, DeltaContent, StoreChange, ValuePatch};
+use yuccalift_core::control::{
+    ConfigStore, ConfigValue, DeltaContent, DeltaFormat, StoreChange, ValuePatch,
+};
 use yuccalift_core::ids::{ConfigVersion, ValueKey};
 use yuccalift_testkit::cases;
 
@@ -44,7 +46,12 @@
 }
 
 fn send_delta(from: &ConfigStore, to: &mut ConfigStore, limit: usize) -> UpdateOutcome {
-    let delta = from.delta_since(to.version(), to.keys_to_request(), limit);
+    let delta = from.delta_since(
+        to.version(),
+        to.keys_to_request(),
+        DeltaFormat::Packed,
+        limit,
+    );
     to.apply_delta(&delta, &mut Vec::new())
 }
 
@@ -181,7 +188,7 @@
         }
         ListingStep::AnswerLate { from, to, base } => {
             let base = (base as ConfigVersion).min(stores[to].version());
-            let delta = stores[from].delta_since(base, &[], NO_LIMIT);
+            let delta = stores[from].delta_since(base, &[], DeltaFormat::Packed, NO_LIMIT);
             stores[to].apply_delta(&delta, &mut Vec::new());
         }
     }
@@ -308,7 +315,7 @@
         2,
         &[value("a", 1, "kept"), value("b", 2, "withdrawn")],
     );
-    let late = paused.delta_since(0, &[], NO_LIMIT);
+    let late = paused.delta_since(0, &[], DeltaFormat::Packed, NO_LIMIT);
     let mut restarted = ConfigStore::new(check);
     publish_listing(&mut restarted, 4, &[value("a", 1, "kept")]);
     let outcome = restarted.apply_delta(&late, &mut Vec::new());
@@ -322,7 +329,11 @@
     let mut store = ConfigStore::new(check);
     publish_listing(&mut store, 4, &[value("a", 1, "one")]);
     publish(&mut store, 6, &[value("b", 6, "two")]);
-    let keys = |base| store.delta_since(base, &[], NO_LIMIT).live_keys;
+    let keys = |base| {
+        store
+            .delta_since(base, &[], DeltaFormat::Packed, NO_LIMIT)
+            .live_keys
+    };
     assert_eq!(keys(0), None, "a fresh peer has nothing to remove");
     assert_eq!(keys(3), Some(existing_keys(&store)));
     assert_eq!(keys(4), None);
@@ -428,7 +439,7 @@
     publish(&mut store, 1, &[value("a", 1, &large)]);
     let mut peer = store.clone();
     publish(&mut store, 2, &[value("a", 2, &changed)]);
-    let delta = store.delta_since(1, &[], NO_LIMIT);
+    let delta = store.delta_since(1, &[], DeltaFormat::Packed, NO_LIMIT);
     assert!(delta.bytes() < 100, "{} bytes are sent", delta.bytes());
     peer.apply_delta(&delta, &mut Vec::new());
     assert_eq!(peer.hash(), store.hash());
@@ -442,7 +453,7 @@
     // The peer holds a different text at the same version, as after a corrupted read.
     publish(&mut peer, 1, &[value("a", 1, &"z".repeat(100))]);
     publish(&mut store, 2, &[value("a", 2, &"x".repeat(101))]);
-    let delta = store.delta_since(1, &[], NO_LIMIT);
+    let delta = store.delta_since(1, &[], DeltaFormat::Packed, NO_LIMIT);
     assert!(matches!(delta.entries[0].content, DeltaContent::Patches(_)));
     assert_eq!(
         send_delta(&store, &mut peer, NO_LIMIT),
--- a/core/tests/control_messages.rs
+++ b/core/tests/control_messages.rs
@@ -8,8 +8,9 @@
 use proptest::prelude::*;
 use yuccalift_core::control::{
     AnnouncementKind, AnnouncementRecord, ConfigDelta, ConfigDigest, ConfigValue, ControlEvent,
-    ControlNode, ControlSettings, DeltaContent, DeltaEntry, ExchangeMessage, ExchangeWants,
-    HostConflictPolicy, MemberRecord, MemberState, ReadSettings, ReaderHeartbeat, ValuePatch,
+    ControlNode, ControlSettings, DeltaContent, DeltaEntry, DeltaFormat, ExchangeMessage,
+    ExchangeWants, HostConflictPolicy, MemberRecord, MemberState, PackedValue, ReadSettings,
+    ReaderHeartbeat, ValuePatch,
 };
 use yuccalift_testkit::cases;
 
@@ -114,12 +115,24 @@
         })
 }
 
+/// A packed text, of which some are unreadable.
+fn damaged_text() -> impl Strategy<Value = PackedValue> {
+    let packed = (any::<Vec<u8>>(), any::<u64>()).prop_map(|(deflated, hash)| {
+        let wire = (serde_bytes::ByteBuf::from(deflated), hash);
+        let wire = rmp_serde::to_vec(&wire).expect("bytes can be written");
+        rmp_serde::from_slice(&wire).expect("bytes can be read")
+    });
+    let whole = PackedValue::pack(&"väłue".repeat(40)).expect("repetitions are shortened");
+    prop_oneof![packed, Just(whole)]
+}
+
 fn delta() -> impl Strategy<Value = ConfigDelta> {
     let content = prop_oneof![
         Just(DeltaContent::Removed),
         Just(DeltaContent::Oversize),
         text().prop_map(DeltaContent::Whole),
         prop::collection::vec(patch(), 0..3).prop_map(DeltaContent::Patches),
+        damaged_text().prop_map(DeltaContent::Packed),
     ];
     let good = (number(), text()).prop_map(|(version, value)| ConfigValue {
         key: "accounts".into(),
@@ -153,6 +166,10 @@
         )
 }
 
+fn format() -> impl Strategy<Value = DeltaFormat> {
+    prop_oneof![Just(DeltaFormat::Plain), Just(DeltaFormat::Packed)]
+}
+
 fn message() -> impl Strategy<Value = ExchangeMessage> {
     (
         member(),
@@ -161,7 +178,7 @@
         prop::collection::vec(member(), 0..4),
         prop::collection::vec(announcement(), 0..3),
         prop::option::of(delta()),
-        (any::<bool>(), any::<bool>()),
+        (any::<bool>(), any::<bool>(), format()),
     )
         .prop_map(
             |(from, (version, hash, digest), heartbeats, rumors, announcements, delta, wants)| {
@@ -177,6 +194,7 @@
                         members: wants.0,
                         delta: wants.1,
                         whole: vec!["accounts".into()],
+                        format: wants.2,
                     },
                 }
             },
