Count the time limits of long transfers from the last byte

Cause: an exchange between daemons and a call to the store had a limit on their whole time. A value that is too long for a link within that limit is never transferred: each attempt is dropped with all its bytes and repeated from the start, and the repeated transfers slow down all others on the link. Compression moves the length at which this happens; it does not remove it. Found by looking for the same cause elsewhere: a store call ended after 1.5 s beyond its wait, in which 20 Mbit/s carry the longest value only if the link is otherwise idle. Change: a transfer is given up once no byte has moved for the former limit, and in any case after 10 s. In the product's own exchange the limit grows with the length of the message.

--- a/daemon/src/control/peer_client.rs
+++ b/daemon/src/control/peer_client.rs
@@ -12,8 +12,10 @@
 
 use super::control_traffic::ControlTraffic;
 
-/// Time limit for one exchange.
+/// Time limit for one exchange, beyond the time in which its message is sent.
 pub(crate) const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Slowest rate at which a message must be sent, in bytes per second.
+const MIN_SEND_RATE: f64 = 250_000.0;
 /// How long an idle connection to the platform is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -61,7 +63,7 @@
     let request = client
         .post(format!("http://{peer}{EXCHANGE_PATH}"))
         .force_close()
-        .timeout(EXCHANGE_TIMEOUT)
+        .timeout(EXCHANGE_TIMEOUT + Duration::from_secs_f64(body.len() as f64 / MIN_SEND_RATE))
         .insert_header((KEY_HEADER, key));
     let sent = request.send_body(body).await;
     let mut response = sent.map_err(|error| fail(error.to_string()))?;
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -11,8 +11,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use actix_http::body::BoxBody;
-use actix_http::header::{HOST, HeaderValue};
-use actix_http::{Method, Request, RequestHead, Response, ServiceConfig, StatusCode, Uri};
+use actix_http::{Method, Request, Response, ServiceConfig, StatusCode};
 use tokio::sync::{Mutex, Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::control::announcements::MAX_LIFETIME;
@@ -24,7 +23,6 @@
 use yuccalift_core::ids::{ConfigVersion, HostName};
 use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
 use yuccalift_core::relay::RelayEvent;
-use yuccalift_exchange::{AnswerOwner, ExchangeLink, LinkOptions, OutgoingRequest};
 use yuccalift_platform::caller::empty_answer;
 use yuccalift_platform::listing::decode_target;
 use yuccalift_platform::routes::decode_routes;
@@ -34,21 +32,15 @@
 use yuccalift_wire::peer::EXCHANGE_PATH;
 
 use super::engine_driver::EngineDriver;
+use super::peer_call::call_peer;
 use super::readiness::RelayReadiness;
 use super::report::RelayReport;
 use super::request_body::RequestBody;
 use super::store_reader::StoreReader;
-use crate::control::{EXCHANGE_TIMEOUT, log_failed_exchange, log_notice};
+use crate::control::{log_failed_exchange, log_notice};
 use crate::events::LogEvent;
 use crate::quarantine_driver::{announcement_of, log_quarantine_notice};
 
-/// Connect timeout and liveness probing of connections to peers.
-const PEER_LINK_OPTIONS: LinkOptions = LinkOptions {
-    connect_timeout: Duration::from_millis(500),
-    keepalive_interval: Duration::from_secs(1),
-    keepalive_probes: 2,
-};
-
 /// Returns the timing of store reads. A change must take effect within 3 s of its acknowledgement
 /// by a store that has been available for 4 s. A watch that the store has lost must therefore end
 /// within that time, and failed calls are repeated within a second.
@@ -234,9 +226,7 @@
         let control = Rc::clone(self);
         actix_rt::spawn(async move {
             let begun = Instant::now();
-            let call = call_peer(peer, &message, &control.link_config);
-            let result = tokio::time::timeout(EXCHANGE_TIMEOUT, call).await;
-            let result = result.unwrap_or_else(|_elapsed| Err("timed out".to_owned()));
+            let result = call_peer(peer, &message, &control.link_config).await;
             control.feed(match result {
                 Ok(message) => ControlEvent::Replied {
                     exchange,
@@ -351,33 +341,6 @@
     }
 }
 
-async fn call_peer(
-    peer: SocketAddr,
-    message: &ExchangeMessage,
-    link_config: &ServiceConfig,
-) -> Result<ExchangeMessage, String> {
-    let name = peer.to_string();
-    let body = to_rmp("write exchange", &name, message).map_err(|error| error.to_string())?;
-    let mut link = ExchangeLink::open(peer, &PEER_LINK_OPTIONS, link_config)
-        .await
-        .map_err(|error| error.to_string())?;
-    let mut head = RequestHead::default();
-    head.method = Method::POST;
-    head.uri = Uri::from_static(EXCHANGE_PATH);
-    if let Ok(host) = HeaderValue::from_str(&name) {
-        head.headers.insert(HOST, host);
-    }
-    let request = OutgoingRequest::new(head, Some(body.into()));
-    let answer = link
-        .exchange(request, |_head| AnswerOwner::ThisRequest)
-        .await;
-    let answer = answer.map_err(|error| error.to_string())?;
-    if answer.status != StatusCode::OK {
-        return Err(format!("status {}", answer.status));
-    }
-    from_rmp("read exchange", &name, &answer.body).map_err(|error| error.to_string())
-}
-
 /// Handles an HTTP request of a peer: an exchange of control-plane messages.
 pub(super) async fn answer_peer(
     control: Rc<RelayControl>,
--- a/daemon/src/relay/store_reader.rs
+++ b/daemon/src/relay/store_reader.rs
@@ -9,11 +9,14 @@
 use actix_http::ServiceConfig;
 use yuccalift_core::control::ConfigValue;
 use yuccalift_core::ids::ConfigVersion;
-use yuccalift_exchange::LinkOptions;
+use yuccalift_exchange::{LinkOptions, TransferLimit, TransferProgress};
 use yuccalift_platform::store::{StoreClient, StoreEntry, StoreError};
 
-/// Time that a call may take beyond its requested wait; a slow store takes a quarter of a second.
+/// Time that a call may take beyond its requested wait without making progress; a slow store takes a
+/// quarter of a second.
 const CALL_SLACK: Duration = Duration::from_millis(1_500);
+/// Time that a call may take beyond its requested wait while bytes arrive.
+const MAX_CALL_TIME: Duration = Duration::from_secs(10);
 /// Connect timeout and liveness probing of the connection to the store.
 const STORE_LINK_OPTIONS: LinkOptions = LinkOptions {
     connect_timeout: Duration::from_secs(1),
@@ -73,8 +76,9 @@
         if after == 0 {
             return self.read_all().await;
         }
+        let progress = self.client.progress();
         let watch = self.client.watch(after, wait);
-        match with_timeout(wait + CALL_SLACK, watch).await {
+        match limit_call(&progress, wait, watch).await {
             Ok(page) => Ok(StoreChanges {
                 version: page.revision,
                 values: page.entries.into_iter().map(config_value).collect(),
@@ -88,7 +92,9 @@
     /// Reads everything. The returned version is that of the first page, so that a later watch
     /// misses no change.
     async fn read_all(&mut self) -> Result<StoreChanges, StoreError> {
-        let mut page = with_timeout(CALL_SLACK, self.client.read_targets(None)).await?;
+        let progress = self.client.progress();
+        let no_wait = Duration::ZERO;
+        let mut page = limit_call(&progress, no_wait, self.client.read_targets(None)).await?;
         let version = page.revision;
         let mut values = Vec::new();
         loop {
@@ -97,9 +103,10 @@
             let Some(last) = last.filter(|_| page.has_more) else {
                 break;
             };
-            page = with_timeout(CALL_SLACK, self.client.read_targets(Some(&last))).await?;
+            let next_page = self.client.read_targets(Some(&last));
+            page = limit_call(&progress, no_wait, next_page).await?;
         }
-        let config = with_timeout(CALL_SLACK, self.client.read_config()).await?;
+        let config = limit_call(&progress, no_wait, self.client.read_config()).await?;
         values.extend(config.map(config_value));
         Ok(StoreChanges {
             version,
@@ -117,11 +124,16 @@
     }
 }
 
-async fn with_timeout<T>(
-    limit: Duration,
+/// Makes a call that the store may hold for `wait`.
+async fn limit_call<T>(
+    progress: &TransferProgress,
+    wait: Duration,
     call: impl Future<Output = Result<T, StoreError>>,
 ) -> Result<T, StoreError> {
-    tokio::time::timeout(limit, call)
-        .await
-        .unwrap_or_else(|_elapsed| Err(StoreError::TimedOut))
+    let limit = TransferLimit {
+        stall: wait + CALL_SLACK,
+        total: wait + MAX_CALL_TIME,
+    };
+    let result = progress.run(limit, call).await;
+    result.unwrap_or(Err(StoreError::TimedOut))
 }
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -16,6 +16,7 @@
 mod metered_stream;
 mod server;
 mod socket;
+mod transfer_progress;
 mod turn_stream;
 
 pub use answer::ExchangeAnswer;
@@ -24,3 +25,4 @@
 pub use link::{AnswerOwner, ExchangeLink, OutgoingRequest};
 pub use server::{ServeOptions, StopTokens, serve};
 pub use socket::{LinkOptions, listen};
+pub use transfer_progress::{TransferLimit, TransferProgress};
--- a/exchange/src/link.rs
+++ b/exchange/src/link.rs
@@ -19,6 +19,7 @@
 use crate::error::{ConnectionFailedSnafu, ExchangeError, GarbledSnafu, UnexpectedEndSnafu};
 use crate::metered_stream::MeteredStream;
 use crate::socket::LinkOptions;
+use crate::transfer_progress::TransferProgress;
 use crate::turn_stream::TurnStream;
 
 /// Initial size of the buffer for a request, in bytes.
@@ -100,6 +101,15 @@
         })
     }
 
+    /// Counts the bytes that the link sends and receives.
+    #[must_use]
+    pub fn counting(mut self, progress: TransferProgress) -> Self {
+        if let Some(stream) = &mut self.stream {
+            stream.count(progress);
+        }
+        self
+    }
+
     /// Returns whether the connection is open and the peer has sent nothing since the last
     /// exchange.
     pub fn is_idle(&self) -> bool {
--- a/exchange/src/metered_stream.rs
+++ b/exchange/src/metered_stream.rs
@@ -6,6 +6,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::transfer_progress::TransferProgress;
 use crate::turn_stream::TurnStream;
 
 /// Maximum number of bytes received since the last complete head or part of a body. It exceeds the
@@ -18,6 +19,8 @@
 pub(crate) struct MeteredStream {
     stream: TurnStream,
     stalled_bytes: usize,
+    /// Counts the bytes of both directions, if the transfer has a time limit that depends on them.
+    progress: Option<TransferProgress>,
 }
 
 impl MeteredStream {
@@ -25,6 +28,18 @@
         Self {
             stream,
             stalled_bytes: 0,
+            progress: None,
+        }
+    }
+
+    /// Counts the bytes of both directions from now on.
+    pub(crate) fn count(&mut self, progress: TransferProgress) {
+        self.progress = Some(progress);
+    }
+
+    fn add_progress(&self, bytes: usize) {
+        if let Some(progress) = &self.progress {
+            progress.add(bytes);
         }
     }
 
@@ -63,7 +78,9 @@
         }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.stalled_bytes += buf.filled().len() - before;
+        let read = buf.filled().len() - before;
+        self.stalled_bytes += read;
+        self.add_progress(read);
         Poll::Ready(Ok(()))
     }
 }
@@ -74,7 +91,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.add_progress(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
