Keep to the limit of requests that a target names

Cause: nothing read the limit. The relay judges targets by its own observations only, and a target that asks for less before it is overloaded shows neither latency nor rejections. Change: the adapter decodes the limit, and a decision part keeps each daemon to its part of it: the limit over the number of known daemons, as a number of requests for each half second from an evenly spread sequence. A token bucket would let each daemon of a large fleet save up one request and all of them send it at once. Held targets get neither first sends nor hedges, retries or requests that waited. If all targets of a service are held, it is left out at once, and a request that needs it is refused as not run. The tests of the decision part found that independent draws exceed the bound of a target that accepts nothing; those became an evenly spread sequence. One run of these tests was broken off after ten minutes: the huge fleet looked ahead for each request that it could not send.

--- a/core/benches/relay.rs
+++ b/core/benches/relay.rs
@@ -8,8 +8,8 @@
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry};
 use yuccalift_core::relay::{
     AttemptKey, MergeRule, RelayAction, RelayEngine, RelayEvent, RelayOptions, RelayRequest,
-    RelayTuning, RepeatKind, RequestKey, RouteDestination, RouteEntry, RouteTable, TargetOutcome,
-    TargetPhase, TargetRecord, TargetReply,
+    RelayTuning, RepeatKind, RequestKey, RouteDestination, RouteEntry, RouteTable, SelfReport,
+    TargetOutcome, TargetPhase, TargetRecord, TargetReply,
 };
 
 /// Number of targets of each service.
@@ -73,7 +73,11 @@
         self.now += LATENCY;
         for attempt in sent {
             let outcome = TargetOutcome::Replied(reply());
-            self.handle(RelayEvent::AttemptEnded { attempt, outcome });
+            self.handle(RelayEvent::AttemptEnded {
+                attempt,
+                outcome,
+                report: Some(SelfReport::default()),
+            });
         }
         black_box(&self.actions);
     }
--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::event::TargetReply;
+use super::target_hold::HoldChange;
 use super::target_record::TargetName;
 use super::{AttemptKey, RequestKey, TargetKey};
 use crate::quarantine::QuarantineNotice;
@@ -219,4 +220,11 @@
         /// The new listing state, as it appears in the log.
         state: &'static str,
     },
+    /// What a target says of itself changed how many requests it may get.
+    HoldChanged {
+        /// Name of the target.
+        target: TargetName,
+        /// The change.
+        change: HoldChange,
+    },
 }
--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -22,7 +22,7 @@
     Wait,
     /// The service has no usable target.
     Unavailable {
-        /// The earliest end of a suspension, if a target is suspended.
+        /// The earliest time at which a target that is suspended or held may be used again.
         retry_at: Option<Instant>,
     },
 }
@@ -48,6 +48,7 @@
         let Some(service) = self.services.get(service) else {
             return TargetChoice::Unavailable { retry_at: None };
         };
+        let daemons = self.presumed_daemons();
         let mut best: Option<(CandidateTier, f64, &RelayTarget)> = None;
         let mut any_ready_full = false;
         let mut retry_at: Option<Instant> = None;
@@ -60,6 +61,11 @@
                 retry_at = retry_at.into_iter().chain(until).min();
                 continue;
             };
+            if !target.hold.may_send(now, daemons) {
+                let until = target.hold.earliest_send(now, daemons);
+                retry_at = retry_at.into_iter().chain([until]).min();
+                continue;
+            }
             if target.in_flight.len() >= service.in_flight_limit as usize {
                 any_ready_full |= tier == CandidateTier::Ready;
                 continue;
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use super::route::{RouteEntry, RouteTable};
+use super::self_report::SelfReport;
 use super::target_record::{TargetName, TargetRecord};
 use super::{AttemptKey, RequestKey, TargetKey};
 use crate::ids::Fingerprint;
@@ -34,6 +35,8 @@
         attempt: AttemptKey,
         /// The way in which it ended.
         outcome: TargetOutcome,
+        /// What the target said of itself; `None` without a complete answer of that target.
+        report: Option<SelfReport>,
     },
     /// A connection to a target became idle and is kept until `expires`.
     LinkIdle {
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -14,6 +14,8 @@
 //! - `request`: the state of a request and of its legs, one leg for each service that it is sent
 //!   to.
 //! - `target`, `choice`: the state of each target, and the selection of a target.
+//! - [`self_report`], [`target_hold`]: what targets say of themselves, and whether they may therefore
+//!   get a request now.
 //! - `idle_links`: the idle connections to each target.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the stages of request processing.
 //! - `probing`: connection probes of targets that may be unreachable.
@@ -39,12 +41,15 @@
 pub mod merge;
 mod probing;
 mod replies;
+mod reports;
 mod request;
 pub mod route;
+pub mod self_report;
 mod service;
 mod submit;
 mod suspicion;
 mod target;
+pub mod target_hold;
 pub mod target_record;
 mod timers;
 mod verifier;
@@ -58,6 +63,8 @@
 pub use event::{ProbeOutcome, RelayEvent, RelayRequest, TargetOutcome, TargetReply};
 pub use idle_policy::IdlePolicy;
 pub use route::{MergeRule, RepeatKind, RouteDestination, RouteEntry, RouteTable};
+pub use self_report::{ReportedRate, SelfReport};
+pub use target_hold::HoldChange;
 pub use target_record::{TargetPhase, TargetRecord};
 
 use latencies::RouteLatencies;
@@ -152,7 +159,12 @@
             RelayEvent::CallerDisconnected { request } => {
                 self.handle_disconnect(now, request, actions);
             }
-            RelayEvent::AttemptEnded { attempt, outcome } => {
+            RelayEvent::AttemptEnded {
+                attempt,
+                outcome,
+                report,
+            } => {
+                self.record_report(now, attempt, report, actions);
                 self.handle_attempt_ended(now, attempt, outcome, actions);
             }
             RelayEvent::LinkIdle { target, expires } => {
--- a/core/src/relay/service.rs
+++ b/core/src/relay/service.rs
@@ -8,7 +8,7 @@
 
 /// Minimum number of daemons among which the connections of a target are divided. The number of
 /// daemons is not published, and shortly after a start only few of them are known.
-const MIN_PRESUMED_DAEMONS: u32 = 10;
+pub(super) const MIN_PRESUMED_DAEMONS: u32 = 10;
 /// Maximum number of requests in flight from one daemon to one target.
 const MAX_IN_FLIGHT: u32 = 8;
 
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -6,6 +6,7 @@
 
 use super::idle_links::IdleLinks;
 use super::request::LiveAttempt;
+use super::target_hold::TargetHold;
 use super::target_record::{TargetName, TargetRecord};
 use super::{AttemptKey, TargetKey};
 use crate::engine::latency::LatencyAverage;
@@ -78,6 +79,7 @@
     /// begin with the same target.
     pub(super) tie_order: u64,
     pub(super) idle_links: IdleLinks,
+    pub(super) hold: TargetHold,
     cold_until: Instant,
     /// Latency as a multiple of the route's typical latency; a factor of 1 is stored as one second.
     relative_latency: LatencyAverage,
@@ -103,10 +105,12 @@
         host: &str,
     ) -> Self {
         let host_seed = xxh3_64(host.as_bytes());
+        let tie_order = xxh3_64_with_seed(record.name.as_bytes(), host_seed);
         Self {
             key,
             cold_until: now + record.cold_left,
-            tie_order: xxh3_64_with_seed(record.name.as_bytes(), host_seed),
+            tie_order,
+            hold: TargetHold::new(tie_order),
             record,
             listing: ListingState::Listed,
             is_local,
@@ -175,6 +179,7 @@
     /// Adds an attempt in flight.
     pub(super) fn start_attempt(&mut self, attempt: InFlightAttempt) {
         self.last_sent = Some(attempt.sent_at);
+        self.hold.count_send(attempt.sent_at);
         self.idle_links.take();
         self.in_flight.push(attempt);
     }
--- /dev/null
+++ b/core/src/relay/target_hold.rs
@@ -0,0 +1,150 @@
+//! Decides whether a target may get a request now, by what it says of itself: [`TargetHold`].
+//!
+//! A target that is short of capacity names the rate of requests that it accepts from all daemons
+//! together. Daemons share no state, so each keeps to an equal part of that rate. In a large fleet
+//! this part is less than one request in many seconds, and daemons that each saved up one request
+//! could exceed the rate together. Time is therefore divided into short periods, and the number of
+//! requests that may be sent in a period is drawn anew for each: on average it is the daemon's part
+//! of the rate, and what is not used is lost.
+//!
+//! See `docs/DESIGN.md`, "What targets say of themselves".
+
+use std::time::{Duration, Instant};
+
+use super::self_report::{ReportedRate, SelfReport};
+
+/// Length of the periods for which numbers of requests are drawn.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Lowest rate that is kept to, in requests per second over all daemons. A target that accepts none
+/// must still get some, since only its answers tell when it accepts more.
+const MIN_RATE: f64 = 0.1;
+/// Share of the named rate that is used. What daemons draw varies, and the sum must not exceed the
+/// rate by much in any few seconds.
+const USED_SHARE: f64 = 0.9;
+/// The fractional part of the golden ratio, as a fraction of 2^64.
+const GOLDEN_RATIO: u64 = 0x9E37_79B9_7F4A_7C15;
+/// Number of periods that are searched for the next one in which a request may be sent.
+const MAX_PERIODS_AHEAD: u64 = 120;
+
+/// A change of a hold that is logged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum HoldChange {
+    /// The target accepts only so many requests per second from all daemons together.
+    Limited(f64),
+    /// The target names no limit any more.
+    Unlimited,
+}
+
+/// What a target has said of itself, and the requests sent to it since.
+#[derive(Clone, Debug)]
+pub struct TargetHold {
+    /// Seed of the draws; differs between targets and between daemons.
+    seed: u64,
+    rate: Option<RateHold>,
+}
+
+/// A limited rate and its use in the current period.
+#[derive(Clone, Copy, Debug)]
+struct RateHold {
+    /// Requests per second over all daemons.
+    limit: f64,
+    since: Instant,
+    period: u64,
+    used: u32,
+}
+
+impl TargetHold {
+    /// Creates the hold of a target that has said nothing yet.
+    pub fn new(seed: u64) -> Self {
+        Self { seed, rate: None }
+    }
+
+    /// Records what a target says in the answer to a request that was sent at `sent_at`.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        report: &SelfReport,
+    ) -> Option<HoldChange> {
+        match (report.rate_limit, &mut self.rate) {
+            (ReportedRate::Limited(limit), Some(rate)) => {
+                rate.limit = limit;
+                None
+            }
+            (ReportedRate::Limited(limit), None) => {
+                self.rate = Some(RateHold {
+                    limit,
+                    since: now,
+                    period: 0,
+                    used: 0,
+                });
+                Some(HoldChange::Limited(limit))
+            }
+            // An answer to a request from before the limit may be older than the limit.
+            (ReportedRate::Unlimited, Some(rate)) if sent_at >= rate.since => {
+                self.rate = None;
+                Some(HoldChange::Unlimited)
+            }
+            (ReportedRate::Unlimited | ReportedRate::Unreadable, _) => None,
+        }
+    }
+
+    /// Counts a request that is sent now.
+    pub fn count_send(&mut self, now: Instant) {
+        if let Some(rate) = &mut self.rate {
+            let period = rate.period_at(now);
+            if period != rate.period {
+                (rate.period, rate.used) = (period, 0);
+            }
+            rate.used += 1;
+        }
+    }
+
+    /// Returns whether a request may be sent now if `daemons` daemons share the target.
+    pub fn may_send(&self, now: Instant, daemons: u32) -> bool {
+        self.rate
+            .as_ref()
+            .is_none_or(|rate| rate.may_send(now, daemons, self.seed))
+    }
+
+    /// Returns the earliest time at which a request may be sent, which is `now` or later, if
+    /// `daemons` daemons share the target; at most a minute is looked ahead.
+    pub fn earliest_send(&self, now: Instant, daemons: u32) -> Instant {
+        self.rate
+            .as_ref()
+            .map_or(now, |rate| rate.earliest_send(now, daemons, self.seed))
+    }
+}
+
+impl RateHold {
+    fn period_at(&self, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(self.since);
+        (elapsed.as_nanos() / PERIOD.as_nanos()) as u64
+    }
+
+    /// Returns the number of requests that may be sent in a period.
+    fn allowance(&self, period: u64, daemons: u32, seed: u64) -> u32 {
+        let rate = (self.limit * USED_SHARE).max(MIN_RATE) / f64::from(daemons.max(1));
+        // Consecutive multiples of the golden ratio are spread evenly, so that the number of
+        // requests in several periods varies less than with independent draws.
+        let drawn = seed.wrapping_add(period.wrapping_mul(GOLDEN_RATIO)) as f64 / u64::MAX as f64;
+        (rate * PERIOD.as_secs_f64() + drawn) as u32
+    }
+
+    fn may_send(&self, now: Instant, daemons: u32, seed: u64) -> bool {
+        let current = self.period_at(now);
+        let used = if current == self.period { self.used } else { 0 };
+        used < self.allowance(current, daemons, seed)
+    }
+
+    fn earliest_send(&self, now: Instant, daemons: u32, seed: u64) -> Instant {
+        if self.may_send(now, daemons, seed) {
+            return now;
+        }
+        let current = self.period_at(now);
+        let ahead = (1..MAX_PERIODS_AHEAD)
+            .find(|ahead| self.allowance(current + ahead, daemons, seed) > 0)
+            .unwrap_or(MAX_PERIODS_AHEAD);
+        self.since + PERIOD.saturating_mul((current + ahead) as u32)
+    }
+}
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod forwarding;
 mod gathering;
 mod hedging;
+mod holds;
 mod idle_links;
 mod idle_policy;
 mod load;
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -8,8 +8,8 @@
 use yuccalift_core::relay::{
     AttemptKey, AttemptOrder, MergeRule, ProbeOrder, RelayAction, RelayAnswer, RelayDecision,
     RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RelayTuning, RepeatKind,
-    RequestKey, RouteDestination, RouteEntry, RouteTable, TargetOutcome, TargetPhase, TargetRecord,
-    TargetReply,
+    RequestKey, RouteDestination, RouteEntry, RouteTable, SelfReport, TargetOutcome, TargetPhase,
+    TargetRecord, TargetReply,
 };
 
 pub const LATENCY_AIM: Duration = Duration::from_millis(100);
@@ -219,7 +219,21 @@
 
     /// Reports the end of an attempt to the relay.
     pub fn end(&mut self, attempt: AttemptKey, outcome: TargetOutcome) {
-        self.feed(RelayEvent::AttemptEnded { attempt, outcome });
+        self.end_with_report(attempt, outcome, Some(SelfReport::default()));
+    }
+
+    /// Reports the end of an attempt and what the target said of itself.
+    pub fn end_with_report(
+        &mut self,
+        attempt: AttemptKey,
+        outcome: TargetOutcome,
+        report: Option<SelfReport>,
+    ) {
+        self.feed(RelayEvent::AttemptEnded {
+            attempt,
+            outcome,
+            report,
+        });
     }
 
     /// Returns the last attempt that was sent.
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -202,6 +202,12 @@
     619 INFO "legs_hedged" LegsHedged {
         request: &'a str, count: u64, targets: &'a str, after_ms: u64,
     }
+    #[doc = "A target accepts only so many requests a minute from all daemons together; this daemon keeps to its part of them."]
+    620 INFO "target_limited" TargetLimited { target: &'a str, rate_per_minute: u64 }
+    #[doc = "A target names no limit of requests any more."]
+    621 INFO "target_unlimited" TargetUnlimited { target: &'a str }
+    #[doc = "Something that a target says of itself in an answer can't be read and is ignored."]
+    622 WARN "report_refused" ReportRefused { target: &'a str, fault: &'a str }
     #[doc = "A target was lost while it ran a request; `blame` is the request's share of the blame so far, in thousandths of a lost target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is quarantined, since targets were lost whenever they ran it."]
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -130,6 +130,8 @@
     RelayRetries "relay.retries" Counter "requests"
     #[doc = "Suspensions of targets after failed attempts."]
     TargetsSuspended "targets.suspended" Counter "suspensions"
+    #[doc = "Times that a target began to name a limit of requests."]
+    TargetsLimited "targets.limited" Counter "targets"
     #[doc = "Lines about requests that were omitted from the log."]
     LinesDropped "log.dropped" Counter "lines"
     #[doc = "Calls to the platform's store."]
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -9,6 +9,7 @@
 use yuccalift_core::ids::Fingerprint;
 use yuccalift_core::relay::{AttemptOrder, TargetOutcome};
 use yuccalift_exchange::{ExchangeError, OutgoingRequest};
+use yuccalift_platform::self_report::{DecodedReport, decode_report};
 use yuccalift_platform::target;
 
 use super::pool::{LinkPool, PooledLink};
@@ -43,6 +44,8 @@
     /// Time until which the connection of the attempt is kept for another one; `None` if it was
     /// closed.
     pub(super) idle_until: Option<Instant>,
+    /// What the target said of itself, if it sent a complete answer.
+    pub(super) report: Option<DecodedReport>,
 }
 
 impl AttemptEnd {
@@ -50,6 +53,7 @@
         Self {
             outcome,
             idle_until: None,
+            report: None,
         }
     }
 }
@@ -104,9 +108,14 @@
             let is_reusable = answer.reusable && target::is_distinguishable(&answer);
             let idle_until =
                 is_reusable.then(|| pool.put_back(order.target, link, answer.idle_timeout()));
+            let report = decode_report(&answer);
+            let outcome = target::classify_answer(answer, order.is_part);
+            // Another target answered at the address.
+            let is_own = outcome != TargetOutcome::Misdirected;
             return AttemptEnd {
-                outcome: target::classify_answer(answer, order.is_part),
+                outcome,
                 idle_until,
+                report: is_own.then_some(report),
             };
         }
         Err(ExchangeError::Garbled { .. }) => TargetOutcome::Garbled,
--- a/daemon/src/relay/engine_driver.rs
+++ b/daemon/src/relay/engine_driver.rs
@@ -9,8 +9,9 @@
 use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::relay::{
     AttemptKey, AttemptOrder, ProbeOrder, RelayAction, RelayAnswer, RelayEngine, RelayEvent,
-    RelayRefusal, RelayRequest, RequestKey, RouteTable,
+    RelayRefusal, RelayRequest, RequestKey, RouteTable, TargetOutcome,
 };
+use yuccalift_platform::self_report::DecodedReport;
 
 use super::attempt::{CallerMessage, run_attempt};
 use super::pool::LinkPool;
@@ -206,8 +207,7 @@
                 let target = order.target;
                 driver.feed(RelayEvent::LinkIdle { target, expires });
             }
-            let outcome = end.outcome;
-            driver.feed(RelayEvent::AttemptEnded { attempt, outcome });
+            driver.end_attempt(&order, end.outcome, end.report);
         });
     }
 
@@ -230,8 +230,28 @@
     fn abandon_later(self: &Rc<Self>, attempt: AttemptKey) {
         let driver = Rc::clone(self);
         actix_rt::spawn(async move {
-            let outcome = yuccalift_core::relay::TargetOutcome::Abandoned { sent: false };
-            driver.feed(RelayEvent::AttemptEnded { attempt, outcome });
+            let outcome = TargetOutcome::Abandoned { sent: false };
+            driver.feed(RelayEvent::AttemptEnded {
+                attempt,
+                outcome,
+                report: None,
+            });
+        });
+    }
+
+    fn end_attempt(
+        self: &Rc<Self>,
+        order: &AttemptOrder,
+        outcome: TargetOutcome,
+        report: Option<DecodedReport>,
+    ) {
+        if let Some(fault) = report.as_ref().and_then(|report| report.fault.as_ref()) {
+            self.report.log_refused_report(&order.name, fault);
+        }
+        self.feed(RelayEvent::AttemptEnded {
+            attempt: order.attempt,
+            outcome,
+            report: report.map(|report| report.report),
         });
     }
 
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use yuccalift_core::relay::target_record::TargetName;
-use yuccalift_core::relay::{RelayDecision, RequestKey, RouteTable};
+use yuccalift_core::relay::{HoldChange, RelayDecision, RequestKey, RouteTable};
 use yuccalift_platform::DecodeError;
 use yuccalift_platform::store::StoreError;
 
@@ -240,6 +240,9 @@
                 let mut changes = self.target_changes.borrow_mut();
                 write_changes(&changes.record(Instant::now(), target, state));
             }
+            RelayDecision::HoldChanged { target, change } => {
+                self.log_hold_change(target, *change);
+            }
         }
     }
 
@@ -301,6 +304,30 @@
         self.write_limited(&LogEvent::EntryRefused { key, fault: &fault });
     }
 
+    /// Logs that something that a target says of itself can't be read.
+    pub(super) fn log_refused_report(&self, target: &str, error: &DecodeError) {
+        let fault = error.to_string();
+        self.write_limited(&LogEvent::ReportRefused {
+            target,
+            fault: &fault,
+        });
+    }
+
+    fn log_hold_change(&self, target: &str, change: HoldChange) {
+        match change {
+            HoldChange::Limited(rate) => {
+                self.metrics.count(DaemonMetric::TargetsLimited, 1);
+                let rate_per_minute = (rate * 60.0) as u64;
+                LogEvent::TargetLimited {
+                    target,
+                    rate_per_minute,
+                }
+                .emit();
+            }
+            HoldChange::Unlimited => LogEvent::TargetUnlimited { target }.emit(),
+        }
+    }
+
     /// Logs the first of a series of failed store reads.
     pub(super) fn record_store_failure(&self, error: &StoreError) {
         if self.store_lost_at.get().is_none() {
