--- a/exchange/src/answer.rs
+++ b/exchange/src/answer.rs
@@ -6,6 +6,9 @@
 use actix_http::header::{HeaderMap, HeaderName};
 use bytes::Bytes;
 
+/// Longest idle timeout that is reported; the end of a much longer one can't be represented.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(24 * 3600);
+
 /// Answer that was received completely.
 #[derive(Clone, Debug)]
 pub struct ExchangeAnswer {
@@ -33,6 +36,7 @@
         let seconds = value
             .split(',')
             .find_map(|part| part.trim().strip_prefix("timeout="))?;
-        seconds.trim().parse().ok().map(Duration::from_secs)
+        let seconds: u64 = seconds.trim().parse().ok()?;
+        Some(Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT))
     }
 }
