Answer requests that are left at the end of a planned stop

It can happen here: after the last moment to serve, the process ended with its connections, whatever requests they carried. Change: 300 ms before that moment the engine ends all requests: partial answers are sent, requests that no target got are refused as not run, and the others get 502, which promises nothing. order_sent_late_in_a_planned_stop_is_answered and two more (real daemons, targets that hang) failed before: the connections ended without a byte.

--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -58,6 +58,8 @@
     NoticeEnded(Fingerprint),
     /// The estimated number of daemons changed.
     DaemonCountChanged(u32),
+    /// The process is about to end; each request is answered or refused now.
+    Ending,
     /// The list of targets is readable again after an outage.
     ListRegained,
     /// The tunable options changed.
--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -55,6 +55,14 @@
         self.finish(now, request, actions);
     }
 
+    /// Ends all requests with the replies received so far.
+    pub(super) fn end_all_requests(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
+        let requests: Vec<RequestKey> = self.requests.iter().map(|state| state.key).collect();
+        for request in requests {
+            self.finish(now, request, actions);
+        }
+    }
+
     /// Ends a request with the replies received so far.
     fn finish(&mut self, now: Instant, request: RequestKey, actions: &mut Vec<RelayAction>) {
         let Some(state) = self.requests.get(request) else {
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -182,6 +182,7 @@
                 self.daemon_count = daemons;
                 self.services.set_connection_limits(&self.routes, daemons);
             }
+            RelayEvent::Ending => self.end_all_requests(now, actions),
             RelayEvent::ListRegained => self.list_regained_at = Some(now),
             RelayEvent::TuningChanged(tuning) => self.options.tuning = tuning,
             RelayEvent::Paused => self.resumed_at = Some(now),
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
-use yuccalift_core::relay::{RelayEngine, RelayOptions, RouteTable};
+use yuccalift_core::relay::{RelayEngine, RelayEvent, RelayOptions, RouteTable};
 use yuccalift_exchange::{LinkOptions, ServeOptions, StopTokens, listen};
 use yuccalift_settings::RelaySettings;
 
@@ -46,6 +46,10 @@
 /// How long a stopping relay keeps accepting connections: the balancer polls readiness each second
 /// and sends new callers until it has seen two negative answers.
 const BALANCER_GRACE: Duration = Duration::from_secs(3);
+/// Time in which the last answers are written before the process exits.
+const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Number of times within [`ANSWER_TIME`] that the remaining requests are ended.
+const ENDING_ROUNDS: u32 = 6;
 /// Time before the stop limit at which the process exits by itself.
 const STOP_RESERVE: Duration = Duration::from_millis(500);
 
@@ -128,7 +132,8 @@
     control.leave();
     readiness.stopping.set(true);
     let drain = caller_stop.drain;
-    stop_gracefully(&settings.host, watch.stop_timeout(), drain, callers_served).await;
+    let limit = watch.stop_timeout();
+    stop_gracefully(&settings.host, limit, drain, callers_served, &driver).await;
     stop.cancel();
     Ok(())
 }
@@ -179,12 +184,14 @@
 }
 
 /// Keeps serving callers for a grace period, in which the balancer learns that this relay is not
-/// ready, and then until each request that was received has its answer or the limit is reached.
+/// ready, and then until each request that was received has its answer. Shortly before the limit,
+/// requests without an answer are ended, so that their callers know.
 async fn stop_gracefully(
     host: &str,
     limit: Duration,
     drain: CancellationToken,
-    callers_served: JoinHandle<()>,
+    mut callers_served: JoinHandle<()>,
+    driver: &Rc<EngineDriver>,
 ) {
     LogEvent::StopStarted {
         host,
@@ -197,8 +204,19 @@
     let time_left = limit
         .saturating_sub(STOP_RESERVE)
         .saturating_sub(started_at.elapsed());
-    let ended = tokio::time::timeout(time_left, callers_served).await;
-    let overdue = if ended.is_err() { "requests" } else { "" };
+    let serving_time = time_left.saturating_sub(ANSWER_TIME);
+    let ended = tokio::time::timeout(serving_time, &mut callers_served).await;
+    let mut is_served = ended.is_ok();
+    let overdue = if is_served { "" } else { "requests" };
+    // A request whose body has just arrived may be submitted between two rounds.
+    for _ in 0..ENDING_ROUNDS {
+        if is_served {
+            break;
+        }
+        driver.feed(RelayEvent::Ending);
+        let round = tokio::time::timeout(ANSWER_TIME / ENDING_ROUNDS, &mut callers_served);
+        is_served = round.await.is_ok();
+    }
     LogEvent::DaemonStopped { host, overdue }.emit();
 }
 
