Keep to what targets say of leaving and of pauses

Cause: as with the limit, these words were passed on to callers and not read. A leaving target is the last resort for three tenths of the drain time and then gets nothing; a paused one gets nothing until its time is over. If all targets of a service are held, callers are told at once, with the time at which one is back.

--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use super::target::{ListingState, RelayTarget};
+use super::target_hold::SendVerdict;
 use super::{RelayEngine, TargetKey};
 
 /// Scores whose ratio is at least this are considered equal; targets with equal scores take turns.
@@ -49,6 +50,7 @@
             return TargetChoice::Unavailable { retry_at: None };
         };
         let daemons = self.presumed_daemons();
+        let last_resort_time = self.last_resort_time();
         let mut best: Option<(CandidateTier, f64, &RelayTarget)> = None;
         let mut any_ready_full = false;
         let mut retry_at: Option<Instant> = None;
@@ -56,15 +58,18 @@
             let Some(target) = self.targets.get(*key) else {
                 continue;
             };
-            let Some(tier) = candidate_tier(now, target, tried) else {
+            let Some(mut tier) = candidate_tier(now, target, tried) else {
                 let until = target.suspended_until();
                 retry_at = retry_at.into_iter().chain(until).min();
                 continue;
             };
-            if !target.hold.may_send(now, daemons) {
-                let until = target.hold.earliest_send(now, daemons);
-                retry_at = retry_at.into_iter().chain([until]).min();
-                continue;
+            match target.hold.verdict(now, daemons, last_resort_time) {
+                SendVerdict::Free => {}
+                SendVerdict::LastResort => tier = tier.max(CandidateTier::Leaving),
+                SendVerdict::Held { until } => {
+                    retry_at = retry_at.into_iter().chain(until).min();
+                    continue;
+                }
             }
             if target.in_flight.len() >= service.in_flight_limit as usize {
                 any_ready_full |= tier == CandidateTier::Ready;
--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -122,11 +122,16 @@
         })
     }
 
+    /// Returns how long a leaving target is used if there is no other.
+    pub(super) fn last_resort_time(&self) -> Duration {
+        self.options.tuning.drain_time.mul_f64(LAST_RESORT_SHARE)
+    }
+
     /// Marks a target as leaving, so that it is used only if there is no other, and schedules its
     /// removal.
     fn begin_departure(&mut self, now: Instant, key: TargetKey, actions: &mut Vec<RelayAction>) {
         let drain_time = self.options.tuning.drain_time;
-        let until = now + drain_time.mul_f64(LAST_RESORT_SHARE);
+        let until = now + self.last_resort_time();
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
--- a/core/src/relay/reports.rs
+++ b/core/src/relay/reports.rs
@@ -23,12 +23,15 @@
         let Some(target) = self.targets.get_mut(live.target) else {
             return;
         };
-        if let Some(change) = target.hold.record(now, live.sent_at, &report) {
-            actions.push(RelayAction::Decided(RelayDecision::HoldChanged {
-                target: target.record.name.clone(),
+        let mut changes = Vec::new();
+        target.hold.record(now, live.sent_at, &report, &mut changes);
+        let name = &target.record.name;
+        actions.extend(changes.into_iter().map(|change| {
+            RelayAction::Decided(RelayDecision::HoldChanged {
+                target: name.clone(),
                 change,
-            }));
-        }
+            })
+        }));
     }
 
     /// Returns the number of daemons among which the rate of a target is divided.
--- a/core/src/relay/self_report.rs
+++ b/core/src/relay/self_report.rs
@@ -1,8 +1,14 @@
 //! What targets say of themselves in their answers: [`SelfReport`].
 
+use std::time::Duration;
+
 /// What a target says of itself in one answer, apart from answering.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct SelfReport {
+    /// Whether the target says that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the target wants no request from this daemon, if it turned one away.
+    pub pause: Option<Duration>,
     /// The rate of requests that the target accepts.
     pub rate_limit: ReportedRate,
 }
--- a/core/src/relay/target_hold.rs
+++ b/core/src/relay/target_hold.rs
@@ -7,6 +7,8 @@
 //! requests that may be sent in a period is drawn anew for each: on average it is the daemon's part
 //! of the rate, and what is not used is lost.
 //!
+//! A target that turns a request away may say how long it wants none, and one that leaves says so.
+//!
 //! See `docs/DESIGN.md`, "What targets say of themselves".
 
 use std::time::{Duration, Instant};
@@ -24,11 +26,34 @@
 /// The fractional part of the golden ratio, as a fraction of 2^64.
 const GOLDEN_RATIO: u64 = 0x9E37_79B9_7F4A_7C15;
 /// Number of periods that are searched for the next one in which a request may be sent.
-const MAX_PERIODS_AHEAD: u64 = 120;
+const MAX_PERIODS_AHEAD: u64 = 20;
+
+/// Longest time for which a target that turned a request away gets none, whatever it says.
+const MAX_PAUSE: Duration = Duration::from_secs(60);
+/// Time after which a target that is still there, although it said that it leaves, may be used again.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+
+/// Whether a target may get a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendVerdict {
+    /// It may.
+    Free,
+    /// It is leaving and may get a request if there is no other target.
+    LastResort,
+    /// It may not, and its service is told when it may; `None` if that can't be foreseen.
+    Held {
+        /// Earliest time at which it may get a request.
+        until: Option<Instant>,
+    },
+}
 
 /// A change of a hold that is logged.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum HoldChange {
+    /// The target is leaving.
+    Leaving,
+    /// The target wants no request for this time.
+    Paused(Duration),
     /// The target accepts only so many requests per second from all daemons together.
     Limited(f64),
     /// The target names no limit any more.
@@ -41,6 +66,9 @@
     /// Seed of the draws; differs between targets and between daemons.
     seed: u64,
     rate: Option<RateHold>,
+    paused_until: Option<Instant>,
+    /// Time at which the target first said that it leaves. It does not return from that.
+    leaving_since: Option<Instant>,
 }
 
 /// A limited rate and its use in the current period.
@@ -56,17 +84,49 @@
 impl TargetHold {
     /// Creates the hold of a target that has said nothing yet.
     pub fn new(seed: u64) -> Self {
-        Self { seed, rate: None }
+        Self {
+            seed,
+            rate: None,
+            paused_until: None,
+            leaving_since: None,
+        }
     }
 
-    /// Records what a target says in the answer to a request that was sent at `sent_at`.
+    /// Records what a target says in the answer to a request that was sent at `sent_at`, and appends
+    /// what changed.
     pub fn record(
         &mut self,
         now: Instant,
         sent_at: Instant,
         report: &SelfReport,
+        changes: &mut Vec<HoldChange>,
+    ) {
+        if report.is_leaving && self.leaving_since.is_none() {
+            self.leaving_since = Some(now);
+            changes.push(HoldChange::Leaving);
+        }
+        if let Some(pause) = report.pause.filter(|pause| !pause.is_zero()) {
+            self.pause(now, pause.min(MAX_PAUSE), changes);
+        }
+        changes.extend(self.record_rate(now, sent_at, report.rate_limit));
+    }
+
+    /// Starts or extends a pause; a later word does not shorten it.
+    fn pause(&mut self, now: Instant, pause: Duration, changes: &mut Vec<HoldChange>) {
+        let is_paused = self.paused_until.is_some_and(|until| now < until);
+        self.paused_until = self.paused_until.max(Some(now + pause));
+        if !is_paused {
+            changes.push(HoldChange::Paused(pause));
+        }
+    }
+
+    fn record_rate(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        reported: ReportedRate,
     ) -> Option<HoldChange> {
-        match (report.rate_limit, &mut self.rate) {
+        match (reported, &mut self.rate) {
             (ReportedRate::Limited(limit), Some(rate)) => {
                 rate.limit = limit;
                 None
@@ -100,19 +160,34 @@
         }
     }
 
-    /// Returns whether a request may be sent now if `daemons` daemons share the target.
-    pub fn may_send(&self, now: Instant, daemons: u32) -> bool {
-        self.rate
-            .as_ref()
-            .is_none_or(|rate| rate.may_send(now, daemons, self.seed))
+    /// Returns whether a request may be sent now, if `daemons` daemons share the target and a leaving
+    /// target is used for `last_resort_time`.
+    pub fn verdict(&self, now: Instant, daemons: u32, last_resort_time: Duration) -> SendVerdict {
+        let leaving_for = self
+            .leaving_since
+            .map(|since| now.saturating_duration_since(since))
+            .filter(|elapsed| *elapsed < LEAVING_MEMORY);
+        if leaving_for.is_some_and(|elapsed| elapsed >= last_resort_time) {
+            return SendVerdict::Held { until: None };
+        }
+        let earliest = self.earliest_send(now, daemons);
+        if earliest > now {
+            let until = Some(earliest).filter(|_| leaving_for.is_none());
+            return SendVerdict::Held { until };
+        }
+        match leaving_for {
+            Some(_) => SendVerdict::LastResort,
+            None => SendVerdict::Free,
+        }
     }
 
-    /// Returns the earliest time at which a request may be sent, which is `now` or later, if
-    /// `daemons` daemons share the target; at most a minute is looked ahead.
-    pub fn earliest_send(&self, now: Instant, daemons: u32) -> Instant {
-        self.rate
-            .as_ref()
-            .map_or(now, |rate| rate.earliest_send(now, daemons, self.seed))
+    /// Returns the earliest time, `now` or later, at which pause and limit let a request be sent; for
+    /// a limit, at most ten seconds are looked ahead.
+    fn earliest_send(&self, now: Instant, daemons: u32) -> Instant {
+        let resumed = self.paused_until.map_or(now, |until| until.max(now));
+        self.rate.as_ref().map_or(resumed, |rate| {
+            rate.earliest_send(resumed, daemons, self.seed)
+        })
     }
 }
 
--- a/core/tests/target_hold.rs
+++ b/core/tests/target_hold.rs
@@ -4,17 +4,19 @@
 
 use proptest::prelude::*;
 use xxhash_rust::xxh3::xxh3_64;
-use yuccalift_core::relay::target_hold::TargetHold;
+use yuccalift_core::relay::target_hold::{SendVerdict, TargetHold};
 use yuccalift_core::relay::{HoldChange, ReportedRate, SelfReport};
 use yuccalift_testkit::cases;
 
 /// Length of the window in which a target counts requests.
 const WINDOW: Duration = Duration::from_secs(4);
+const LAST_RESORT_TIME: Duration = Duration::from_millis(900);
 const STEP: Duration = Duration::from_millis(50);
 
 fn limited(rate: f64) -> SelfReport {
     SelfReport {
         rate_limit: ReportedRate::Limited(rate),
+        ..SelfReport::default()
     }
 }
 
@@ -23,7 +25,7 @@
     let told = (0..daemons).map(|daemon| {
         let mut hold = TargetHold::new(xxh3_64(&daemon.to_le_bytes()));
         let at = begun + Duration::from_millis(u64::from(daemon) * 37 % 500);
-        hold.record(at, at, &limited(rate));
+        hold.record(at, at, &limited(rate), &mut Vec::new());
         hold
     });
     told.collect()
@@ -46,10 +48,11 @@
         }
         for hold in &mut *holds {
             for _ in 0..demand {
-                if hold.may_send(now, daemons) {
-                    hold.count_send(now);
-                    sent.push(now);
+                if hold.verdict(now, daemons, LAST_RESORT_TIME) != SendVerdict::Free {
+                    break;
                 }
+                hold.count_send(now);
+                sent.push(now);
             }
         }
     }
@@ -112,13 +115,18 @@
     let begun = Instant::now();
     let mut hold = TargetHold::new(1);
     let named_at = begun + Duration::from_secs(1);
-    hold.record(named_at, begun, &limited(0.0));
-    let report = SelfReport { rate_limit: word };
+    hold.record(named_at, begun, &limited(0.0), &mut Vec::new());
+    let report = SelfReport {
+        rate_limit: word,
+        ..SelfReport::default()
+    };
     let sent_at = begun + Duration::from_millis(sent_after_ms);
     let now = begun + Duration::from_secs(3);
-    let change = hold.record(now, sent_at, &report);
-    assert_eq!(change == Some(HoldChange::Unlimited), is_lifted);
-    assert_eq!(hold.earliest_send(now, 1_000) == now, is_lifted);
+    let mut changes = Vec::new();
+    hold.record(now, sent_at, &report, &mut changes);
+    assert_eq!(changes == [HoldChange::Unlimited], is_lifted);
+    let verdict = hold.verdict(now, 1_000, LAST_RESORT_TIME);
+    assert_eq!(verdict == SendVerdict::Free, is_lifted);
 }
 
 cases! {
@@ -127,26 +135,92 @@
     unreadable_limit_changes_nothing: check_later_word(ReportedRate::Unreadable, 2_000, false);
 }
 
+/// Words of a target, and what they mean for a request after some time.
+fn check_words(reports: &[(u64, SelfReport)], after_ms: u64, expected: &str) {
+    let begun = Instant::now();
+    let mut hold = TargetHold::new(1);
+    for (at_ms, report) in reports {
+        let at = begun + Duration::from_millis(*at_ms);
+        hold.record(at, at, report, &mut Vec::new());
+    }
+    let now = begun + Duration::from_millis(after_ms);
+    let verdict = match hold.verdict(now, 7, LAST_RESORT_TIME) {
+        SendVerdict::Free => "free".to_owned(),
+        SendVerdict::LastResort => "last resort".to_owned(),
+        SendVerdict::Held { until: None } => "held".to_owned(),
+        SendVerdict::Held { until: Some(until) } => {
+            format!("held until {}", (until - begun).as_millis())
+        }
+    };
+    assert_eq!(verdict, expected);
+}
+
+fn paused(ms: u64) -> SelfReport {
+    SelfReport {
+        pause: Some(Duration::from_millis(ms)),
+        ..SelfReport::default()
+    }
+}
+
+const LEAVING: SelfReport = SelfReport {
+    is_leaving: true,
+    pause: None,
+    rate_limit: ReportedRate::Unlimited,
+};
+const USUAL: SelfReport = SelfReport {
+    is_leaving: false,
+    pause: None,
+    rate_limit: ReportedRate::Unlimited,
+};
+
+cases! {
+    silent_target_is_free: check_words(&[(0, USUAL)], 0, "free");
+    paused_target_is_held: check_words(&[(0, paused(2_000))], 1_999, "held until 2000");
+    paused_target_is_free_after_its_time: check_words(&[(0, paused(2_000))], 2_000, "free");
+    pause_is_not_lifted_by_an_answer: check_words(&[(0, paused(2_000)), (100, USUAL)], 200, "held until 2000");
+    shorter_pause_does_not_end_a_longer_one: check_words(&[(0, paused(2_000)), (100, paused(500))], 700, "held until 2000");
+    longer_pause_extends_a_shorter_one: check_words(&[(0, paused(500)), (100, paused(2_000))], 700, "held until 2100");
+    pause_of_years_ends_after_a_minute: check_words(&[(0, paused(u64::MAX))], 60_000, "free");
+    pause_of_no_time_is_none: check_words(&[(0, paused(0))], 0, "free");
+    leaving_target_is_the_last_resort: check_words(&[(0, LEAVING)], 899, "last resort");
+    leaving_target_is_held_soon: check_words(&[(0, LEAVING)], 900, "held");
+    leaving_target_does_not_return: check_words(&[(0, LEAVING), (500, USUAL)], 60_000, "held");
+    target_that_never_leaves_is_used_again: check_words(&[(0, LEAVING)], 600_000, "free");
+    leaving_target_that_pauses_is_held: check_words(&[(0, LEAVING), (0, paused(300))], 200, "held");
+}
+
 proptest! {
     #[test]
     fn time_of_the_next_request_is_true(
         seed: u64,
         rate in prop_oneof![Just(0.0), 0.1..50.0, Just(f64::MAX)],
         daemons in prop_oneof![Just(0_u32), 1_u32..4_000, Just(u32::MAX)],
-        gaps in prop::collection::vec(0_u64..3_000, 1..40),
+        steps in prop::collection::vec((0_u64..3_000, prop::option::of(0_u64..5_000)), 1..40),
     ) {
         let mut now = Instant::now();
         let mut hold = TargetHold::new(seed);
-        hold.record(now, now, &limited(rate));
-        for gap in gaps {
+        hold.record(now, now, &limited(rate), &mut Vec::new());
+        for (gap, pause) in steps {
             now += Duration::from_millis(gap);
-            let earliest = hold.earliest_send(now, daemons);
-            prop_assert_eq!(hold.may_send(now, daemons), earliest == now);
-            prop_assert!(earliest >= now && earliest <= now + Duration::from_secs(61));
-            if earliest <= now + Duration::from_secs(59) {
-                prop_assert!(hold.may_send(earliest, daemons));
-                now = earliest;
-                hold.count_send(now);
+            if let Some(pause) = pause {
+                let report = SelfReport {
+                    rate_limit: ReportedRate::Unreadable,
+                    ..paused(pause)
+                };
+                hold.record(now, now, &report, &mut Vec::new());
+            }
+            match hold.verdict(now, daemons, LAST_RESORT_TIME) {
+                SendVerdict::Free => hold.count_send(now),
+                SendVerdict::Held { until: Some(until) } => {
+                    prop_assert!(until > now && until <= now + Duration::from_secs(71));
+                    if until <= now + Duration::from_secs(9) {
+                        let then = hold.verdict(until, daemons, LAST_RESORT_TIME);
+                        prop_assert_eq!(then, SendVerdict::Free);
+                        now = until;
+                        hold.count_send(now);
+                    }
+                }
+                other => prop_assert!(false, "{:?}", other),
             }
         }
     }
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -208,6 +208,10 @@
     621 INFO "target_unlimited" TargetUnlimited { target: &'a str }
     #[doc = "Something that a target says of itself in an answer can't be read and is ignored."]
     622 WARN "report_refused" ReportRefused { target: &'a str, fault: &'a str }
+    #[doc = "A target turned a request away and wants none for `pause_ms`; it gets none for that time, up to a minute."]
+    623 INFO "target_paused" TargetPaused { target: &'a str, pause_ms: u64 }
+    #[doc = "A target says in an answer that it is leaving; it gets no requests soon, listed or not."]
+    624 INFO "target_leaving" TargetLeaving { target: &'a str }
     #[doc = "A target was lost while it ran a request; `blame` is the request's share of the blame so far, in thousandths of a lost target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is quarantined, since targets were lost whenever they ran it."]
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -132,6 +132,10 @@
     TargetsSuspended "targets.suspended" Counter "suspensions"
     #[doc = "Times that a target began to name a limit of requests."]
     TargetsLimited "targets.limited" Counter "targets"
+    #[doc = "Times that a target turned a request away and asked for a pause."]
+    TargetsPaused "targets.paused" Counter "targets"
+    #[doc = "Targets that said in an answer that they are leaving."]
+    TargetsLeaving "targets.leaving" Counter "targets"
     #[doc = "Lines about requests that were omitted from the log."]
     LinesDropped "log.dropped" Counter "lines"
     #[doc = "Calls to the platform's store."]
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -315,6 +315,15 @@
 
     fn log_hold_change(&self, target: &str, change: HoldChange) {
         match change {
+            HoldChange::Leaving => {
+                self.metrics.count(DaemonMetric::TargetsLeaving, 1);
+                LogEvent::TargetLeaving { target }.emit();
+            }
+            HoldChange::Paused(pause) => {
+                self.metrics.count(DaemonMetric::TargetsPaused, 1);
+                let pause_ms = millis(pause);
+                LogEvent::TargetPaused { target, pause_ms }.emit();
+            }
             HoldChange::Limited(rate) => {
                 self.metrics.count(DaemonMetric::TargetsLimited, 1);
                 let rate_per_minute = (rate * 60.0) as u64;
