Draw what targets say in the random runs of the relay

Words of leaving, pauses and limits now come with drawn outcomes, also late ones, and the runs check from outside that no target gets a request while it is paused or after it has left. A target that says again that it leaves, ten minutes after it first did, is left again; found by reading the change.

--- a/core/src/relay/target_hold.rs
+++ b/core/src/relay/target_hold.rs
@@ -40,9 +40,9 @@
     Free,
     /// It is leaving and may get a request if there is no other target.
     LastResort,
-    /// It may not, and its service is told when it may; `None` if that can't be foreseen.
+    /// It may not.
     Held {
-        /// Earliest time at which it may get a request.
+        /// Earliest time at which it may; `None` if that can't be foreseen.
         until: Option<Instant>,
     },
 }
@@ -67,7 +67,7 @@
     seed: u64,
     rate: Option<RateHold>,
     paused_until: Option<Instant>,
-    /// Time at which the target first said that it leaves. It does not return from that.
+    /// Time at which the target first said that it leaves; forgotten after [`LEAVING_MEMORY`].
     leaving_since: Option<Instant>,
 }
 
@@ -101,7 +101,7 @@
         report: &SelfReport,
         changes: &mut Vec<HoldChange>,
     ) {
-        if report.is_leaving && self.leaving_since.is_none() {
+        if report.is_leaving && self.leaving_for(now).is_none() {
             self.leaving_since = Some(now);
             changes.push(HoldChange::Leaving);
         }
@@ -163,10 +163,7 @@
     /// Returns whether a request may be sent now, if `daemons` daemons share the target and a leaving
     /// target is used for `last_resort_time`.
     pub fn verdict(&self, now: Instant, daemons: u32, last_resort_time: Duration) -> SendVerdict {
-        let leaving_for = self
-            .leaving_since
-            .map(|since| now.saturating_duration_since(since))
-            .filter(|elapsed| *elapsed < LEAVING_MEMORY);
+        let leaving_for = self.leaving_for(now);
         if leaving_for.is_some_and(|elapsed| elapsed >= last_resort_time) {
             return SendVerdict::Held { until: None };
         }
@@ -181,6 +178,13 @@
         }
     }
 
+    /// Returns how long ago the target said that it leaves; `None` if it did not or too long ago.
+    fn leaving_for(&self, now: Instant) -> Option<Duration> {
+        let since = self.leaving_since?;
+        let elapsed = now.saturating_duration_since(since);
+        (elapsed < LEAVING_MEMORY).then_some(elapsed)
+    }
+
     /// Returns the earliest time, `now` or later, at which pause and limit let a request be sent; for
     /// a limit, at most ten seconds are looked ahead.
     fn earliest_send(&self, now: Instant, daemons: u32) -> Instant {
--- a/core/tests/relay/random_runs.rs
+++ b/core/tests/relay/random_runs.rs
@@ -1,14 +1,17 @@
 //! Long random runs, with invariants asserted inside the relay and from outside.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use proptest::prelude::*;
 use yuccalift_core::relay::{
-    RelayAnswer, RelayEvent, RelayRefusal, RepeatKind, RequestKey, TargetOutcome, TargetPhase,
-    TargetRecord,
+    RelayAnswer, RelayEvent, RelayRefusal, RepeatKind, ReportedRate, RequestKey, SelfReport,
+    TargetKey, TargetOutcome, TargetPhase, TargetRecord,
 };
 
-use crate::support::{RelayHarness, failure, forward_route, gather_route, ms, success, target};
+use crate::support::{
+    DRAIN_TIME, RelayHarness, failure, forward_route, gather_route, ms, success, target,
+};
 
 const SERVICES: [&str; 3] = ["s0", "s1", "s2"];
 const TARGETS: [&str; 4] = ["a", "b", "c", "d"];
@@ -22,6 +25,7 @@
     End {
         selector: usize,
         outcome: usize,
+        word: usize,
     },
     Advance {
         time: u64,
@@ -40,12 +44,14 @@
         name: usize,
     },
     Paused,
+    Ending,
 }
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         4 => (0..3_usize, 1..1_000_u64).prop_map(|(route, time_left)| Step::Submit { route, time_left }),
-        8 => (any::<usize>(), 0..9_usize).prop_map(|(selector, outcome)| Step::End { selector, outcome }),
+        8 => (any::<usize>(), 0..9_usize, 0..20_usize)
+            .prop_map(|(selector, outcome, word)| Step::End { selector, outcome, word }),
         4 => (0..120_u64).prop_map(|time| Step::Advance { time }),
         1 => any::<usize>().prop_map(|selector| Step::CallerDisconnected { selector }),
         1 => (0..3_usize, 0..4_usize, any::<bool>(), 0..3_u64).prop_map(
@@ -53,6 +59,7 @@
         ),
         1 => (0..3_usize, 0..4_usize).prop_map(|(service, name)| Step::Unlist { service, name }),
         1 => Just(Step::Paused),
+        1 => Just(Step::Ending),
     ]
 }
 
@@ -69,6 +76,20 @@
     }
 }
 
+/// Returns what a target says of itself with an outcome; nothing without a complete answer.
+fn report(word: usize, outcome: &TargetOutcome) -> Option<SelfReport> {
+    let is_answer = matches!(outcome, TargetOutcome::Replied(_) | TargetOutcome::Rejected);
+    is_answer.then(|| SelfReport {
+        is_leaving: word == 0,
+        pause: (1..4).contains(&word).then(|| ms(150 * word as u64)),
+        rate_limit: match word {
+            4..7 => ReportedRate::Limited(word as f64 - 4.0),
+            7 => ReportedRate::Unreadable,
+            _ => ReportedRate::Unlimited,
+        },
+    })
+}
+
 /// A random run and the data for checking it.
 struct RandomRun {
     harness: RelayHarness,
@@ -77,6 +98,8 @@
     submitted: Vec<(RequestKey, usize)>,
     disconnected: Vec<RequestKey>,
     run_counts: BTreeMap<RequestKey, u32>,
+    /// Time until which a target wants nothing, and the time from which it is no longer used.
+    words: BTreeMap<TargetKey, (Instant, Option<Instant>)>,
 }
 
 impl RandomRun {
@@ -96,6 +119,7 @@
             submitted: Vec::new(),
             disconnected: Vec::new(),
             run_counts: BTreeMap::new(),
+            words: BTreeMap::new(),
         }
     }
 
@@ -109,7 +133,8 @@
             Step::End {
                 selector,
                 outcome: number,
-            } => self.end_one_attempt(selector, number),
+                word,
+            } => self.end_one_attempt(selector, number, word),
             Step::Advance { time } => self.harness.advance(ms(time)),
             Step::CallerDisconnected { selector } => self.disconnect_caller(selector),
             Step::List {
@@ -134,11 +159,12 @@
                 self.harness.feed(RelayEvent::TargetUnlisted { name });
             }
             Step::Paused => self.harness.feed(RelayEvent::Paused),
+            Step::Ending => self.harness.feed(RelayEvent::Ending),
         }
         self.collect_sends();
     }
 
-    fn end_one_attempt(&mut self, selector: usize, number: usize) {
+    fn end_one_attempt(&mut self, selector: usize, number: usize, word: usize) {
         if self.in_flight.is_empty() {
             return;
         }
@@ -147,7 +173,28 @@
         if !outcome.is_not_run() {
             *self.run_counts.entry(request).or_default() += 1;
         }
-        self.harness.end(order.attempt, outcome);
+        let report = report(word, &outcome);
+        if let Some(report) = report {
+            let now = self.harness.now;
+            let entry = self.words.entry(order.target).or_insert((now, None));
+            entry.0 = entry.0.max(now + report.pause.unwrap_or_default());
+            if report.is_leaving {
+                entry.1.get_or_insert(now + DRAIN_TIME);
+            }
+        }
+        self.harness.end_with_report(order.attempt, outcome, report);
+    }
+
+    /// Checks the attempts that have just been sent against what their targets said.
+    fn check_words(&self) {
+        for (at, order) in &self.harness.sends[self.collected_sends..] {
+            let Some((paused_until, left_at)) = self.words.get(&order.target) else {
+                continue;
+            };
+            assert!(at >= paused_until, "a paused target gets no request");
+            let has_left = left_at.is_some_and(|left_at| *at > left_at);
+            assert!(!has_left, "a target that has left gets no request");
+        }
     }
 
     fn disconnect_caller(&mut self, selector: usize) {
@@ -167,6 +214,7 @@
     }
 
     fn collect_sends(&mut self) {
+        self.check_words();
         let new = &self.harness.sends[self.collected_sends..];
         self.in_flight
             .extend(new.iter().map(|(_, order)| (order.request, order.clone())));
@@ -178,7 +226,7 @@
         self.harness.advance(ms(2_000));
         self.collect_sends();
         while !self.in_flight.is_empty() {
-            self.end_one_attempt(0, 6);
+            self.end_one_attempt(0, 6, 0);
             self.collect_sends();
         }
         assert_eq!(
--- a/core/tests/target_hold.rs
+++ b/core/tests/target_hold.rs
@@ -186,6 +186,7 @@
     leaving_target_is_held_soon: check_words(&[(0, LEAVING)], 900, "held");
     leaving_target_does_not_return: check_words(&[(0, LEAVING), (500, USUAL)], 60_000, "held");
     target_that_never_leaves_is_used_again: check_words(&[(0, LEAVING)], 600_000, "free");
+    target_that_never_leaves_may_say_so_again: check_words(&[(0, LEAVING), (600_000, LEAVING)], 601_000, "held");
     leaving_target_that_pauses_is_held: check_words(&[(0, LEAVING), (0, paused(300))], 200, "held");
 }
 
