Give each fleet of processes loopback addresses of its own

Traced: the log has yuccaliftd: bind operator listener, 127.0.30.4:36919: address already in use, so entry-3 ended at its start and its data centre never became complete. All fleets of this test program used the same nine addresses; a fleet frees its ports before its daemons bind them, and a fleet that started at the same time took one. Each fleet now has a network of its own.

--- a/cli/tests/process/fleet.rs
+++ b/cli/tests/process/fleet.rs
@@ -2,6 +2,7 @@
 //! replaced while the configuration changes.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::spawned::{POLL_PERIOD, STEP_LIMIT, TestFolder, TestProcess};
@@ -41,7 +42,7 @@
         let mut fleet = Self {
             platform,
             folder: TestFolder::new(name),
-            listeners: (0..DAEMONS).map(choose_listeners).collect(),
+            listeners: choose_listeners(),
             daemons: (0..DAEMONS).map(|_| None).collect(),
         };
         for position in 0..DAEMONS {
@@ -158,8 +159,17 @@
 
 /// Returns free ports on a loopback address that no other test uses as a source address, so that
 /// connections of other tests do not take the ports before the daemon binds them.
-fn choose_listeners(position: usize) -> DaemonListeners {
-    let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 30, position as u8 + 1));
+/// Returns the addresses of a fleet's daemons. Each has a loopback address that no other fleet uses,
+/// since its ports are free again until it starts.
+fn choose_listeners() -> Vec<DaemonListeners> {
+    static FLEETS: AtomicU8 = AtomicU8::new(0);
+    let network = 200 + (std::process::id() % 50) as u8;
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    let hosts = (0..DAEMONS).map(|position| Ipv4Addr::new(127, network, fleet, position as u8 + 1));
+    hosts.map(|ip| choose_ports(IpAddr::V4(ip))).collect()
+}
+
+fn choose_ports(ip: IpAddr) -> DaemonListeners {
     let sockets: Vec<TcpListener> = (0..3)
         .map(|_| TcpListener::bind((ip, 0)).expect("a port is free"))
         .collect();
