--- a/exchange/tests/cut_answers.rs
+++ b/exchange/tests/cut_answers.rs
@@ -14,12 +14,12 @@
     keepalive_probes: 2,
 };
 
-const WITH_LENGTH: &str = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: r\r\n\
+const WITH_LENGTH: &str = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: r\r\n\
                            Content-Length: 8\r\n\r\n01234567";
-const IN_CHUNKS: &str = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n\
+const IN_CHUNKS: &str = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n\
                          4\r\n0123\r\n4\r\n4567\r\n0\r\n\r\n";
 /// The body of this answer extends to the end of the connection, so only its head can be cut.
-const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nConnection: close\r\n\r\n";
+const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nConnection: close\r\n\r\n";
 
 /// How a peer ends its connection.
 #[derive(Clone, Copy, Debug)]
