--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -7,6 +7,7 @@
 mod http;
 mod leaf;
 mod record;
+mod settings_change;
 mod store;
 
 use std::path::Path;
@@ -37,6 +38,7 @@
     }
     let verdict = match case.as_str() {
         "at-most-once" => at_most_once::play(&record, &scratch, has_trouble),
+        "settings-change" => settings_change::play(&record, &scratch, has_trouble),
         other => Verdict::CouldNotRun(format!("no case {other}")),
     };
     let _ = std::fs::remove_dir_all(&scratch);
