review: case 2, a request that silences its targets is never held back

Cause: a target that does not respond to a probe is suspended and its attempts are cancelled; cancelled attempts put no blame on their request, so the quarantine never learns of it.

Done: a script with a stand-in target that falls silent when it runs a certain request.

Nothing is fixed.

--- a/review/standins/at_most_once.rs
+++ b/review/standins/at_most_once.rs
@@ -63,6 +63,12 @@
         store.put(&leaf.key(), Some(&leaf.entry("ready", 1)));
     }
     store.put("op/config", Some(&config()));
+    let daemons = start_daemons(&store, scratch)?;
+    Ok((store, leafs, daemons))
+}
+
+/// Starts a daemon on each host and waits until all are ready; returns why that failed.
+pub fn start_daemons(store: &Store, scratch: &Path) -> Result<Vec<Daemon>, String> {
     let ips = free_ips(HOSTS);
     if ips.len() < HOSTS {
         return Err("no free loopback addresses".to_owned());
@@ -88,7 +94,7 @@
     {
         return Err("the daemons are not ready".to_owned());
     }
-    Ok((store, leafs, daemons))
+    Ok(daemons)
 }
 
 pub fn play(record: &Record, scratch: &Path, has_trouble: bool) -> Verdict {
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -4,8 +4,10 @@
 
 mod at_most_once;
 mod daemon;
+mod dark_leaf;
 mod http;
 mod leaf;
+mod poison;
 mod record;
 mod settings_change;
 mod store;
@@ -38,6 +40,7 @@
     }
     let verdict = match case.as_str() {
         "at-most-once" => at_most_once::play(&record, &scratch, has_trouble),
+        "poison" => poison::play(&record, &scratch, has_trouble),
         "settings-change" => settings_change::play(&record, &scratch, has_trouble),
         other => Verdict::CouldNotRun(format!("no case {other}")),
     };
