relay: carry no request id twice on a connection to a target

Callers saw: an order (a non-idempotent request) ran twice, or was answered 503 as not run and ran.

Cause: a target sent a second copy of its rejection late, when the order's next attempt at the same target was due on the same connection. Answers are told apart by the request id that targets echo, which is the caller's and the same for all attempts of a request, so the copy was taken for the answer: not run. The same cause elsewhere: a caller got the answer of another caller's request with the same id; a copy of a failure ended an idempotent request's next attempt at the same target.

Change: each connection remembers the ids that it has carried, until the deadlines of their requests and at least the latest one. A request gets only a connection that has not carried its id; if none is idle, a new one replaces an idle one. This works since a copy arrives on the connection of its original.

Ruled out: that a rejection counts as "not run" although an earlier attempt may have run; such an attempt is counted, and the order is not sent again.

--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -22,6 +22,7 @@
 //! - `suspicion`: detection of requests that crash their targets.
 //! - `budget`: the retry budget of each service.
 //! - [`IdlePolicy`]: the lifetime of idle connections.
+//! - [`LinkHistory`]: the requests that a connection has carried, and which others it may carry.
 //! - [`merge`]: merging the records of several services.
 //! - `verifier`: invariants that are checked after each event.
 //!
@@ -38,6 +39,7 @@
 mod idle_links;
 mod idle_policy;
 mod latencies;
+mod link_history;
 pub mod merge;
 mod probing;
 mod replies;
@@ -62,6 +64,7 @@
 };
 pub use event::{ProbeOutcome, RelayEvent, RelayRequest, TargetOutcome, TargetReply};
 pub use idle_policy::IdlePolicy;
+pub use link_history::LinkHistory;
 pub use route::{MergeRule, RepeatKind, RouteDestination, RouteEntry, RouteTable};
 pub use self_report::{ReportedRate, SelfReport};
 pub use target_hold::HoldChange;
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod holds;
 mod idle_links;
 mod idle_policy;
+mod link_history;
 mod load;
 mod overload;
 mod pauses;
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -69,7 +69,7 @@
     let unanswered = || AttemptEnd::closed(TargetOutcome::Abandoned { sent: true });
     let deadline = tokio::time::Instant::from_std(order.deadline);
     let link = tokio::select! {
-        link = pool.check_out(order) => link,
+        link = pool.check_out(order, &message.request_id) => link,
         () = cancel.cancelled() => return unsent(),
         () = tokio::time::sleep_until(deadline) => return unsent(),
     };
@@ -90,12 +90,15 @@
 
 async fn exchange(
     pool: &LinkPool,
-    pooled: PooledLink,
+    mut pooled: PooledLink,
     order: &AttemptOrder,
     message: &CallerMessage,
     now: Instant,
 ) -> AttemptEnd {
-    let PooledLink { mut link, is_new } = pooled;
+    let is_new = pooled.history.is_new();
+    pooled
+        .history
+        .record(now, &message.request_id, order.deadline);
     let time_left = order.deadline.saturating_duration_since(now);
     let request = OutgoingRequest {
         head: Rc::clone(&message.head),
@@ -103,11 +106,11 @@
         body: message.body.clone(),
     };
     let owner_of = |head: &_| target::answer_owner(head, &message.request_id, is_new);
-    let outcome = match link.exchange(request, owner_of).await {
+    let outcome = match pooled.link.exchange(request, owner_of).await {
         Ok(answer) => {
             let is_reusable = answer.reusable && target::is_distinguishable(&answer);
             let idle_until =
-                is_reusable.then(|| pool.put_back(order.target, link, answer.idle_timeout()));
+                is_reusable.then(|| pool.put_back(order.target, pooled, answer.idle_timeout()));
             let report = decode_report(&answer);
             let outcome = target::classify_answer(answer, order.is_part);
             // Another target answered at the address.
--- a/daemon/src/relay/pool.rs
+++ b/daemon/src/relay/pool.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use actix_http::ServiceConfig;
-use yuccalift_core::relay::{AttemptOrder, IdlePolicy, ProbeOrder, ProbeOutcome, TargetKey};
+use yuccalift_core::relay::{
+    AttemptOrder, IdlePolicy, LinkHistory, ProbeOrder, ProbeOutcome, TargetKey,
+};
 use yuccalift_exchange::{ExchangeLink, LinkOptions};
 
 /// Connect timeout and liveness probing of connections to targets. A target that can't be reached
@@ -20,16 +22,15 @@
 /// An idle connection.
 struct IdleLink {
     target: TargetKey,
-    link: ExchangeLink,
+    link: PooledLink,
     idle_since: Instant,
     expires: Instant,
 }
 
-/// A connection for one attempt.
+/// A connection and the requests that it has carried.
 pub(super) struct PooledLink {
     pub(super) link: ExchangeLink,
-    /// Whether the connection has not carried a request yet.
-    pub(super) is_new: bool,
+    pub(super) history: LinkHistory,
 }
 
 /// All idle connections, the most recently used at the end.
@@ -49,19 +50,24 @@
         }
     }
 
-    /// Returns a connection for an attempt: an idle one that still appears usable, or a new one.
-    pub(super) async fn check_out(&self, order: &AttemptOrder) -> io::Result<PooledLink> {
-        if let Some(link) = self.take_idle(order) {
-            return Ok(PooledLink {
-                link,
-                is_new: false,
-            });
+    /// Returns a connection for an attempt of the request with the id `request_id`: an idle one that
+    /// still appears usable, or a new one.
+    pub(super) async fn check_out(
+        &self,
+        order: &AttemptOrder,
+        request_id: &str,
+    ) -> io::Result<PooledLink> {
+        if let Some(link) = self.take_idle(order, request_id) {
+            return Ok(link);
         }
         let opened = ExchangeLink::open(order.address, &TARGET_LINK_OPTIONS, &self.config).await;
         if let Err(error) = &opened {
             self.record_reset(error.kind());
         }
-        opened.map(|link| PooledLink { link, is_new: true })
+        opened.map(|link| PooledLink {
+            link,
+            history: LinkHistory::default(),
+        })
     }
 
     /// Records the failure of a new connection if it was reset. A target that is short of
@@ -93,24 +99,32 @@
         }
     }
 
-    fn take_idle(&self, order: &AttemptOrder) -> Option<ExchangeLink> {
+    fn take_idle(&self, order: &AttemptOrder, request_id: &str) -> Option<PooledLink> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        loop {
-            let index = idle.iter().rposition(|link| link.target == order.target)?;
+        let is_suitable = |idle: &IdleLink| {
+            idle.target == order.target && idle.link.history.can_carry(request_id)
+        };
+        while let Some(index) = idle.iter().rposition(is_suitable) {
             let found = idle.remove(index);
             let is_fresh = IdlePolicy::is_fresh(now - found.idle_since, order.at_most_once);
-            if is_fresh && now < found.expires && found.link.is_idle() {
+            if is_fresh && now < found.expires && found.link.link.is_idle() {
                 return Some(found.link);
             }
         }
+        // The connections that are left have carried the request. A new one replaces one of them,
+        // since a target that a request returns to is often short of connections.
+        if let Some(index) = idle.iter().position(|idle| idle.target == order.target) {
+            idle.remove(index);
+        }
+        None
     }
 
     /// Returns a connection to the pool that may carry another request, and until when it is kept.
     pub(super) fn put_back(
         &self,
         target: TargetKey,
-        link: ExchangeLink,
+        link: PooledLink,
         target_idle_timeout: Option<Duration>,
     ) -> Instant {
         let now = Instant::now();
