settings: accept fractions where the platform fills in a number

Callers saw: after a bound had become a fraction (grace_s 6.5), daemons did not start again after their planned stops; with such a bound from the beginning none would start.

Cause: the template fills published bounds into fields that took whole numbers only, and a daemon ends when it can't read its settings. The same cause elsewhere: drain_ms and budget_window_s by the same parser, reads_per_s, and ranges chosen for the usual values (a ratio above 1, a stop or window below a second, fewer than ten calls).

Change: durations are decimal numbers with a unit, rounded to milliseconds; the call rate is a decimal number; the relay's ranges are wider. Negative, infinite, missing and malformed numbers are refused as before, and settings that can't be read still end the daemon, since it must not invent a stop or drain time.

--- a/settings/src/accounts/fields.rs
+++ b/settings/src/accounts/fields.rs
@@ -63,13 +63,16 @@
     },
     FieldSpec {
         name: HEDGE_SHARE,
-        kind: FieldKind::Share { max: 0.25 },
+        kind: FieldKind::Number {
+            min: 0.0,
+            max: 0.25,
+        },
         default: FieldDefault::Derived("0.05 with `repeat: hedge`, otherwise 0"),
         help: "fraction of shard requests that may be hedged",
     },
     FieldSpec {
         name: RETRY_SHARE,
-        kind: FieldKind::Share { max: 0.5 },
+        kind: FieldKind::Number { min: 0.0, max: 0.5 },
         default: FieldDefault::Derived("0 with `repeat: never`, otherwise 0.1"),
         help: "fraction of shard requests that may be retried",
     },
--- a/settings/src/accounts/layers.rs
+++ b/settings/src/accounts/layers.rs
@@ -92,11 +92,11 @@
     fn derived_default(&self, name: &str) -> Option<FieldValue> {
         match name {
             PATIENCE => self.value(DEADLINE),
-            HEDGE_SHARE => Some(FieldValue::Share(match self.repeat()? {
+            HEDGE_SHARE => Some(FieldValue::Number(match self.repeat()? {
                 RepeatPolicy::Hedge => DEFAULT_HEDGE_SHARE,
                 RepeatPolicy::Never | RepeatPolicy::Retry => 0.0,
             })),
-            RETRY_SHARE => Some(FieldValue::Share(match self.repeat()? {
+            RETRY_SHARE => Some(FieldValue::Number(match self.repeat()? {
                 RepeatPolicy::Never => 0.0,
                 RepeatPolicy::Retry | RepeatPolicy::Hedge => DEFAULT_RETRY_SHARE,
             })),
@@ -122,7 +122,7 @@
     /// Returns the value in effect of a share field.
     pub(super) fn share(&self, name: &str) -> Option<f64> {
         match self.value(name)? {
-            FieldValue::Share(share) => Some(share),
+            FieldValue::Number(share) => Some(share),
             _ => None,
         }
     }
--- a/settings/src/field.rs
+++ b/settings/src/field.rs
@@ -35,7 +35,7 @@
     },
     /// One of the given words.
     Choice(&'static [&'static str]),
-    /// Whole number with a unit of time.
+    /// Decimal number with a unit of time.
     Duration {
         /// Shortest allowed duration.
         min: Duration,
@@ -49,8 +49,10 @@
         /// Largest allowed number.
         max: u64,
     },
-    /// Decimal number of at least 0.
-    Share {
+    /// Non-negative decimal number.
+    Number {
+        /// Smallest allowed number.
+        min: f64,
         /// Largest allowed number.
         max: f64,
     },
@@ -89,8 +91,8 @@
     Duration(Duration),
     /// Value of a [`FieldKind::Integer`].
     Integer(u64),
-    /// Value of a [`FieldKind::Share`].
-    Share(f64),
+    /// Value of a [`FieldKind::Number`].
+    Number(f64),
     /// Value of a [`FieldKind::Listen`] or [`FieldKind::Address`].
     Address(SocketAddr),
     /// Value of a [`FieldKind::AddressList`], in document order.
--- a/settings/src/reader.rs
+++ b/settings/src/reader.rs
@@ -151,10 +151,10 @@
         }
     }
 
-    /// Returns the value of a share field.
-    pub(crate) fn share(&self, name: &str) -> Option<f64> {
+    /// Returns the value of a number field.
+    pub(crate) fn number(&self, name: &str) -> Option<f64> {
         match self.value(name)? {
-            FieldValue::Share(share) => Some(share),
+            FieldValue::Number(number) => Some(number),
             _ => None,
         }
     }
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -111,9 +111,9 @@
     },
     FieldSpec {
         name: "store_calls_per_second",
-        kind: FieldKind::Integer {
-            min: 10,
-            max: 10_000_000,
+        kind: FieldKind::Number {
+            min: 1.0,
+            max: 10_000_000.0,
         },
         default: FieldDefault::Value("2000"),
         help: "read calls per second that the store accepts from all daemons together; a tenth of it is taken as the maximum number of daemons",
@@ -121,7 +121,7 @@
     FieldSpec {
         name: "drain_time",
         kind: FieldKind::Duration {
-            min: Duration::from_millis(100),
+            min: Duration::from_millis(1),
             max: Duration::from_secs(600),
         },
         default: FieldDefault::Value("3s"),
@@ -129,14 +129,17 @@
     },
     FieldSpec {
         name: "retries.share",
-        kind: FieldKind::Share { max: 1.0 },
+        kind: FieldKind::Number {
+            min: 0.0,
+            max: 10.0,
+        },
         default: FieldDefault::Value("0.2"),
         help: "fraction of a service's requests that all daemons together may send a second time",
     },
     FieldSpec {
         name: "retries.window",
         kind: FieldKind::Duration {
-            min: Duration::from_secs(1),
+            min: Duration::from_millis(100),
             max: Duration::from_secs(600),
         },
         default: FieldDefault::Value("10s"),
@@ -145,7 +148,7 @@
     FieldSpec {
         name: "stop_timeout",
         kind: FieldKind::Duration {
-            min: Duration::from_secs(1),
+            min: Duration::from_millis(100),
             max: Duration::from_secs(3600),
         },
         default: FieldDefault::Value("6s"),
@@ -179,7 +182,7 @@
     let peer_listen = reader.address(PEERS)?;
     let mut seed_peers = reader.addresses("seed_peers");
     seed_peers.retain(|seed| *seed != peer_listen);
-    let store_calls = reader.integer("store_calls_per_second")? as PlatformCallRate;
+    let store_calls = reader.number("store_calls_per_second")? as PlatformCallRate;
     Some(RelaySettings {
         host: reader.text("host")?,
         data_centre: reader.text("data_centre")?,
@@ -190,9 +193,9 @@
         store: reader.address("store")?,
         seed_peers,
         store_calls,
-        fleet_daemons: store_calls / MIN_CALLS_PER_DAEMON,
+        fleet_daemons: (store_calls / MIN_CALLS_PER_DAEMON).max(1),
         drain_time: reader.duration("drain_time")?,
-        retry_share: reader.share("retries.share")?,
+        retry_share: reader.number("retries.share")?,
         retry_window: reader.duration("retries.window")?,
         stop_timeout: reader.duration("stop_timeout")?,
         clock_behind: reader.duration("clock_behind")?,
--- a/settings/src/value.rs
+++ b/settings/src/value.rs
@@ -32,10 +32,10 @@
             Self::Choice(words) => format!("one of {}", words.join(", ")).into(),
             Self::Duration { min, max } => {
                 let (min, max) = (format_duration(*min), format_duration(*max));
-                format!("a whole number with a unit (ms, s, m or h), from {min} to {max}").into()
+                format!("a number with a unit (ms, s, m or h), from {min} to {max}").into()
             }
             Self::Integer { min, max } => format!("a whole number from {min} to {max}").into(),
-            Self::Share { max } => format!("a number from 0 to {max}").into(),
+            Self::Number { min, max } => format!("a number from {min} to {max}").into(),
             Self::Listen => "IP:PORT, such as 127.0.0.1:7100; port 0 picks a free port".into(),
             Self::Address => address_rule().into(),
             Self::AddressList { min } => format!(
@@ -85,11 +85,9 @@
             Self::Integer { min, max } => parse_integer(text)
                 .filter(|value| (*min..=*max).contains(value))
                 .map(FieldValue::Integer),
-            Self::Share { max } => text
-                .parse()
-                .ok()
-                .filter(|value| (0.0..=*max).contains(value))
-                .map(FieldValue::Share),
+            Self::Number { min, max } => parse_number(text)
+                .filter(|value| (*min..=*max).contains(value))
+                .map(FieldValue::Number),
             Self::Listen => text.parse().ok().map(FieldValue::Address),
             Self::Address => parse_address(text).map(FieldValue::Address),
             Self::NameList | Self::AddressList { .. } => None,
@@ -104,7 +102,7 @@
             Self::Names(names) => write!(f, "[{}]", names.join(", ")),
             Self::Duration(duration) => f.write_str(&format_duration(*duration)),
             Self::Integer(number) => write!(f, "{number}"),
-            Self::Share(share) => write!(f, "{share}"),
+            Self::Number(number) => write!(f, "{number}"),
             Self::Address(address) => write!(f, "{address}"),
             Self::Addresses(addresses) => {
                 let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
@@ -125,13 +123,25 @@
     "0ms".to_owned()
 }
 
-/// Parses a duration such as `50ms`, `2s`, `5m` or `8h`; a number without a unit is rejected.
+/// Parses a duration such as `50ms`, `2s`, `6.5s` or `8h`, and rounds it to whole milliseconds; a
+/// number without a unit is rejected.
 fn parse_duration(text: &str) -> Option<Duration> {
-    let digits = text.find(|letter: char| !letter.is_ascii_digit())?;
-    let (number, unit) = text.split_at(digits);
-    let (_, unit_millis) = DURATION_UNITS.iter().find(|(name, _)| *name == unit)?;
-    let millis = parse_integer(number)?.checked_mul(*unit_millis)?;
-    Some(Duration::from_millis(millis))
+    let number = text.trim_end_matches(|letter: char| letter.is_ascii_alphabetic());
+    let (_, unit_millis) = DURATION_UNITS
+        .iter()
+        .find(|(name, _)| *name == &text[number.len()..])?;
+    let millis = parse_number(number)? * *unit_millis as f64;
+    Some(Duration::from_millis(millis.round() as u64))
+}
+
+/// Parses a decimal number, with an exponent or without; the standard parser would also accept a
+/// sign and the names of numbers that are not finite.
+fn parse_number(text: &str) -> Option<f64> {
+    if !text.starts_with(|letter: char| letter.is_ascii_digit() || letter == '.') {
+        return None;
+    }
+    let number: f64 = text.parse().ok()?;
+    number.is_finite().then_some(number)
 }
 
 /// Parses a number that consists of digits only; the standard parser would also accept a sign.
