exchange: keep the state of a served connection with the connection

Not seen by callers; found by reading.

What callers would see: nothing; a planned stop would take its whole time limit.

Cause: the table of open connections was sorted by the peer's address. A caller may connect again from a port before the server has noticed that the earlier connection has ended; the end of the earlier one then removed the entry of the later one, which counted as busy from then on, so that a draining server waited for it. The end of the earlier one's request also marked the later one as idle; both happen in one step, so that no lost answer could be shown.

Evidence: an_idle_connection_from_a_reused_port_is_closed fails with the server of ("the server ends", 20 s).

Change: each connection has a state of its own, which its requests reach through the connection data of the server library. The table and its look-ups are gone.

--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -9,11 +9,12 @@
 mod answer;
 mod answer_buffer;
 mod buffer_budget;
-mod connection_table;
+mod connection_state;
 mod error;
 mod held_body;
 mod link;
 mod metered_stream;
+mod served_stream;
 mod server;
 mod socket;
 mod transfer_progress;
--- a/exchange/src/server.rs
+++ b/exchange/src/server.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{ConnectionType, HttpServiceBuilder, KeepAlive, Request, Response};
+use actix_http::{ConnectionType, Extensions, HttpServiceBuilder, KeepAlive, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::connection_table::ConnectionTable;
+use crate::connection_state::ConnectionState;
+use crate::served_stream::ServedStream;
 use crate::socket::LinkOptions;
 use crate::turn_stream::TurnStream;
 
@@ -57,8 +58,7 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Result<Response<BoxBody>, Infallible>> + 'static,
 {
-    let connections = Rc::new(ConnectionTable::default());
-    let handler = drainable(handler, Rc::clone(&connections), stop.drain.clone());
+    let handler = drainable(handler, stop.drain.clone());
     let tasks = TaskTracker::new();
     let mut current_options = options();
     let Some(mut service) = connection_service(current_options, handler.clone()).await else {
@@ -82,15 +82,14 @@
         }
         let _best_effort = stream.set_nodelay(true);
         let _best_effort = current_options.link.enable_keepalive(&stream);
-        let service = Rc::clone(&service);
-        let (connections, stop) = (Rc::clone(&connections), stop.clone());
+        let (service, stop) = (Rc::clone(&service), stop.clone());
         tasks.spawn_local(async move {
-            connections.add(peer);
+            let state = ConnectionState::default();
+            let stream = ServedStream::new(TurnStream::new(stream), state.clone());
             // When the connection ends, its requests have been dropped, so the result is not
             // needed.
-            let connection = service.call((TurnStream::new(stream), Some(peer)));
-            run_connection(connection, peer, &connections, &stop).await;
-            connections.remove(peer);
+            let connection = service.call((stream, Some(peer)));
+            run_connection(connection, &state, &stop).await;
         });
     }
     drop(listener);
@@ -103,12 +102,7 @@
 
 /// Runs a connection until it ends or the server does. A connection without a request is not polled
 /// once the server drains, as that would read a request that has just arrived.
-async fn run_connection(
-    connection: impl Future,
-    peer: SocketAddr,
-    connections: &ConnectionTable,
-    stop: &StopTokens,
-) {
+async fn run_connection(connection: impl Future, state: &ConnectionState, stop: &StopTokens) {
     tokio::pin!(connection);
     tokio::select! {
         biased;
@@ -116,7 +110,7 @@
         () = stop.drain.cancelled() => {}
         _ended = &mut connection => return,
     }
-    if connections.is_idle(peer) {
+    if state.is_idle() {
         return;
     }
     tokio::select! {
@@ -129,7 +123,6 @@
 /// their connections once the server drains.
 fn drainable<F, Fut>(
     handler: F,
-    connections: Rc<ConnectionTable>,
     drain: CancellationToken,
 ) -> impl Fn(Request) -> std::pin::Pin<Box<dyn Future<Output = HandlerResult>>> + Clone + 'static
 where
@@ -137,7 +130,8 @@
     Fut: Future<Output = HandlerResult> + 'static,
 {
     move |request: Request| {
-        let guard = connections.begin_request(request.peer_addr());
+        let state = request.conn_data::<ConnectionState>().cloned();
+        let guard = state.unwrap_or_default().begin_request();
         let answer = handler(request);
         let drain = drain.clone();
         Box::pin(async move {
@@ -159,7 +153,7 @@
 async fn connection_service<F, Fut>(
     options: ServeOptions,
     handler: F,
-) -> Option<Rc<impl Service<(TurnStream, Option<SocketAddr>)>>>
+) -> Option<Rc<impl Service<(ServedStream, Option<SocketAddr>)>>>
 where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = HandlerResult> + 'static,
@@ -168,6 +162,9 @@
         .keep_alive(KeepAlive::Timeout(options.idle_timeout))
         .client_request_timeout(options.head_timeout)
         .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &ServedStream, data: &mut Extensions| {
+            data.insert(stream.state().clone());
+        })
         .h1(fn_service(handler));
     factory.new_service(()).await.ok().map(Rc::new)
 }
