--- a/core/src/relay/link_history.rs
+++ b/core/src/relay/link_history.rs
@@ -3,8 +3,8 @@
 //! A target may send a second copy of an answer late, when its connection carries another request
 //! already. The copy is told from the answer by the request id that targets echo, but the id is the
 //! caller's: each attempt of a request bears it, and nothing keeps two callers from using the same.
-//! A connection therefore never carries an id twice; see `docs/PLATFORM.md`, "Connections to
-//! targets".
+//! A connection therefore carries an id again only after the deadline of the earlier request, and
+//! not directly after it; see `docs/PLATFORM.md`, "Connections to targets".
 
 use std::time::Instant;
 
--- a/daemon/src/relay/pool.rs
+++ b/daemon/src/relay/pool.rs
@@ -112,8 +112,9 @@
                 return Some(found.link);
             }
         }
-        // The connections that are left have carried the request. A new one replaces one of them,
-        // since a target that a request returns to is often short of connections.
+        // The connections that are left can't carry the request, mostly because they have carried it
+        // before. A new one replaces one of them, since a target that a request returns to is often
+        // short of connections.
         if let Some(index) = idle.iter().position(|idle| idle.target == order.target) {
             idle.remove(index);
         }
