--- a/cli/src/soak.rs
+++ b/cli/src/soak.rs
@@ -6,7 +6,7 @@
 use lexopt::prelude::{Long, Short, ValueExt};
 use yuccalift_platform_standins::site::sibling_program;
 use yuccalift_platform_standins::soak::{
-    DAEMONS, FaultPlan, GuaranteeViolation, check_guarantees, request_log_lines, run_soak,
+    FaultPlan, GuaranteeViolation, check_guarantees, request_log_lines, run_soak,
 };
 
 use crate::error::CommandError;
@@ -14,11 +14,12 @@
 const HELP: &str = "\
 yuccalift soak: inject random faults into real daemons on this machine and check the guarantees
 
-Usage: yuccalift soak [--seed N] [--seconds S] [--site N]
+Usage: yuccalift soak [--seed N] [--seconds S] [--daemons N] [--site N]
 
 Options:
   --seed N     seed of the fault plan (default 1)
   --seconds S  duration of the load, 12 to 3600 (default 30)
+  --daemons N  number of daemons, 1 to 200 (default 3)
   --site N     number from 0 to 250, different for each soak that runs at the same time
                (default 0)
 
@@ -33,6 +34,7 @@
 struct SoakOptions {
     seed: u64,
     seconds: u64,
+    daemons: u8,
     site: u8,
 }
 
@@ -47,7 +49,7 @@
         return Ok(());
     };
     let length = Duration::from_secs(options.seconds);
-    let plan = FaultPlan::new(options.seed, length, usize::from(DAEMONS), TARGETS);
+    let plan = FaultPlan::new(options.seed, length, options.daemons, TARGETS);
     println!(
         "seed {}, {} s, {} faults",
         plan.seed,
@@ -100,6 +102,7 @@
     let mut options = SoakOptions {
         seed: 1,
         seconds: 30,
+        daemons: 3,
         site: 0,
     };
     while let Some(argument) = parser.next()? {
@@ -107,12 +110,16 @@
             Short('h') | Long("help") => return Ok(None),
             Long("seed") => options.seed = parser.value()?.parse()?,
             Long("seconds") => options.seconds = parser.value()?.parse()?,
+            Long("daemons") => options.daemons = parser.value()?.parse()?,
             Long("site") => options.site = parser.value()?.parse()?,
             other => return Err(other.unexpected()),
         }
     }
-    if !(12..=3600).contains(&options.seconds) || options.site > 250 {
-        return Err("--seconds must be from 12 to 3600, and --site from 0 to 250".into());
+    if !(12..=3600).contains(&options.seconds) {
+        return Err("--seconds must be from 12 to 3600".into());
+    }
+    if !(1..=200).contains(&options.daemons) || options.site > 250 {
+        return Err("--daemons must be from 1 to 200, and --site from 0 to 250".into());
     }
     Ok(Some(options))
 }
