relay: follow evacuations of data centres

Cause: the operator can evacuate a data centre by a key of the store, and the relay ignored it.

Change: the key is read, passed on between daemons and applied like the configuration, if the settings have evacuation.apply_time. One query, is_evacuated, is asked for every candidate of choose_target and for every probe. Parked legs and legs that wait for a retry are given up at once when all targets of their service are evacuated, and parked legs are sent when an evacuation ends. A daemon that starts takes its first routes into use once it has all that its peers know. Only the presence of the key counts, so its value is not decoded. Listings read the prefix only with the setting. The settings template has sections, and `yuccalift check` fills it in with and without optional values.

--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -1,7 +1,7 @@
 //! `yuccalift check`: checks settings and published documents, and reports every error.
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
-use yuccalift_platform::template::{fill_sample, is_template};
+use yuccalift_platform::template::{SampleValues, fill_sample, is_template};
 use yuccalift_settings::SiteCheck;
 
 use crate::error::CommandError;
@@ -78,19 +78,30 @@
             return false;
         }
     };
-    let template = is_template(&text);
-    let text = match template.then(|| fill_sample(&text)) {
-        None => text,
-        Some(Ok(filled)) => filled,
-        Some(Err(error)) => {
-            eprintln!("{file}: {error}");
-            return false;
-        }
-    };
-    match site.add(file, &text) {
+    if !is_template(&text) {
+        return check_text(site, file, &text, "");
+    }
+    let mut is_valid = true;
+    for (values, label) in [
+        (SampleValues::RequiredOnly, "template of "),
+        (SampleValues::All, "template with all sections of "),
+    ] {
+        is_valid &= match fill_sample(&text, values) {
+            Ok(filled) => check_text(site, file, &filled, label),
+            Err(error) => {
+                eprintln!("{file}: {error}");
+                false
+            }
+        };
+    }
+    is_valid
+}
+
+/// Checks the text of a document and prints the result; `label` precedes the document's kind.
+fn check_text(site: &mut SiteCheck, file: &str, text: &str, label: &str) -> bool {
+    match site.add(file, text) {
         Ok(kind) => {
-            let template = if template { "template of " } else { "" };
-            println!("{file}: valid {template}{}", kind.describe());
+            println!("{file}: valid {label}{}", kind.describe());
             true
         }
         Err(errors) => {
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -176,6 +176,11 @@
         self.readiness.confirmed
     }
 
+    /// Returns whether the daemon knows all changes that the peers it has heard from know.
+    pub fn is_caught_up(&self) -> bool {
+        self.store.version() >= self.readiness.newest_peer_version
+    }
+
     /// Returns the time since the platform last answered a reader, as far as this daemon knows.
     pub fn knowledge_age(&self, now: Instant) -> Duration {
         self.knowledge.elapsed(now)
@@ -366,7 +371,7 @@
         if !has_config {
             self.readiness.since = now;
         }
-        let caught_up = self.store.version() >= self.readiness.newest_peer_version;
+        let caught_up = self.is_caught_up();
         let is_current = self.readiness.has_peer_reply && caught_up;
         let timed_out = now >= self.readiness.since + CONFIRM_TIMEOUT;
         let is_confirmed = is_current || self.is_alone() || timed_out;
--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -7,6 +7,7 @@
 use super::target_hold::HoldChange;
 use super::target_record::TargetName;
 use super::{AttemptKey, RequestKey, TargetKey};
+use crate::ids::DataCentreName;
 use crate::quarantine::QuarantineNotice;
 
 /// A decision of the relay that the daemon must carry out.
@@ -116,6 +117,8 @@
 pub enum RefusalCause {
     /// No usable target is known.
     NoTarget,
+    /// All targets are in evacuated data centres.
+    Evacuated,
     /// All usable targets are at their in-flight limit.
     NoCapacity,
     /// All targets that received the request rejected it without running it.
@@ -131,6 +134,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoTarget => "no_target",
+            Self::Evacuated => "evacuated",
             Self::NoCapacity => "no_room",
             Self::Rejected => "rejected",
             Self::NoTime => "no_time",
@@ -220,6 +224,15 @@
         /// The new listing state, as it appears in the log.
         state: &'static str,
     },
+    /// The evacuation of a data centre began or ended.
+    EvacuationChanged {
+        /// Name of the data centre.
+        data_centre: DataCentreName,
+        /// Whether the data centre is evacuated now.
+        active: bool,
+        /// Number of data centres that are evacuated now.
+        evacuated: usize,
+    },
     /// What a target says of itself changed how many requests it may get.
     HoldChanged {
         /// Name of the target.
--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -58,6 +58,9 @@
             let Some(target) = self.targets.get(*key) else {
                 continue;
             };
+            if self.is_evacuated(target) {
+                continue;
+            }
             let Some(mut tier) = candidate_tier(now, target, tried) else {
                 let until = target.suspended_until();
                 retry_at = retry_at.into_iter().chain(until).min();
--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -43,7 +43,10 @@
                 self.park(request, leg_index);
                 self.free_capacity(request, leg_index, actions);
             }
-            TargetChoice::Unavailable { .. } => self.abandon_leg(request, leg_index, "no_target"),
+            TargetChoice::Unavailable { .. } => {
+                let cause = self.unavailable_cause(&leg.service);
+                self.abandon_leg(request, leg_index, cause.as_str());
+            }
         }
     }
 
@@ -254,7 +257,8 @@
                     self.finish_if_settled(now, request, actions);
                 }
                 Some(TargetChoice::Unavailable { .. }) => {
-                    self.abandon_leg(entry.request, entry.leg_index, "no_target");
+                    let cause = self.unavailable_cause(service);
+                    self.abandon_leg(entry.request, entry.leg_index, cause.as_str());
                     self.finish_if_settled(now, entry.request, actions);
                 }
                 Some(TargetChoice::Wait) | None => {}
--- /dev/null
+++ b/core/src/relay/evacuation.rs
@@ -0,0 +1,123 @@
+//! Data centres that are evacuated: [`EvacuationSet`].
+//!
+//! Nothing is sent to the targets of an evacuated data centre. What is already running there runs to
+//! its end. See `docs/DESIGN.md`, "Evacuated data centres".
+
+use std::time::Instant;
+
+use super::RelayEngine;
+use super::action::{RefusalCause, RelayAction, RelayDecision};
+use super::route::ServiceName;
+use super::target::RelayTarget;
+use crate::ids::DataCentreName;
+
+/// The evacuated data centres, sorted by name.
+#[derive(Debug, Default)]
+pub(super) struct EvacuationSet {
+    data_centres: Vec<DataCentreName>,
+}
+
+impl EvacuationSet {
+    /// Returns whether nothing may be sent to the targets of a data centre.
+    pub(super) fn contains(&self, data_centre: &str) -> bool {
+        self.index(data_centre).is_ok()
+    }
+
+    /// Adds or removes a data centre; returns false if that changes nothing.
+    fn set(&mut self, data_centre: &str, active: bool) -> bool {
+        match (self.index(data_centre), active) {
+            (Err(index), true) => self.data_centres.insert(index, data_centre.into()),
+            (Ok(index), false) => drop(self.data_centres.remove(index)),
+            (Ok(_), true) | (Err(_), false) => return false,
+        }
+        true
+    }
+
+    fn index(&self, data_centre: &str) -> Result<usize, usize> {
+        self.data_centres
+            .binary_search_by(|other| other.as_ref().cmp(data_centre))
+    }
+}
+
+impl RelayEngine {
+    /// Returns whether nothing may be sent to a target, since its data centre is evacuated. All
+    /// senders use this function.
+    pub(super) fn is_evacuated(&self, target: &RelayTarget) -> bool {
+        self.evacuations.contains(&target.record.data_centre)
+    }
+
+    /// Begins or ends the evacuation of a data centre.
+    pub(super) fn handle_evacuation(
+        &mut self,
+        now: Instant,
+        data_centre: &str,
+        active: bool,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        if !self.evacuations.set(data_centre, active) {
+            return;
+        }
+        actions.push(RelayAction::Decided(RelayDecision::EvacuationChanged {
+            data_centre: data_centre.into(),
+            active,
+            evacuated: self.evacuations.data_centres.len(),
+        }));
+        for service in self.services_in(data_centre) {
+            self.dispatch_parked(now, &service, actions);
+        }
+        if active {
+            self.abandon_evacuated_legs(now, actions);
+        } else {
+            // Probes that came due during the evacuation were not sent.
+            self.probe_data_centre(data_centre, actions);
+        }
+    }
+
+    /// Returns the services that have targets in a data centre.
+    fn services_in(&self, data_centre: &str) -> Vec<ServiceName> {
+        let targets = self.targets.iter();
+        let mut services: Vec<ServiceName> = targets
+            .filter(|target| target.record.data_centre.as_ref() == data_centre)
+            .map(|target| target.record.service.clone())
+            .collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
+    /// Abandons the legs that wait for a retry and have evacuated targets only.
+    fn abandon_evacuated_legs(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
+        let mut waiting = Vec::new();
+        for state in self.requests.iter() {
+            for (leg_index, leg) in state.legs.iter().enumerate() {
+                let waits = leg.is_open() && leg.in_flight.is_empty();
+                if waits && self.is_service_evacuated(&leg.service) {
+                    waiting.push((state.key, leg_index));
+                }
+            }
+        }
+        for (request, leg_index) in waiting {
+            self.abandon_leg(request, leg_index, RefusalCause::Evacuated.as_str());
+            self.finish_if_settled(now, request, actions);
+        }
+    }
+
+    /// Returns why a service has no target that a request may be sent to.
+    pub(super) fn unavailable_cause(&self, service: &str) -> RefusalCause {
+        if self.is_service_evacuated(service) {
+            RefusalCause::Evacuated
+        } else {
+            RefusalCause::NoTarget
+        }
+    }
+
+    /// Returns whether a service has targets, and all of them are in evacuated data centres.
+    fn is_service_evacuated(&self, service: &str) -> bool {
+        let Some(service) = self.services.get(service) else {
+            return false;
+        };
+        let targets = service.targets.iter();
+        let mut targets = targets.filter_map(|key| self.targets.get(*key)).peekable();
+        targets.peek().is_some() && targets.all(|target| self.is_evacuated(target))
+    }
+}
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -7,7 +7,7 @@
 use super::self_report::SelfReport;
 use super::target_record::{TargetName, TargetRecord};
 use super::{AttemptKey, RequestKey, TargetKey};
-use crate::ids::Fingerprint;
+use crate::ids::{DataCentreName, Fingerprint};
 use crate::quarantine::QuarantineNotice;
 
 /// An input of the relay.
@@ -22,6 +22,13 @@
         /// Name of the target.
         name: TargetName,
     },
+    /// The evacuation of a data centre began (`active`) or ended.
+    EvacuationChanged {
+        /// Name of the data centre.
+        data_centre: DataCentreName,
+        /// Whether the data centre is evacuated now.
+        active: bool,
+    },
     /// A request of a caller arrived.
     Submit(RelayRequest),
     /// A caller disconnected before its request was answered.
--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -85,7 +85,13 @@
     fn failure_refusal(&self, now: Instant, state: &RequestState) -> RelayRefusal {
         if state.legs.iter().all(|leg| !leg.may_have_run()) {
             let was_sent = state.legs.iter().any(|leg| !leg.tried.is_empty());
-            let cause = if was_sent {
+            let is_evacuated = state.legs.iter().any(|leg| {
+                matches!(leg.stage, LegStage::Missing(reason)
+                    if reason == RefusalCause::Evacuated.as_str())
+            });
+            let cause = if is_evacuated {
+                RefusalCause::Evacuated
+            } else if was_sent {
                 RefusalCause::Rejected
             } else {
                 RefusalCause::NoTarget
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -16,6 +16,7 @@
 //! - `target`, `choice`: the state of each target, and the selection of a target.
 //! - [`self_report`], [`target_hold`]: what targets say of themselves, and whether they may therefore
 //!   get a request now.
+//! - `evacuation`: the data centres whose targets get nothing.
 //! - `idle_links`: the idle connections to each target.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the stages of request processing.
 //! - `probing`: connection probes of targets that may be unreachable.
@@ -33,6 +34,7 @@
 mod choice;
 mod directory;
 mod dispatch;
+mod evacuation;
 pub mod event;
 mod finish;
 mod hedging;
@@ -70,6 +72,7 @@
 pub use target_hold::HoldChange;
 pub use target_record::{TargetPhase, TargetRecord};
 
+use evacuation::EvacuationSet;
 use latencies::RouteLatencies;
 use request::RequestTable;
 use service::ServiceTable;
@@ -118,6 +121,7 @@
     requests: RequestTable,
     latencies: RouteLatencies,
     suspicion: SuspicionState,
+    evacuations: EvacuationSet,
     timers: TimerQueue,
     /// Time of the last [`RelayEvent::Paused`]; delays that began earlier are not reliable.
     resumed_at: Option<Instant>,
@@ -140,6 +144,7 @@
             requests: RequestTable::default(),
             latencies: RouteLatencies::default(),
             suspicion: SuspicionState::default(),
+            evacuations: EvacuationSet::default(),
             timers: TimerQueue::default(),
             resumed_at: None,
             list_regained_at: None,
@@ -158,6 +163,10 @@
             RelayEvent::RoutesChanged(table) => self.set_routes(table),
             RelayEvent::TargetListed(record) => self.handle_target_listed(now, record, actions),
             RelayEvent::TargetUnlisted { name } => self.handle_target_unlisted(now, &name, actions),
+            RelayEvent::EvacuationChanged {
+                data_centre,
+                active,
+            } => self.handle_evacuation(now, &data_centre, active, actions),
             RelayEvent::Submit(request) => self.submit(now, request, actions),
             RelayEvent::CallerDisconnected { request } => {
                 self.handle_disconnect(now, request, actions);
--- a/core/src/relay/probing.rs
+++ b/core/src/relay/probing.rs
@@ -26,8 +26,12 @@
 }
 
 impl RelayEngine {
-    /// Probes a target, unless a probe is in progress.
+    /// Probes a target, unless a probe is in progress or its data centre is evacuated.
     pub(super) fn probe(&mut self, target: TargetKey, actions: &mut Vec<RelayAction>) {
+        let evacuated = self.targets.get(target);
+        if evacuated.is_some_and(|target| self.is_evacuated(target)) {
+            return;
+        }
         let Some(state) = self.targets.get_mut(target) else {
             return;
         };
@@ -154,8 +158,9 @@
     }
 
     /// Probes all unreachable targets of a data centre after one of them has become reachable: the
-    /// network path may have been cut, and may be restored for all of them.
-    fn probe_data_centre(&mut self, data_centre: &str, actions: &mut Vec<RelayAction>) {
+    /// network path may have been cut, and may be restored for all of them. The end of an evacuation
+    /// calls it as well.
+    pub(super) fn probe_data_centre(&mut self, data_centre: &str, actions: &mut Vec<RelayAction>) {
         let unreachable = self.targets.iter().filter(|target| {
             !target.is_reachable() && target.record.data_centre.as_ref() == data_centre
         });
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -93,11 +93,21 @@
         if self.is_quarantined(now, state.fingerprint) {
             return Some(RefusalCause::Quarantined);
         }
-        let servable = state.legs.iter().filter(|leg| {
+        let (servable, unavailable): (Vec<_>, Vec<_>) = state.legs.iter().partition(|leg| {
             let choice = self.choose_target(now, &leg.service, &[], state.is_at_most_once());
             !matches!(choice, TargetChoice::Unavailable { .. })
         });
-        (servable.count() < state.min_answered_legs()).then_some(RefusalCause::NoTarget)
+        let mut causes = unavailable
+            .iter()
+            .map(|leg| self.unavailable_cause(&leg.service));
+        (servable.len() < state.min_answered_legs()).then(|| {
+            let is_evacuated = causes.any(|cause| cause == RefusalCause::Evacuated);
+            if is_evacuated {
+                RefusalCause::Evacuated
+            } else {
+                RefusalCause::NoTarget
+            }
+        })
     }
 
     /// Returns the time after which a refused caller should retry: when each leg has a usable
--- a/core/src/relay/suspicion.rs
+++ b/core/src/relay/suspicion.rs
@@ -101,11 +101,17 @@
             entry.legs.push(leg);
             return;
         }
-        if self.targets.get(target).is_none() {
+        // Without a probe, nothing tells whether the target has crashed; the leg is retried by its
+        // timer.
+        let can_probe = self
+            .targets
+            .get(target)
+            .is_some_and(|target| target.probe_pending || !self.is_evacuated(target));
+        if !can_probe {
             self.record_run_ended(target, run);
             return;
         }
-        unconfirmed.push(UnconfirmedLoss {
+        self.suspicion.unconfirmed.push(UnconfirmedLoss {
             target,
             runs: vec![run],
             legs: vec![leg],
--- a/core/tests/relay/random_runs.rs
+++ b/core/tests/relay/random_runs.rs
@@ -1,6 +1,6 @@
 //! Long random runs, with invariants asserted inside the relay and from outside.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
 use proptest::prelude::*;
@@ -15,6 +15,11 @@
 
 const SERVICES: [&str; 3] = ["s0", "s1", "s2"];
 const TARGETS: [&str; 4] = ["a", "b", "c", "d"];
+/// Data centres of the targets of a service.
+const DATA_CENTRES: [&str; 4] = ["here", "here", "south", "north"];
+
+/// Port of the first target of a service; those of the others follow.
+const FIRST_PORT: u16 = 8080;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -43,6 +48,10 @@
         service: usize,
         name: usize,
     },
+    Evacuation {
+        data_centre: usize,
+        active: bool,
+    },
     Paused,
     Ending,
 }
@@ -58,6 +67,8 @@
             |(service, name, draining, started)| Step::List { service, name, draining, started }
         ),
         1 => (0..3_usize, 0..4_usize).prop_map(|(service, name)| Step::Unlist { service, name }),
+        1 => (1..4_usize, any::<bool>())
+            .prop_map(|(data_centre, active)| Step::Evacuation { data_centre, active }),
         1 => Just(Step::Paused),
         1 => Just(Step::Ending),
     ]
@@ -100,6 +111,9 @@
     run_counts: BTreeMap<RequestKey, u32>,
     /// Time until which a target wants nothing, and the time from which it is no longer used.
     words: BTreeMap<TargetKey, (Instant, Option<Instant>)>,
+    /// Data centres that are evacuated, by their first position in [`DATA_CENTRES`].
+    evacuated: BTreeSet<usize>,
+    checked_probes: usize,
 }
 
 impl RandomRun {
@@ -109,9 +123,8 @@
             forward_route("s1", RepeatKind::NonIdempotent, 3),
             gather_route(&SERVICES, 0.6),
         ];
-        let targets = SERVICES
-            .iter()
-            .flat_map(|service| TARGETS.map(|name| target(&format!("{service}-{name}"), service)));
+        let targets =
+            (0..SERVICES.len()).flat_map(|service| [0, 1, 2, 3].map(|name| record(service, name)));
         Self {
             harness: RelayHarness::new(routes, targets.collect()),
             in_flight: Vec::new(),
@@ -120,6 +133,8 @@
             disconnected: Vec::new(),
             run_counts: BTreeMap::new(),
             words: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            checked_probes: 0,
         }
     }
 
@@ -150,7 +165,7 @@
                         TargetPhase::Serving
                     },
                     started_ms: Some(started),
-                    ..target(&target_name(service, name), SERVICES[service])
+                    ..record(service, name)
                 };
                 self.harness.feed(RelayEvent::TargetListed(record));
             }
@@ -158,12 +173,44 @@
                 let name = target_name(service, name).into();
                 self.harness.feed(RelayEvent::TargetUnlisted { name });
             }
+            Step::Evacuation {
+                data_centre,
+                active,
+            } => self.change_evacuation(data_centre, active),
             Step::Paused => self.harness.feed(RelayEvent::Paused),
             Step::Ending => self.harness.feed(RelayEvent::Ending),
         }
         self.collect_sends();
     }
 
+    fn change_evacuation(&mut self, data_centre: usize, active: bool) {
+        if active {
+            self.evacuated.insert(data_centre);
+        } else {
+            self.evacuated.remove(&data_centre);
+        }
+        self.harness.feed(RelayEvent::EvacuationChanged {
+            data_centre: DATA_CENTRES[data_centre].into(),
+            active,
+        });
+    }
+
+    /// Checks the attempts and probes of the last step against the evacuations after it.
+    fn check_evacuations(&mut self) {
+        let sends = self.harness.sends[self.collected_sends..].iter();
+        let addresses = sends.map(|(_, order)| order.address);
+        let probes = self.harness.probes[self.checked_probes..].iter();
+        for address in addresses.chain(probes.map(|probe| probe.address)) {
+            let name = usize::from(address.port() - FIRST_PORT);
+            let is_evacuated = self
+                .evacuated
+                .iter()
+                .any(|evacuated| DATA_CENTRES[*evacuated] == DATA_CENTRES[name]);
+            assert!(!is_evacuated, "nothing is sent to an evacuated data centre");
+        }
+        self.checked_probes = self.harness.probes.len();
+    }
+
     fn end_one_attempt(&mut self, selector: usize, number: usize, word: usize) {
         if self.in_flight.is_empty() {
             return;
@@ -215,6 +262,7 @@
 
     fn collect_sends(&mut self) {
         self.check_words();
+        self.check_evacuations();
         let new = &self.harness.sends[self.collected_sends..];
         self.in_flight
             .extend(new.iter().map(|(_, order)| (order.request, order.clone())));
@@ -279,6 +327,15 @@
     }
 }
 
+/// Returns the record of a target; its port tells its data centre.
+fn record(service: usize, name: usize) -> TargetRecord {
+    TargetRecord {
+        address: ([10, 0, 0, 1], FIRST_PORT + name as u16).into(),
+        data_centre: DATA_CENTRES[name].into(),
+        ..target(&target_name(service, name), SERVICES[service])
+    }
+}
+
 fn target_name(service: usize, name: usize) -> String {
     format!("{}-{}", SERVICES[service], TARGETS[name])
 }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -136,6 +136,14 @@
     TargetsPaused "targets.paused" Counter "targets"
     #[doc = "Targets that said in an answer that they are leaving."]
     TargetsLeaving "targets.leaving" Counter "targets"
+    #[doc = "Data centres that are evacuated now."]
+    EvacuationActive "evacuation.active" Gauge "data centres"
+    #[doc = "Times that the evacuation of a data centre began."]
+    EvacuationStarted "evacuation.started" Counter "evacuations"
+    #[doc = "Requests refused since a service that they need is in evacuated data centres only."]
+    EvacuationRefused "evacuation.refused" Counter "requests"
+    #[doc = "Services missing from answers or refused requests, since all their targets are evacuated."]
+    EvacuationMissed "evacuation.missed" Counter "services"
     #[doc = "Lines about requests that were omitted from the log."]
     LinesDropped "log.dropped" Counter "lines"
     #[doc = "Calls to the platform's store."]
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -22,7 +22,7 @@
 };
 use yuccalift_core::ids::{ConfigVersion, HostName};
 use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
-use yuccalift_core::relay::RelayEvent;
+use yuccalift_core::relay::{RelayEvent, RouteTable};
 use yuccalift_platform::caller::empty_answer;
 use yuccalift_platform::listing::decode_target;
 use yuccalift_platform::routes::decode_routes;
@@ -46,7 +46,9 @@
 /// within that time, and failed calls are repeated within a second.
 pub(super) fn store_read_settings(settings: &RelaySettings) -> ReadSettings {
     ReadSettings {
-        watch_wait: Duration::from_secs(3),
+        watch_wait: settings
+            .evacuation_time
+            .map_or(MAX_WATCH_WAIT, |time| (time / 2).min(MAX_WATCH_WAIT)),
         watch_gap: Duration::from_millis(60),
         initial_backoff: Duration::from_millis(100),
         max_backoff: Duration::from_millis(800),
@@ -56,6 +58,8 @@
     }
 }
 
+/// Maximum time that a watch waits for a change.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(3);
 /// Spacing of the first store reads when a whole fleet starts, per daemon that the fleet may have.
 /// A small fleet does not wait, and in a large one most daemons learn the state from a peer first.
 const START_READ_SPACING: Duration = Duration::from_millis(1);
@@ -69,6 +73,10 @@
     driver: Rc<EngineDriver>,
     readiness: Rc<RelayReadiness>,
     last_daemon_count: Cell<u32>,
+    /// Whether the deployment uses evacuations; their keys are ignored otherwise.
+    follows_evacuations: bool,
+    /// Routes that are withheld until the evacuations known to the peers are known here.
+    withheld_routes: RefCell<Option<(RouteTable, ConfigVersion)>>,
     wake: Notify,
     wake_due: Cell<Instant>,
 }
@@ -93,11 +101,17 @@
         let control = Rc::new(Self {
             node: RefCell::new(node),
             host: settings.host.clone(),
-            reader: Mutex::new(StoreReader::new(settings.store, link_config.clone())),
+            reader: Mutex::new(StoreReader::new(
+                settings.store,
+                link_config.clone(),
+                settings.evacuation_time.is_some(),
+            )),
             link_config,
             driver,
             readiness,
             last_daemon_count: Cell::new(0),
+            follows_evacuations: settings.evacuation_time.is_some(),
+            withheld_routes: RefCell::default(),
             wake: Notify::new(),
             wake_due: Cell::new(now),
         });
@@ -150,6 +164,7 @@
         for action in actions {
             self.carry_out(action);
         }
+        self.release_routes();
         self.update_daemon_count();
         let age = self.node.borrow().knowledge_age(Instant::now());
         self.driver.report.set_knowledge_age(age);
@@ -273,7 +288,13 @@
         match key_kind(&value.key) {
             StoreKeyKind::Config => self.apply_routes(value),
             StoreKeyKind::Target(name) => self.apply_target(&name, value),
-            StoreKeyKind::Other => {}
+            StoreKeyKind::Evacuation(data_centre) if self.follows_evacuations => {
+                self.driver.feed(RelayEvent::EvacuationChanged {
+                    data_centre,
+                    active: value.value.is_some(),
+                });
+            }
+            StoreKeyKind::Evacuation(_) | StoreKeyKind::Other => {}
         }
     }
 
@@ -283,14 +304,34 @@
         };
         match decode_routes(text) {
             Ok(table) => {
-                RelayReport::log_routes(&table, value.version);
-                self.driver.feed(RelayEvent::RoutesChanged(Arc::new(table)));
-                self.readiness.configured.set(true);
+                if self.follows_evacuations && !self.readiness.configured.get() {
+                    self.withheld_routes.replace(Some((table, value.version)));
+                } else {
+                    self.set_routes(table, value.version);
+                }
             }
             Err(error) => self.driver.report.log_refused_entry(&value.key, &error),
         }
     }
 
+    fn set_routes(&self, table: RouteTable, version: ConfigVersion) {
+        RelayReport::log_routes(&table, version);
+        self.driver.feed(RelayEvent::RoutesChanged(Arc::new(table)));
+        self.readiness.configured.set(true);
+    }
+
+    /// Applies the first routes once all that the peers know has arrived. A peer that passes on a
+    /// large state sends it in several messages, and an evacuation may be in the last one.
+    fn release_routes(&self) {
+        let is_complete = {
+            let node = self.node.borrow();
+            node.is_caught_up() || node.is_ready()
+        };
+        if is_complete && let Some((table, version)) = self.withheld_routes.take() {
+            self.set_routes(table, version);
+        }
+    }
+
     /// Applies a target's entry; one that can't be decoded counts as removed.
     fn apply_target(&self, name: &str, value: &ConfigValue) {
         let decoded = value.value.as_ref().map(|text| decode_target(name, text));
@@ -337,7 +378,7 @@
         StoreKeyKind::Config => decode_routes(value)
             .map(drop)
             .map_err(|error| error.to_string().into()),
-        StoreKeyKind::Target(_) | StoreKeyKind::Other => Ok(()),
+        StoreKeyKind::Target(_) | StoreKeyKind::Evacuation(_) | StoreKeyKind::Other => Ok(()),
     }
 }
 
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use yuccalift_core::relay::target_record::TargetName;
-use yuccalift_core::relay::{HoldChange, RelayDecision, RequestKey, RouteTable};
+use yuccalift_core::relay::{HoldChange, RefusalCause, RelayDecision, RequestKey, RouteTable};
 use yuccalift_platform::DecodeError;
 use yuccalift_platform::store::StoreError;
 
@@ -146,6 +146,9 @@
             _ => DaemonMetric::RelayFailed,
         };
         metrics.count(kind, 1);
+        if end.cause == RefusalCause::Evacuated.as_str() {
+            metrics.count(DaemonMetric::EvacuationRefused, 1);
+        }
         if end.missing > 0 {
             metrics.count(DaemonMetric::RelayPartial, 1);
         }
@@ -222,11 +225,16 @@
                 request,
                 service,
                 reason,
-            } => self.write_limited(&LogEvent::ServiceMissed {
-                request: &request_id(*request),
-                service,
-                reason,
-            }),
+            } => {
+                if *reason == RefusalCause::Evacuated.as_str() {
+                    self.metrics.count(DaemonMetric::EvacuationMissed, 1);
+                }
+                self.write_limited(&LogEvent::ServiceMissed {
+                    request: &request_id(*request),
+                    service,
+                    reason,
+                });
+            }
             RelayDecision::Suspended { target, period } => {
                 self.metrics.count(DaemonMetric::TargetsSuspended, 1);
                 LogEvent::TargetSuspended {
@@ -240,6 +248,11 @@
                 let mut changes = self.target_changes.borrow_mut();
                 write_changes(&changes.record(Instant::now(), target, state));
             }
+            RelayDecision::EvacuationChanged {
+                data_centre,
+                active,
+                evacuated,
+            } => self.log_evacuation(data_centre, *active, *evacuated),
             RelayDecision::HoldChanged { target, change } => {
                 self.log_hold_change(target, *change);
             }
@@ -313,6 +326,17 @@
         });
     }
 
+    fn log_evacuation(&self, data_centre: &str, active: bool, evacuated: usize) {
+        let metrics = &self.metrics;
+        metrics.gauge(DaemonMetric::EvacuationActive, evacuated as u64);
+        if active {
+            metrics.count(DaemonMetric::EvacuationStarted, 1);
+            LogEvent::EvacuationStarted { data_centre }.emit();
+        } else {
+            LogEvent::EvacuationEnded { data_centre }.emit();
+        }
+    }
+
     fn log_hold_change(&self, target: &str, change: HoldChange) {
         match change {
             HoldChange::Leaving => {
--- a/daemon/src/relay/settings_watch.rs
+++ b/daemon/src/relay/settings_watch.rs
@@ -196,6 +196,10 @@
             ("store", old.store != new.store),
             ("seed_peers", old.seed_peers != new.seed_peers),
             ("store_calls_per_second", old.store_calls != new.store_calls),
+            (
+                "evacuation.apply_time",
+                old.evacuation_time != new.evacuation_time,
+            ),
             ("clock_behind", old.clock_behind != new.clock_behind),
             ("log", old.log != new.log),
         ];
--- a/daemon/src/relay/store_reader.rs
+++ b/daemon/src/relay/store_reader.rs
@@ -10,7 +10,7 @@
 use yuccalift_core::control::ConfigValue;
 use yuccalift_core::ids::ConfigVersion;
 use yuccalift_exchange::{LinkOptions, TransferLimit, TransferProgress};
-use yuccalift_platform::store::{StoreClient, StoreEntry, StoreError};
+use yuccalift_platform::store::{StoreClient, StoreEntry, StoreError, StorePage};
 
 /// Time that a call may take beyond its requested wait without making progress; a slow store takes a
 /// quarter of a second.
@@ -39,12 +39,15 @@
 #[derive(Debug)]
 pub(super) struct StoreReader {
     client: StoreClient,
+    reads_evacuations: bool,
 }
 
 impl StoreReader {
-    /// Creates a reader that is not connected yet.
-    pub(super) fn new(address: SocketAddr, config: ServiceConfig) -> Self {
+    /// Creates a reader that is not connected yet. Evacuations are listed only if
+    /// `reads_evacuations` is set, since each call to the store has a cost.
+    pub(super) fn new(address: SocketAddr, config: ServiceConfig, reads_evacuations: bool) -> Self {
         Self {
+            reads_evacuations,
             client: StoreClient::new(address, STORE_LINK_OPTIONS, config),
         }
     }
@@ -94,26 +97,66 @@
     async fn read_all(&mut self) -> Result<StoreChanges, StoreError> {
         let progress = self.client.progress();
         let no_wait = Duration::ZERO;
-        let mut page = limit_call(&progress, no_wait, self.client.read_targets(None)).await?;
-        let version = page.revision;
         let mut values = Vec::new();
-        loop {
-            let last = page.entries.last().map(|entry| entry.key.clone());
-            values.extend(page.entries.into_iter().map(config_value));
-            let Some(last) = last.filter(|_| page.has_more) else {
-                break;
-            };
-            let next_page = self.client.read_targets(Some(&last));
-            page = limit_call(&progress, no_wait, next_page).await?;
-        }
+        let version = self.read_pages(ListedKeys::Targets, &mut values).await?;
         let config = limit_call(&progress, no_wait, self.client.read_config()).await?;
         values.extend(config.map(config_value));
+        if self.reads_evacuations {
+            // Evacuations are applied first, so that nothing is sent to a target that is listed with
+            // them.
+            let mut evacuations = Vec::new();
+            self.read_pages(ListedKeys::Evacuations, &mut evacuations)
+                .await?;
+            evacuations.append(&mut values);
+            values = evacuations;
+        }
         Ok(StoreChanges {
             version,
             values,
             is_listing: true,
         })
     }
+
+    /// Reads all pages of a kind of keys, and returns the version of the first page.
+    async fn read_pages(
+        &mut self,
+        keys: ListedKeys,
+        values: &mut Vec<ConfigValue>,
+    ) -> Result<ConfigVersion, StoreError> {
+        let mut page = self.read_page(keys, None).await?;
+        let version = page.revision;
+        loop {
+            let last = page.entries.last().map(|entry| entry.key.clone());
+            values.extend(page.entries.into_iter().map(config_value));
+            let Some(last) = last.filter(|_| page.has_more) else {
+                return Ok(version);
+            };
+            page = self.read_page(keys, Some(&last)).await?;
+        }
+    }
+
+    async fn read_page(
+        &mut self,
+        keys: ListedKeys,
+        after: Option<&str>,
+    ) -> Result<StorePage, StoreError> {
+        let progress = self.client.progress();
+        let client = &mut self.client;
+        let call = async {
+            match keys {
+                ListedKeys::Targets => client.read_targets(after).await,
+                ListedKeys::Evacuations => client.read_evacuations(after).await,
+            }
+        };
+        limit_call(&progress, Duration::ZERO, call).await
+    }
+}
+
+/// Keys of the store that are listed by their prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListedKeys {
+    Targets,
+    Evacuations,
 }
 
 fn config_value(entry: StoreEntry) -> ConfigValue {
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -51,6 +51,9 @@
     pub retry_share: f64,
     /// Window over which [`retry_share`](Self::retry_share) is measured.
     pub retry_window: Duration,
+    /// Time within which an evacuation of a data centre must be in force; evacuations are ignored if
+    /// absent.
+    pub evacuation_time: Option<Duration>,
     /// Maximum duration of a graceful stop; the process exits when it has passed.
     pub stop_timeout: Duration,
     /// Offset subtracted from the time of day, with which soak tests simulate a wrong host clock.
@@ -145,6 +148,15 @@
         default: FieldDefault::Value("10s"),
         help: "window over which the retry share is measured",
     },
+    FieldSpec {
+        name: "evacuation.apply_time",
+        kind: FieldKind::Duration {
+            min: Duration::from_millis(100),
+            max: Duration::from_secs(600),
+        },
+        default: FieldDefault::Absent,
+        help: "time within which an evacuation of a data centre must be in force; evacuations are ignored if absent",
+    },
     FieldSpec {
         name: "stop_timeout",
         kind: FieldKind::Duration {
@@ -197,6 +209,7 @@
         drain_time: reader.duration("drain_time")?,
         retry_share: reader.number("retries.share")?,
         retry_window: reader.duration("retries.window")?,
+        evacuation_time: reader.duration("evacuation.apply_time"),
         stop_timeout: reader.duration("stop_timeout")?,
         clock_behind: reader.duration("clock_behind")?,
         log: build_log_settings(reader)?,
--- a/settings/tests/relay.rs
+++ b/settings/tests/relay.rs
@@ -22,6 +22,23 @@
     ("bounds.grace_s", "6"),
 ];
 
+/// Placeholders of sections that only some deployments have a value for, with usual values.
+const OPTIONAL_VALUES: &[(&str, &str)] = &[("bounds.evacuate_ms", "5000")];
+
+/// Renders the section of the optional value `present`, and leaves out the other sections.
+fn with_sections(template: &str, present: &str) -> String {
+    OPTIONAL_VALUES
+        .iter()
+        .fold(template.to_owned(), |text, (name, usual)| {
+            let (begin, end) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+            let (before, rest) = text.split_once(&begin).expect("the section begins");
+            let (inside, after) = rest.split_once(&end).expect("the section ends");
+            let inside = inside.replace(&format!("{{{{{name}}}}}"), usual);
+            let rendered = if *name == present { &inside } else { "" };
+            format!("{before}{rendered}{after}")
+        })
+}
+
 /// Fills in the template of the deploy file, with one value other than usual.
 fn filled_template(name: &str, value: &str) -> String {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/relay.yaml.template");
@@ -29,6 +46,7 @@
     let placeholder = |name: &str| format!("{{{{{name}}}}}");
     assert!(template.contains(&placeholder(name)), "{name} is used");
     let with_value = template.replace(&placeholder(name), value);
+    let with_value = with_sections(&with_value, name);
     USUAL_VALUES.iter().fold(with_value, |text, (name, usual)| {
         text.replace(&placeholder(name), usual)
     })
@@ -73,6 +91,12 @@
         is_accepted("platform.reads_per_s", "1999.5", |settings| settings.store_calls == 1999);
     a_low_call_rate_permits_a_daemon:
         is_accepted("platform.reads_per_s", "7.5", |settings| settings.fleet_daemons == 1);
+    an_evacuation_time_is_accepted:
+        is_accepted("bounds.evacuate_ms", "5000", |settings| settings.evacuation_time == Some(ms(5000)));
+    a_fractional_evacuation_time_is_accepted:
+        is_accepted("bounds.evacuate_ms", "4500.5", |settings| settings.evacuation_time == Some(ms(4501)));
+    a_deployment_without_evacuations_has_no_time:
+        is_accepted("bounds.grace_s", "6", |settings| settings.evacuation_time.is_none());
     a_negative_time_is_refused: is_refused("bounds.grace_s", "-6.5");
     an_infinite_time_is_refused: is_refused("bounds.grace_s", "inf");
     a_time_that_is_no_number_is_refused: is_refused("bounds.grace_s", "6.5.1");
