relay: use the load that targets report in the choice of a target

Cause: targets of some services report in X-Server-Load how many requests run and wait at them, and how slow their machine is. The relay ignored that.

Where reports are in use, the better of two random targets with close scores is chosen, so that daemons with the same figures don't all choose the same target. Targets that report nothing are scored and chosen as before.

--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::event::TargetReply;
+use super::load_estimate::LoadTrustChange;
 use super::target_hold::HoldChange;
 use super::target_record::TargetName;
 use super::{AttemptKey, RequestKey, TargetKey};
@@ -227,4 +228,11 @@
         /// The change.
         change: HoldChange,
     },
+    /// The trust in the load that a target reports changed.
+    LoadTrustChanged {
+        /// Name of the target.
+        target: TargetName,
+        /// The change.
+        change: LoadTrustChange,
+    },
 }
--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -1,18 +1,23 @@
 //! Selects the target of a service that a request is sent to.
 //!
 //! The selection uses only local observations: requests in flight, response times relative to the
-//! typical latency of their routes, the age of the oldest request in flight, failures, and idle
-//! connections. See
+//! typical latency of their routes, the age of the oldest request in flight, failures, idle
+//! connections, and the load that targets report. See
 //! `docs/PLATFORM.md`, "Target choice".
 
 use std::time::Instant;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::target::{ListingState, RelayTarget};
 use super::target_hold::SendVerdict;
-use super::{RelayEngine, TargetKey};
+use super::{AttemptKey, RelayEngine, TargetKey};
 
 /// Scores whose ratio is at least this are considered equal; targets with equal scores take turns.
 const SIMILAR_SCORE_RATIO: f64 = 0.9;
+/// Scores whose ratio to the best one is at least this are drawn from where targets report their
+/// load. An idle target of another data centre is not that close to an idle one of the same.
+const CLOSE_SCORE_RATIO: f64 = 0.8;
 
 /// The result of selecting a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +42,9 @@
     Suspended,
 }
 
+/// A target that may be selected, with its tier and score.
+type Candidate<'a> = (CandidateTier, f64, &'a RelayTarget);
+
 impl RelayEngine {
     /// Selects a target of a service; targets in `tried` are used only if there is no other.
     pub(super) fn choose_target(
@@ -51,7 +59,8 @@
         };
         let daemons = self.presumed_daemons();
         let last_resort_time = self.last_resort_time();
-        let mut best: Option<(CandidateTier, f64, &RelayTarget)> = None;
+        let mut candidates: Vec<Candidate<'_>> = Vec::with_capacity(service.targets.len());
+        let mut uses_reports = false;
         let mut any_ready_full = false;
         let mut retry_at: Option<Instant> = None;
         for key in &service.targets {
@@ -76,10 +85,14 @@
                 continue;
             }
             let score = target.score(now, self.resumed_at, at_most_once);
-            if best.is_none_or(|best| is_better((tier, score, target), best)) {
-                best = Some((tier, score, target));
-            }
+            uses_reports |= target.load.extra_load(now).is_some();
+            candidates.push((tier, score, target));
         }
+        let best = if uses_reports {
+            better_of_two(&candidates, self.requests.last_attempt())
+        } else {
+            best_of(&candidates)
+        };
         match best {
             Some((CandidateTier::Suspended | CandidateTier::Leaving, ..)) if any_ready_full => {
                 TargetChoice::Wait
@@ -111,10 +124,43 @@
     }
 }
 
-fn is_better(
-    left: (CandidateTier, f64, &RelayTarget),
-    right: (CandidateTier, f64, &RelayTarget),
-) -> bool {
+/// Returns the best candidate.
+fn best_of<'a>(candidates: &[Candidate<'a>]) -> Option<Candidate<'a>> {
+    let mut best = None;
+    for candidate in candidates {
+        if best.is_none_or(|best| is_better(*candidate, best)) {
+            best = Some(*candidate);
+        }
+    }
+    best
+}
+
+/// Returns the better of two candidates that are drawn from those with scores close to the best.
+///
+/// Many daemons receive the same reports. If each chose the best target, all would choose the same
+/// one until its next reports arrive. The draw differs between daemons and between attempts.
+fn better_of_two<'a>(
+    candidates: &[Candidate<'a>],
+    last_attempt: AttemptKey,
+) -> Option<Candidate<'a>> {
+    let tier = candidates.iter().map(|(tier, ..)| *tier).min()?;
+    let in_tier = candidates.iter().filter(|candidate| candidate.0 == tier);
+    let lowest = in_tier
+        .clone()
+        .map(|(_, score, _)| *score)
+        .reduce(f64::min)?;
+    let close: Vec<Candidate<'a>> = in_tier
+        .filter(|(_, score, _)| score * CLOSE_SCORE_RATIO <= lowest)
+        .copied()
+        .collect();
+    let (_, _, first) = close.first()?;
+    let drawn = xxh3_64_with_seed(&last_attempt.to_le_bytes(), first.tie_order);
+    let count = close.len() as u64;
+    let pair = [drawn as u32, (drawn >> 32) as u32].map(|half| u64::from(half) % count);
+    best_of(&pair.map(|index| close[index as usize]))
+}
+
+fn is_better(left: Candidate<'_>, right: Candidate<'_>) -> bool {
     if left.0 != right.0 {
         return left.0 < right.0;
     }
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -16,6 +16,7 @@
 //! - `target`, `choice`: the state of each target, and the selection of a target.
 //! - [`self_report`], [`target_hold`]: what targets say of themselves, and whether they may therefore
 //!   get a request now.
+//! - [`load_estimate`]: the load that targets report.
 //! - `idle_links`: the idle connections to each target.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the stages of request processing.
 //! - `probing`: connection probes of targets that may be unreachable.
@@ -40,6 +41,7 @@
 mod idle_policy;
 mod latencies;
 mod link_history;
+pub mod load_estimate;
 pub mod merge;
 mod probing;
 mod replies;
@@ -65,8 +67,9 @@
 pub use event::{ProbeOutcome, RelayEvent, RelayRequest, TargetOutcome, TargetReply};
 pub use idle_policy::IdlePolicy;
 pub use link_history::LinkHistory;
+pub use load_estimate::LoadTrustChange;
 pub use route::{MergeRule, RepeatKind, RouteDestination, RouteEntry, RouteTable};
-pub use self_report::{ReportedRate, SelfReport};
+pub use self_report::{ReportedLoad, ReportedRate, SelfReport};
 pub use target_hold::HoldChange;
 pub use target_record::{TargetPhase, TargetRecord};
 
@@ -167,7 +170,7 @@
                 outcome,
                 report,
             } => {
-                self.record_report(now, attempt, report, actions);
+                self.record_report(now, attempt, &outcome, report, actions);
                 self.handle_attempt_ended(now, attempt, outcome, actions);
             }
             RelayEvent::LinkIdle { target, expires } => {
--- a/core/src/relay/reports.rs
+++ b/core/src/relay/reports.rs
@@ -3,8 +3,10 @@
 use std::time::Instant;
 
 use super::action::{RelayAction, RelayDecision};
+use super::event::TargetOutcome;
 use super::self_report::SelfReport;
 use super::service::MIN_PRESUMED_DAEMONS;
+use super::target::relative_time;
 use super::{AttemptKey, RelayEngine};
 
 impl RelayEngine {
@@ -14,6 +16,7 @@
         &mut self,
         now: Instant,
         attempt: AttemptKey,
+        outcome: &TargetOutcome,
         report: Option<SelfReport>,
         actions: &mut Vec<RelayAction>,
     ) {
@@ -32,6 +35,23 @@
                 change,
             })
         }));
+        let Some(load) = report.load else {
+            return;
+        };
+        target.load.record(now, load, target.in_flight.len());
+        let is_success = matches!(outcome, TargetOutcome::Replied(reply) if reply.is_success());
+        let paused = self
+            .resumed_at
+            .is_some_and(|resumed| live.sent_at < resumed);
+        if !is_success || paused {
+            return;
+        }
+        let took = now.saturating_duration_since(live.sent_at);
+        if let Some(change) = target.load.compare(now, relative_time(took, live)) {
+            let target = name.clone();
+            let decision = RelayDecision::LoadTrustChanged { target, change };
+            actions.push(RelayAction::Decided(decision));
+        }
     }
 
     /// Returns the number of daemons among which the rate of a target is divided.
--- a/core/src/relay/self_report.rs
+++ b/core/src/relay/self_report.rs
@@ -11,6 +11,21 @@
     pub pause: Option<Duration>,
     /// The rate of requests that the target accepts.
     pub rate_limit: ReportedRate,
+    /// The load of the target, if it reports one.
+    pub load: Option<ReportedLoad>,
+}
+
+/// The load of a target as it reports it. The figures may be out of date or false.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReportedLoad {
+    /// Number of requests that are running, from all daemons.
+    pub running: u32,
+    /// Number of requests that wait for a slot.
+    pub waiting: u32,
+    /// Number of requests that can run at the same time; at least 1.
+    pub slots: u32,
+    /// Current service time as a multiple of the usual one; finite and positive.
+    pub pace: f64,
 }
 
 /// The rate of requests, from all daemons together, that a target accepts until an answer says
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::idle_links::IdleLinks;
+use super::load_estimate::LoadEstimate;
 use super::request::LiveAttempt;
 use super::target_hold::TargetHold;
 use super::target_record::{TargetName, TargetRecord};
@@ -80,6 +81,7 @@
     pub(super) tie_order: u64,
     pub(super) idle_links: IdleLinks,
     pub(super) hold: TargetHold,
+    pub(super) load: LoadEstimate,
     cold_until: Instant,
     /// Latency as a multiple of the route's typical latency; a factor of 1 is stored as one second.
     relative_latency: LatencyAverage,
@@ -111,6 +113,7 @@
             cold_until: now + record.cold_left,
             tie_order,
             hold: TargetHold::new(tie_order),
+            load: LoadEstimate::default(),
             record,
             listing: ListingState::Listed,
             is_local,
@@ -199,9 +202,7 @@
         attempt: &LiveAttempt,
     ) -> bool {
         if let Some(took) = took {
-            let ratio = took.as_secs_f64() / attempt.typical.as_secs_f64().max(1e-6);
-            // The time for a new connection says nothing about the target's speed.
-            let ratio = ratio.min(1.0).max(ratio / attempt.link_factor);
+            let ratio = relative_time(took, attempt);
             self.relative_latency
                 .record(now, Duration::from_secs_f64(ratio));
         }
@@ -270,7 +271,9 @@
         at_most_once: bool,
     ) -> f64 {
         let slots = f64::from(self.record.slots.max(1));
-        let load = 1.0 + self.in_flight.len() as f64 / slots;
+        let own_load = 1.0 + self.in_flight.len() as f64 / slots;
+        let extra_load = self.load.extra_load(now);
+        let load = extra_load.map_or(own_load, |extra| own_load + extra);
         let relative_latency = self
             .relative_latency
             .conservative_seconds(now, 1.0)
@@ -313,6 +316,13 @@
     }
 }
 
+/// Returns the response time of an attempt as a multiple of the typical one.
+pub(super) fn relative_time(took: Duration, attempt: &LiveAttempt) -> f64 {
+    let ratio = took.as_secs_f64() / attempt.typical.as_secs_f64().max(1e-6);
+    // The time for a new connection says nothing about the target's speed.
+    ratio.min(1.0).max(ratio / attempt.link_factor)
+}
+
 /// All targets that are listed or leaving, sorted by key, and the latest incarnation of each name.
 #[derive(Debug, Default)]
 pub(super) struct RelayTargets {
--- a/core/tests/relay/load.rs
+++ b/core/tests/relay/load.rs
@@ -7,7 +7,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use yuccalift_core::relay::{
-    AttemptKey, AttemptOrder, RequestKey, RouteEntry, TargetOutcome, TargetRecord,
+    AttemptKey, AttemptOrder, ReportedLoad, RequestKey, RouteEntry, SelfReport, TargetOutcome,
+    TargetRecord,
 };
 
 use crate::support::{RelayHarness, TIMEOUT, success};
@@ -17,6 +18,17 @@
 /// Duration of an attempt at a target of normal speed.
 const WORK: std::ops::Range<Duration> = Duration::from_millis(8)..Duration::from_millis(22);
 
+/// What a simulated target reports of its load.
+#[derive(Clone, Copy, Debug)]
+pub enum LoadReporting {
+    /// Nothing.
+    Silent,
+    /// Its load this long ago.
+    Delayed(Duration),
+    /// Always the same load.
+    Fixed(ReportedLoad),
+}
+
 /// A target that runs as many attempts concurrently as it has slots, and queues the others.
 #[derive(Debug)]
 pub struct SimulatedTarget {
@@ -26,6 +38,9 @@
     pub slowdown: f64,
     /// Share of the attempts that are rejected at once.
     pub reject_share: f64,
+    pub reporting: LoadReporting,
+    /// Load at the end of each step.
+    history: Vec<ReportedLoad>,
     running: Vec<(Instant, SimulatedAttempt)>,
     queue: VecDeque<(SimulatedAttempt, Duration)>,
 }
@@ -43,11 +58,44 @@
             slots,
             slowdown: 1.0,
             reject_share: 0.0,
+            reporting: LoadReporting::Silent,
+            history: Vec::new(),
             running: Vec::new(),
             queue: VecDeque::new(),
         }
     }
 
+    /// Returns what the target says of itself.
+    fn report(&self) -> SelfReport {
+        let load = match self.reporting {
+            LoadReporting::Silent => None,
+            LoadReporting::Delayed(time) => {
+                let steps = (time.as_millis() / STEP.as_millis()) as usize;
+                let index = self.history.len().checked_sub(steps + 1);
+                index.and_then(|index| self.history.get(index).copied())
+            }
+            LoadReporting::Fixed(load) => Some(load),
+        };
+        SelfReport {
+            load,
+            ..SelfReport::default()
+        }
+    }
+
+    /// Returns the number of attempts that run or wait.
+    fn total(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+
+    fn record_load(&mut self) {
+        self.history.push(ReportedLoad {
+            running: self.running.len() as u32,
+            waiting: self.queue.len() as u32,
+            slots: self.slots as u32,
+            pace: self.slowdown,
+        });
+    }
+
     /// Removes an attempt whose connection was closed; returns false if it has already ended.
     fn drop_attempt(&mut self, attempt: SimulatedAttempt) -> bool {
         let before = self.running.len() + self.queue.len();
@@ -75,6 +123,8 @@
 pub struct LoadSimulation {
     pub targets: Vec<SimulatedTarget>,
     daemons: Vec<SimulatedDaemon>,
+    /// Difference between the most and the least loaded target at the end of each step.
+    spreads: Vec<usize>,
     now: Instant,
     rng: ChaCha8Rng,
 }
@@ -94,13 +144,23 @@
         routes: &[RouteEntry],
         targets: &[TargetRecord],
         slots: usize,
+    ) -> Self {
+        Self::on_hosts(&vec!["entry-1"; daemons], routes, targets, slots)
+    }
+
+    /// Creates a daemon on each host.
+    pub fn on_hosts(
+        hosts: &[&str],
+        routes: &[RouteEntry],
+        targets: &[TargetRecord],
+        slots: usize,
     ) -> Self {
         let now = Instant::now();
         let simulated = targets
             .iter()
             .map(|target| SimulatedTarget::new(&target.name, slots));
-        let daemons = (0..daemons).map(|_| {
-            let mut harness = RelayHarness::new(routes.to_vec(), targets.to_vec());
+        let daemons = hosts.iter().map(|host| {
+            let mut harness = RelayHarness::on_host(host, routes.to_vec(), targets.to_vec());
             harness.now = now;
             SimulatedDaemon {
                 harness,
@@ -111,11 +171,17 @@
         Self {
             targets: simulated.collect(),
             daemons: daemons.collect(),
+            spreads: Vec::new(),
             now,
             rng: ChaCha8Rng::seed_from_u64(11),
         }
     }
 
+    /// Chooses the random numbers of the durations and rejections of attempts.
+    pub fn seed(&mut self, seed: u64) {
+        self.rng = ChaCha8Rng::seed_from_u64(seed);
+    }
+
     /// Returns the simulated target with the given name.
     pub fn target(&mut self, name: &str) -> &mut SimulatedTarget {
         let mut targets = self.targets.iter_mut();
@@ -162,11 +228,16 @@
         }
         for target_index in 0..self.targets.len() {
             for (daemon_index, attempt) in self.targets[target_index].take_ended(self.now) {
+                let report = self.targets[target_index].report();
                 let harness = &mut self.daemons[daemon_index].harness;
-                harness.end(attempt, success(b"0123456789abcdef"));
+                harness.end_with_report(attempt, success(b"0123456789abcdef"), Some(report));
             }
             self.targets[target_index].fill_slots(self.now);
+            self.targets[target_index].record_load();
         }
+        let totals = self.targets.iter().map(SimulatedTarget::total);
+        let (least, most) = (totals.clone().min(), totals.max());
+        self.spreads.push(most.unwrap_or(0) - least.unwrap_or(0));
     }
 
     /// Carries out the sends and cancellations of a daemon.
@@ -189,8 +260,9 @@
         let now = self.now;
         let target = self.target(&order.name);
         if sample < target.reject_share {
+            let report = target.report();
             let harness = &mut self.daemons[daemon_index].harness;
-            harness.end(order.attempt, TargetOutcome::Rejected);
+            harness.end_with_report(order.attempt, TargetOutcome::Rejected, Some(report));
             return;
         }
         let work = work.mul_f64(target.slowdown);
@@ -211,6 +283,34 @@
     }
 }
 
+impl LoadSimulation {
+    /// Returns the mean difference between the most and the least loaded target.
+    pub fn mean_spread(&self) -> f64 {
+        self.spreads.iter().sum::<usize>() as f64 / self.spreads.len().max(1) as f64
+    }
+
+    /// Returns the times until requests were answered, in milliseconds and ascending order. A request
+    /// without a successful answer counts as its time-out.
+    pub fn response_times(&self, requests: &[SimulatedRequest]) -> Vec<f64> {
+        let times = requests.iter().map(|(key, daemon_index, submitted)| {
+            let mut ends = self.daemons[*daemon_index].harness.ends.iter();
+            let end = ends.find(|end| end.request == *key && end.result.is_ok());
+            let time = end.map_or(TIMEOUT, |end| end.at.saturating_duration_since(*submitted));
+            time.as_secs_f64() * 1_000.0
+        });
+        let mut times: Vec<f64> = times.collect();
+        times.sort_by(f64::total_cmp);
+        times
+    }
+
+    /// Returns the names of the targets of all attempts, daemon by daemon in the order of sending.
+    pub fn sequence(&self) -> String {
+        let sends = self.daemons.iter().flat_map(|daemon| &daemon.harness.sends);
+        let names: Vec<&str> = sends.map(|(_, order)| order.name.as_ref()).collect();
+        names.join(" ")
+    }
+}
+
 impl SimulatedDaemon {
     fn next_send(&mut self) -> Option<AttemptOrder> {
         let (_, order) = self.harness.sends.get(self.sends_taken)?;
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod pauses;
 mod pressure;
 mod random_runs;
+mod reported_load;
 mod routes;
 mod support;
 mod unreachable;
--- a/core/tests/relay/random_runs.rs
+++ b/core/tests/relay/random_runs.rs
@@ -5,8 +5,8 @@
 
 use proptest::prelude::*;
 use yuccalift_core::relay::{
-    RelayAnswer, RelayEvent, RelayRefusal, RepeatKind, ReportedRate, RequestKey, SelfReport,
-    TargetKey, TargetOutcome, TargetPhase, TargetRecord,
+    RelayAnswer, RelayEvent, RelayRefusal, RepeatKind, ReportedLoad, ReportedRate, RequestKey,
+    SelfReport, TargetKey, TargetOutcome, TargetPhase, TargetRecord,
 };
 
 use crate::support::{
@@ -87,6 +87,12 @@
             7 => ReportedRate::Unreadable,
             _ => ReportedRate::Unlimited,
         },
+        load: (8..14).contains(&word).then_some(ReportedLoad {
+            running: word as u32,
+            waiting: if word == 13 { u32::MAX } else { 0 },
+            slots: 9,
+            pace: if word == 12 { f64::MAX } else { 1.0 },
+        }),
     })
 }
 
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -212,6 +212,10 @@
     623 INFO "target_paused" TargetPaused { target: &'a str, pause_ms: u64 }
     #[doc = "A target says in an answer that it is leaving; it gets no requests soon, listed or not."]
     624 INFO "target_leaving" TargetLeaving { target: &'a str }
+    #[doc = "The response times of a target don't confirm the load that it reports, which has less influence now."]
+    641 INFO "target_load_doubted" TargetLoadDoubted { target: &'a str }
+    #[doc = "The response times of a target confirm the load that it reports again."]
+    642 INFO "target_load_believed" TargetLoadBelieved { target: &'a str }
     #[doc = "A target was lost while it ran a request; `blame` is the request's share of the blame so far, in thousandths of a lost target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is quarantined, since targets were lost whenever they ran it."]
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -136,6 +136,10 @@
     TargetsPaused "targets.paused" Counter "targets"
     #[doc = "Targets that said in an answer that they are leaving."]
     TargetsLeaving "targets.leaving" Counter "targets"
+    #[doc = "Answers of targets that reported their load."]
+    TargetLoads "targets.load.reports" Counter "answers"
+    #[doc = "Times that response times did not confirm the load that a target reports."]
+    TargetLoadsDoubted "targets.load.doubted" Counter "targets"
     #[doc = "Lines about requests that were omitted from the log."]
     LinesDropped "log.dropped" Counter "lines"
     #[doc = "Calls to the platform's store."]
--- a/daemon/src/relay/engine_driver.rs
+++ b/daemon/src/relay/engine_driver.rs
@@ -248,6 +248,12 @@
         if let Some(fault) = report.as_ref().and_then(|report| report.fault.as_ref()) {
             self.report.log_refused_report(&order.name, fault);
         }
+        if report
+            .as_ref()
+            .is_some_and(|report| report.report.load.is_some())
+        {
+            self.report.count_load_report();
+        }
         self.feed(RelayEvent::AttemptEnded {
             attempt: order.attempt,
             outcome,
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use yuccalift_core::relay::target_record::TargetName;
-use yuccalift_core::relay::{HoldChange, RelayDecision, RequestKey, RouteTable};
+use yuccalift_core::relay::{HoldChange, LoadTrustChange, RelayDecision, RequestKey, RouteTable};
 use yuccalift_platform::DecodeError;
 use yuccalift_platform::store::StoreError;
 
@@ -243,6 +243,9 @@
             RelayDecision::HoldChanged { target, change } => {
                 self.log_hold_change(target, *change);
             }
+            RelayDecision::LoadTrustChanged { target, change } => {
+                self.log_load_trust_change(target, *change);
+            }
         }
     }
 
@@ -337,6 +340,21 @@
         }
     }
 
+    /// Counts an answer whose target reported its load.
+    pub(super) fn count_load_report(&self) {
+        self.metrics.count(DaemonMetric::TargetLoads, 1);
+    }
+
+    fn log_load_trust_change(&self, target: &str, change: LoadTrustChange) {
+        match change {
+            LoadTrustChange::Doubted => {
+                self.metrics.count(DaemonMetric::TargetLoadsDoubted, 1);
+                LogEvent::TargetLoadDoubted { target }.emit();
+            }
+            LoadTrustChange::Believed => LogEvent::TargetLoadBelieved { target }.emit(),
+        }
+    }
+
     /// Logs the first of a series of failed store reads.
     pub(super) fn record_store_failure(&self, error: &StoreError) {
         if self.store_lost_at.get().is_none() {
