--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod pauses;
 mod pressure;
 mod random_runs;
+mod reported_load;
 mod routes;
 mod support;
 mod unreachable;
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -144,6 +144,10 @@
     EvacuationRefused "evacuation.refused" Counter "requests"
     #[doc = "Services missing from answers or refused requests, since all their targets are evacuated."]
     EvacuationMissed "evacuation.missed" Counter "services"
+    #[doc = "Answers of targets that reported their load."]
+    TargetLoads "targets.load.reports" Counter "answers"
+    #[doc = "Times that response times did not confirm the load that a target reports."]
+    TargetLoadsDoubted "targets.load.doubted" Counter "targets"
     #[doc = "Lines about requests that were omitted from the log."]
     LinesDropped "log.dropped" Counter "lines"
     #[doc = "Calls to the platform's store."]
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use yuccalift_core::relay::target_record::TargetName;
-use yuccalift_core::relay::{HoldChange, RefusalCause, RelayDecision, RequestKey, RouteTable};
+use yuccalift_core::relay::{
+    HoldChange, LoadTrustChange, RefusalCause, RelayDecision, RequestKey, RouteTable,
+};
 use yuccalift_platform::DecodeError;
 use yuccalift_platform::store::StoreError;
 
@@ -225,16 +227,7 @@
                 request,
                 service,
                 reason,
-            } => {
-                if *reason == RefusalCause::Evacuated.as_str() {
-                    self.metrics.count(DaemonMetric::EvacuationMissed, 1);
-                }
-                self.write_limited(&LogEvent::ServiceMissed {
-                    request: &request_id(*request),
-                    service,
-                    reason,
-                });
-            }
+            } => self.log_missed_service(&request_id(*request), service, reason),
             RelayDecision::Suspended { target, period } => {
                 self.metrics.count(DaemonMetric::TargetsSuspended, 1);
                 LogEvent::TargetSuspended {
@@ -256,7 +249,21 @@
             RelayDecision::HoldChanged { target, change } => {
                 self.log_hold_change(target, *change);
             }
+            RelayDecision::LoadTrustChanged { target, change } => {
+                self.log_load_trust_change(target, *change);
+            }
+        }
+    }
+
+    fn log_missed_service(&self, request: &str, service: &str, reason: &str) {
+        if reason == RefusalCause::Evacuated.as_str() {
+            self.metrics.count(DaemonMetric::EvacuationMissed, 1);
         }
+        self.write_limited(&LogEvent::ServiceMissed {
+            request,
+            service,
+            reason,
+        });
     }
 
     fn log_hedges(&self, request: &str, targets: &[TargetName], after: Duration) {
@@ -361,6 +368,21 @@
         }
     }
 
+    /// Counts an answer whose target reported its load.
+    pub(super) fn count_load_report(&self) {
+        self.metrics.count(DaemonMetric::TargetLoads, 1);
+    }
+
+    fn log_load_trust_change(&self, target: &str, change: LoadTrustChange) {
+        match change {
+            LoadTrustChange::Doubted => {
+                self.metrics.count(DaemonMetric::TargetLoadsDoubted, 1);
+                LogEvent::TargetLoadDoubted { target }.emit();
+            }
+            LoadTrustChange::Believed => LogEvent::TargetLoadBelieved { target }.emit(),
+        }
+    }
+
     /// Logs the first of a series of failed store reads.
     pub(super) fn record_store_failure(&self, error: &StoreError) {
         if self.store_lost_at.get().is_none() {
