docs of load_estimate: no link to a private constant

Cause: rustdoc without private items warns about the link in the doc comment of extra_load.

Change: the comment states the bound itself.

Result: cargo doc of yuccalift-core with -D warnings passed no further than this link before.

--- a/core/src/relay/load_estimate.rs
+++ b/core/src/relay/load_estimate.rs
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Returns the load to add to this daemon's own, from 0 to [`LOAD_WEIGHT`], as a multiple of the
+    /// Returns the load to add to this daemon's own, from 0 to a half, as a multiple of the
     /// target's slots; `None` without a recent report. It falls with the report's age and with the
     /// trust.
     pub fn extra_load(&self, now: Instant) -> Option<f64> {
