relay: explain where a request would be sent now, and why

Cause: an operator who asks why a target gets no requests has to combine several log lines, and the scores appear nowhere.

Change: RelayEngine::explain returns the route, the services and their targets with state, load and score, and what would happen to a request now. It is a pure function of the state, and asks choose_target, refusal_cause and retry_after as a real request does. submit.rs gets next_services, which selects the services without counting the request.

Result: eight tests in relay explanations: requests go where the explanation before each of them says, with and without reported loads, and to the same targets as without explanations.

--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -25,6 +25,7 @@
 //! - [`IdlePolicy`]: the lifetime of idle connections.
 //! - [`LinkHistory`]: the requests that a connection has carried, and which others it may carry.
 //! - [`merge`]: merging the records of several services.
+//! - [`explanation`]: where a request would be sent now, and why.
 //! - `verifier`: invariants that are checked after each event.
 //!
 //! See `docs/PLATFORM.md`.
@@ -35,6 +36,7 @@
 mod directory;
 mod dispatch;
 pub mod event;
+pub mod explanation;
 mod finish;
 mod hedging;
 mod idle_links;
@@ -65,6 +67,7 @@
     AttemptOrder, ProbeOrder, RefusalCause, RelayAction, RelayAnswer, RelayDecision, RelayRefusal,
 };
 pub use event::{ProbeOutcome, RelayEvent, RelayRequest, TargetOutcome, TargetReply};
+pub use explanation::RequestExplanation;
 pub use idle_policy::IdlePolicy;
 pub use link_history::LinkHistory;
 pub use load_estimate::LoadTrustChange;
--- a/core/src/relay/route.rs
+++ b/core/src/relay/route.rs
@@ -58,6 +58,16 @@
     },
 }
 
+impl RouteDestination {
+    /// Returns the names of all services that requests may be sent to.
+    pub fn services(&self) -> Vec<&ServiceName> {
+        match self {
+            Self::Split(entries) => entries.iter().map(|entry| &entry.service).collect(),
+            Self::Gather { services, .. } => services.iter().collect(),
+        }
+    }
+}
+
 /// A published route.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -70,13 +70,22 @@
         self.finish_if_settled(now, key, actions);
     }
 
-    /// Returns the services that a request on the route is sent to.
+    /// Returns the services that a request on the route is sent to, and counts it.
     fn select_services(&mut self, route: &RouteEntry) -> Vec<ServiceName> {
+        let services = self.next_services(route);
+        if let RouteDestination::Split(_) = route.destination {
+            self.split_counter = self.split_counter.wrapping_add(1);
+        }
+        services
+    }
+
+    /// Returns the services that the next request is sent to if it is on the route.
+    pub(super) fn next_services(&self, route: &RouteEntry) -> Vec<ServiceName> {
         match &route.destination {
             RouteDestination::Gather { services, .. } => services.clone(),
             RouteDestination::Split(entries) => {
-                self.split_counter = self.split_counter.wrapping_add(1);
-                let entry = pick_service(entries, golden_ratio_fraction(self.split_counter));
+                let number = self.split_counter.wrapping_add(1);
+                let entry = pick_service(entries, golden_ratio_fraction(number));
                 entry
                     .map(|entry| entry.service.clone())
                     .into_iter()
@@ -86,7 +95,7 @@
     }
 
     /// Returns the reason to refuse a request before anything is sent, if there is one.
-    fn refusal_cause(&self, now: Instant, state: &RequestState) -> Option<RefusalCause> {
+    pub(super) fn refusal_cause(&self, now: Instant, state: &RequestState) -> Option<RefusalCause> {
         if state.deadline <= now {
             return Some(RefusalCause::NoTime);
         }
--- a/core/src/relay/target_hold.rs
+++ b/core/src/relay/target_hold.rs
@@ -178,6 +178,18 @@
         }
     }
 
+    /// Returns what restricts the requests to the target, if anything does, whether or not one may be
+    /// sent now.
+    pub fn reason(&self, now: Instant) -> Option<&'static str> {
+        if self.leaving_for(now).is_some() {
+            return Some("leaving");
+        }
+        if self.paused_until.is_some_and(|until| now < until) {
+            return Some("paused");
+        }
+        self.rate.as_ref().map(|_| "limited")
+    }
+
     /// Returns how long ago the target said that it leaves; `None` if it did not or too long ago.
     fn leaving_for(&self, now: Instant) -> Option<Duration> {
         let since = self.leaving_since?;
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod crashing;
 mod departures;
+mod explanations;
 mod forwarding;
 mod gathering;
 mod hedging;
