relay: serve explanations on the metrics listener

Cause: the engine's explanation of a request was not reachable from outside the process.

Change: GET /explain?host=..&path=.. on the metrics listener answers with the explanation as JSON, and 400 without host or path. All other paths serve the metrics as before.

--- a/daemon/src/relay/engine_driver.rs
+++ b/daemon/src/relay/engine_driver.rs
@@ -9,7 +9,7 @@
 use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::relay::{
     AttemptKey, AttemptOrder, ProbeOrder, RelayAction, RelayAnswer, RelayEngine, RelayEvent,
-    RelayRefusal, RelayRequest, RequestKey, RouteTable, TargetOutcome,
+    RelayRefusal, RelayRequest, RequestExplanation, RequestKey, RouteTable, TargetOutcome,
 };
 use yuccalift_platform::self_report::DecodedReport;
 
@@ -80,6 +80,11 @@
         std::sync::Arc::clone(self.engine.borrow().routes())
     }
 
+    /// Explains where a request would be sent now, without side effects.
+    pub(super) fn explain(&self, now: Instant, host: &str, path: &str) -> RequestExplanation {
+        self.engine.borrow().explain(now, host, path)
+    }
+
     /// Submits a request; the returned channel receives its result.
     pub(super) fn submit(
         self: &Rc<Self>,
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -13,6 +13,7 @@
 //! - `control`: the control plane of [`yuccalift_core::control`], its exchanges with peers, and the
 //!   application of its values; `store_reader` reads the platform's store for it.
 //! - `report`: log lines and metrics; [`target_change_log`] coalesces lines about targets.
+//! - `metrics_listener`: the listener for metrics, which also explains where requests would be sent.
 //! - `settings_watch`: settings that change while the relay runs.
 //!
 //! See `docs/PLATFORM.md`.
@@ -21,6 +22,7 @@
 mod caller_listener;
 mod control;
 mod engine_driver;
+mod metrics_listener;
 mod peer_call;
 mod pool;
 pub mod process;
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -6,8 +6,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
-use actix_http::header::CONTENT_TYPE;
-use actix_http::{Request, Response, ServiceConfig, StatusCode};
+use actix_http::{Request, Response, ServiceConfig};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -21,6 +20,7 @@
 use super::caller_listener::{CallerListenerState, answer_caller};
 use super::control::{RelayControl, answer_peer, store_read_settings};
 use super::engine_driver::EngineDriver;
+use super::metrics_listener::answer_metrics_call;
 use super::pool::LinkPool;
 use super::readiness::{RelayReadiness, answer_balancer};
 use super::report::RelayReport;
@@ -109,11 +109,15 @@
     );
     if let Some(address) = settings.metrics_listen {
         let listener = bind("metrics", address)?;
+        let metrics_driver = Rc::clone(&driver);
         spawn_listener(
             listener,
             || DEFAULT_SERVE_OPTIONS,
             listener_stop,
-            move |_request| std::future::ready(Ok(answer_metrics(&metrics))),
+            move |request| {
+                let answer = answer_metrics_call(&metrics, &metrics_driver, &request);
+                std::future::ready(Ok(answer))
+            },
         );
     }
     let caller_state = Rc::new(CallerListenerState {
@@ -176,13 +180,6 @@
     actix_rt::spawn(yuccalift_exchange::serve(listener, options, stop, handler))
 }
 
-/// Returns the metrics as text, whatever the path.
-fn answer_metrics(metrics: &MetricsClient) -> Response<BoxBody> {
-    let mut builder = Response::build(StatusCode::OK);
-    builder.insert_header((CONTENT_TYPE, "text/plain; version=0.0.4"));
-    builder.body(metrics.text()).map_into_boxed_body()
-}
-
 /// Keeps serving callers for a grace period, in which the balancer learns that this relay is not
 /// ready, and then until each request that was received has its answer. Shortly before the limit,
 /// requests without an answer are ended, so that their callers know.
