--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -13,6 +13,7 @@
 mod error;
 mod experiment;
 mod explain;
+mod explain_request;
 mod fleet;
 mod input;
 mod operator_client;
@@ -37,6 +38,7 @@
   experiment  run an experiment against stand-ins and print its measurements
   soak        inject random faults into real daemons and check the guarantees
   trace       print the log lines of one request from the logs of several daemons
+  where       ask a relay where a request would be sent now, and why
 
 Options:
   -h, --help     print this help; after a command, the help of that command
@@ -79,6 +81,7 @@
         "experiment" => experiment::run(parser),
         "soak" => soak::run(parser),
         "trace" => trace::run(parser),
+        "where" => explain_request::run(parser),
         other => Err(lexopt::Error::from(format!("no command is named {other:?}")).into()),
     }
 }
--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -46,6 +46,10 @@
     check_without_file_is_usage_error: assert_exit(&["check"], 2, "a file is missing");
     explain_prints_origins:
         assert_exit_for_file("explain", "examples/vn-south/accounts.yaml", &["vet-lookups"], 0, "template race, line");
+    where_without_a_path_is_usage_error:
+        assert_exit(&["where", "127.0.0.1:1", "--host", "shop.example"], 2, "--path are required");
+    where_fails_without_a_daemon:
+        assert_exit(&["where", "127.0.0.1:1", "--host", "shop.example", "--path", "/x"], 1, "where, peer 127.0.0.1:1");
     explain_rejects_unknown_account:
         assert_exit_for_file("explain", "examples/vn-south/accounts.yaml", &["nobody"], 2, "no account `nobody`");
     explain_rejects_invalid_file:
--- a/cli/tests/process/main.rs
+++ b/cli/tests/process/main.rs
@@ -5,3 +5,4 @@
 mod fleet;
 mod search;
 mod spawned;
+mod where_command;
