--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod crashing;
 mod departures;
 mod evacuations;
+mod explanations;
 mod forwarding;
 mod gathering;
 mod hedging;
