relay: keep to the published rate of cold targets

Cause: a cold target crashes at a rate well above the one that its service publishes (cold_per_s), and the relay only preferred other targets.

TargetHold draws the daemon's part of the rate with the same RateHold as for a limit that a target names. After an evacuation, targets are presumed cold for the published time. choose_target asks for each candidate, and if all targets of a service are held, requests are refused at once with the cause `cold`. All of this applies only with cold.overage in the settings and a published rate above 0.

--- a/core/benches/relay.rs
+++ b/core/benches/relay.rs
@@ -35,6 +35,7 @@
         let entries = (0..all).map(|number| ServiceEntry {
             name: service_name(number),
             connections: 76,
+            ..ServiceEntry::default()
         });
         let limits = CallerLimits::default();
         let table = RouteTable::new(1, vec![route.clone()], entries.collect(), limits);
@@ -98,6 +99,7 @@
             retry_share: 0.2,
             retry_window: Duration::from_secs(10),
             drain_time: Duration::from_secs(3),
+            cold: None,
         },
     }
 }
--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -119,6 +119,8 @@
     NoTarget,
     /// All targets are in evacuated data centres.
     Evacuated,
+    /// Targets are cold, and this daemon's part of the rate that they accept is used up.
+    Cold,
     /// All usable targets are at their in-flight limit.
     NoCapacity,
     /// All targets that received the request rejected it without running it.
@@ -135,6 +137,7 @@
         match self {
             Self::NoTarget => "no_target",
             Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
             Self::NoCapacity => "no_room",
             Self::Rejected => "rejected",
             Self::NoTime => "no_time",
--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -51,6 +51,7 @@
         };
         let daemons = self.presumed_daemons();
         let last_resort_time = self.last_resort_time();
+        let cold_limit = self.cold_limit(&service.name);
         let mut best: Option<(CandidateTier, f64, &RelayTarget)> = None;
         let mut any_ready_full = false;
         let mut retry_at: Option<Instant> = None;
@@ -74,6 +75,13 @@
                     continue;
                 }
             }
+            if let Some(limit) = cold_limit {
+                let until = target.hold.cold_until(now, daemons, limit);
+                if until > now {
+                    retry_at = retry_at.into_iter().chain(Some(until)).min();
+                    continue;
+                }
+            }
             if target.in_flight.len() >= service.in_flight_limit as usize {
                 any_ready_full |= tier == CandidateTier::Ready;
                 continue;
--- /dev/null
+++ b/core/src/relay/cold_targets.rs
@@ -0,0 +1,71 @@
+//! Limits the rate at which cold targets get requests.
+//!
+//! See `docs/DESIGN.md`, "Cold targets".
+
+use std::time::{Duration, Instant};
+
+use super::target_hold::{ColdLimit, HoldChange};
+use super::{RelayEngine, TargetKey};
+
+impl RelayEngine {
+    /// Returns the limit that holds for the cold targets of a service, if one is published and the
+    /// settings call for it.
+    pub(super) fn cold_limit(&self, service: &str) -> Option<ColdLimit> {
+        let tolerance = self.options.tuning.cold?;
+        let entry = self.routes.service(service)?;
+        (entry.cold_rate > 0.0).then(|| ColdLimit {
+            rate: tolerance.usable_rate(entry.cold_rate),
+            time: entry.cold_time,
+        })
+    }
+
+    /// Records that the entry of a target names a remaining cold time.
+    pub(super) fn record_listed_cold(&mut self, now: Instant, key: TargetKey, cold_left: Duration) {
+        if let Some(target) = self.targets.get_mut(key).filter(|_| !cold_left.is_zero()) {
+            target.hold.record_cold(now, now, cold_left);
+        }
+    }
+
+    /// Treats the targets of a data centre as cold, since its evacuation has ended: they have had no
+    /// requests, and their entries may not tell yet.
+    pub(super) fn presume_cold(&mut self, now: Instant, data_centre: &str) {
+        let targets = self.targets.iter();
+        let cold: Vec<(TargetKey, Duration)> = targets
+            .filter(|target| target.record.data_centre.as_ref() == data_centre)
+            .filter_map(|target| {
+                let limit = self.cold_limit(&target.record.service)?;
+                Some((target.key, limit.time))
+            })
+            .collect();
+        for (key, time) in cold {
+            self.record_listed_cold(now, key, time);
+        }
+    }
+
+    /// Returns whether a service has targets that get nothing now since they are cold.
+    pub(super) fn is_held_cold(&self, now: Instant, service: &str) -> bool {
+        let (Some(limit), Some(service)) = (self.cold_limit(service), self.services.get(service))
+        else {
+            return false;
+        };
+        let daemons = self.presumed_daemons();
+        let mut targets = service
+            .targets
+            .iter()
+            .filter_map(|key| self.targets.get(*key));
+        targets.any(|target| {
+            !self.is_evacuated(target) && target.hold.cold_until(now, daemons, limit) > now
+        })
+    }
+
+    /// Returns whether a change of a target's hold has an effect and is logged.
+    pub(super) fn has_effect(&self, change: HoldChange, service: &str) -> bool {
+        match change {
+            HoldChange::Cold(_) | HoldChange::Warm => self.cold_limit(service).is_some(),
+            HoldChange::Leaving
+            | HoldChange::Paused(_)
+            | HoldChange::Limited(_)
+            | HoldChange::Unlimited => true,
+        }
+    }
+}
--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -48,6 +48,7 @@
         log_target_change(&record, "listed", actions);
         self.services.get_or_add(&record.service).add_target(key);
         let service = record.service.clone();
+        let cold_left = record.cold_left;
         self.targets.insert(RelayTarget::new(
             now,
             key,
@@ -55,6 +56,7 @@
             is_local,
             &self.options.host,
         ));
+        self.record_listed_cold(now, key, cold_left);
         self.dispatch_parked(now, &service, actions);
     }
 
@@ -85,6 +87,7 @@
                 }
             }
         }
+        self.record_listed_cold(now, key, record.cold_left);
         if let Some(target) = self.targets.get_mut(key) {
             target.record = record;
         }
--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -44,7 +44,7 @@
                 self.free_capacity(request, leg_index, actions);
             }
             TargetChoice::Unavailable { .. } => {
-                let cause = self.unavailable_cause(&leg.service);
+                let cause = self.unavailable_cause(now, &leg.service);
                 self.abandon_leg(request, leg_index, cause.as_str());
             }
         }
@@ -257,7 +257,7 @@
                     self.finish_if_settled(now, request, actions);
                 }
                 Some(TargetChoice::Unavailable { .. }) => {
-                    let cause = self.unavailable_cause(service);
+                    let cause = self.unavailable_cause(now, service);
                     self.abandon_leg(entry.request, entry.leg_index, cause.as_str());
                     self.finish_if_settled(now, entry.request, actions);
                 }
--- a/core/src/relay/evacuation.rs
+++ b/core/src/relay/evacuation.rs
@@ -62,6 +62,9 @@
             active,
             evacuated: self.evacuations.data_centres.len(),
         }));
+        if !active {
+            self.presume_cold(now, data_centre);
+        }
         for service in self.services_in(data_centre) {
             self.dispatch_parked(now, &service, actions);
         }
@@ -103,9 +106,11 @@
     }
 
     /// Returns why a service has no target that a request may be sent to.
-    pub(super) fn unavailable_cause(&self, service: &str) -> RefusalCause {
+    pub(super) fn unavailable_cause(&self, now: Instant, service: &str) -> RefusalCause {
         if self.is_service_evacuated(service) {
             RefusalCause::Evacuated
+        } else if self.is_held_cold(now, service) {
+            RefusalCause::Cold
         } else {
             RefusalCause::NoTarget
         }
--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -85,12 +85,14 @@
     fn failure_refusal(&self, now: Instant, state: &RequestState) -> RelayRefusal {
         if state.legs.iter().all(|leg| !leg.may_have_run()) {
             let was_sent = state.legs.iter().any(|leg| !leg.tried.is_empty());
-            let is_evacuated = state.legs.iter().any(|leg| {
-                matches!(leg.stage, LegStage::Missing(reason)
-                    if reason == RefusalCause::Evacuated.as_str())
+            let causes = [RefusalCause::Evacuated, RefusalCause::Cold];
+            let named = causes.into_iter().find(|cause| {
+                state.legs.iter().any(
+                    |leg| matches!(leg.stage, LegStage::Missing(reason) if reason == cause.as_str()),
+                )
             });
-            let cause = if is_evacuated {
-                RefusalCause::Evacuated
+            let cause = if let Some(cause) = named {
+                cause
             } else if was_sent {
                 RefusalCause::Rejected
             } else {
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -18,6 +18,7 @@
 //!   get a request now.
 //! - `evacuation`: the data centres whose targets get nothing.
 //! - `idle_links`: the idle connections to each target.
+//! - `cold_targets`: the rate at which cold targets get requests.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the stages of request processing.
 //! - `probing`: connection probes of targets that may be unreachable.
 //! - `suspicion`: detection of requests that crash their targets.
@@ -32,6 +33,7 @@
 pub mod action;
 mod budget;
 mod choice;
+mod cold_targets;
 mod directory;
 mod dispatch;
 mod evacuation;
@@ -69,7 +71,7 @@
 pub use link_history::LinkHistory;
 pub use route::{MergeRule, RepeatKind, RouteDestination, RouteEntry, RouteTable};
 pub use self_report::{ReportedRate, SelfReport};
-pub use target_hold::HoldChange;
+pub use target_hold::{ColdTolerance, HoldChange};
 pub use target_record::{TargetPhase, TargetRecord};
 
 use evacuation::EvacuationSet;
@@ -109,6 +111,8 @@
     pub retry_window: Duration,
     /// How long a target keeps serving after it has announced that it is leaving.
     pub drain_time: Duration,
+    /// Tolerances of the rate at which cold targets get requests; the rate is not limited if absent.
+    pub cold: Option<ColdTolerance>,
 }
 
 /// The state and all decisions of the relay of one daemon.
--- a/core/src/relay/reports.rs
+++ b/core/src/relay/reports.rs
@@ -25,7 +25,8 @@
         };
         let mut changes = Vec::new();
         target.hold.record(now, live.sent_at, &report, &mut changes);
-        let name = &target.record.name;
+        let (name, service) = (target.record.name.clone(), target.record.service.clone());
+        changes.retain(|change| self.has_effect(*change, &service));
         actions.extend(changes.into_iter().map(|change| {
             RelayAction::Decided(RelayDecision::HoldChanged {
                 target: name.clone(),
--- a/core/src/relay/route.rs
+++ b/core/src/relay/route.rs
@@ -83,13 +83,20 @@
 }
 
 /// A published service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceEntry {
     /// Name of the service.
     pub name: ServiceName,
     /// Number of connections that each target accepts from all daemons together.
     pub connections: u32,
+    /// Requests per second that a cold target accepts from all daemons together; finite, and 0 if
+    /// no limit is published.
+    #[serde(default)]
+    pub cold_rate: f64,
+    /// Time for which a target is cold after its start.
+    #[serde(default)]
+    pub cold_time: Duration,
 }
 
 /// Published limits on the requests of callers.
--- a/core/src/relay/self_report.rs
+++ b/core/src/relay/self_report.rs
@@ -11,6 +11,8 @@
     pub pause: Option<Duration>,
     /// The rate of requests that the target accepts.
     pub rate_limit: ReportedRate,
+    /// Time for which the target remains cold, if it says so; zero if it is warm.
+    pub cold_left: Option<Duration>,
 }
 
 /// The rate of requests, from all daemons together, that a target accepts until an answer says
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -99,14 +99,10 @@
         });
         let mut causes = unavailable
             .iter()
-            .map(|leg| self.unavailable_cause(&leg.service));
+            .map(|leg| self.unavailable_cause(now, &leg.service));
         (servable.len() < state.min_answered_legs()).then(|| {
-            let is_evacuated = causes.any(|cause| cause == RefusalCause::Evacuated);
-            if is_evacuated {
-                RefusalCause::Evacuated
-            } else {
-                RefusalCause::NoTarget
-            }
+            let named = causes.find(|cause| *cause != RefusalCause::NoTarget);
+            named.unwrap_or(RefusalCause::NoTarget)
         })
     }
 
--- a/core/src/relay/target_hold.rs
+++ b/core/src/relay/target_hold.rs
@@ -28,6 +28,13 @@
 /// Number of periods that are searched for the next one in which a request may be sent.
 const MAX_PERIODS_AHEAD: u64 = 20;
 
+/// Greatest number of requests in a second that daemons draw together, as a multiple of the rate
+/// and beyond it; `core/tests/target_hold.rs` measures fleets against it.
+const PEAK_FACTOR: f64 = 1.5;
+const PEAK_SLACK: f64 = 5.0;
+/// Longest remaining cold time that is recorded.
+const MAX_COLD_TIME: Duration = Duration::from_secs(3_600);
+
 /// Longest time for which a target that turned a request away gets none, whatever it says.
 const MAX_PAUSE: Duration = Duration::from_secs(60);
 /// Time after which a target that is still there, although it said that it leaves, may be used again.
@@ -58,6 +65,38 @@
     Limited(f64),
     /// The target names no limit any more.
     Unlimited,
+    /// The target is cold and remains so for this time.
+    Cold(Duration),
+    /// The target is no longer cold.
+    Warm,
+}
+
+/// Published tolerances of the rate at which cold targets get requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdTolerance {
+    /// Multiple of the rate that a cold target tolerates in any second.
+    pub overage: f64,
+    /// Requests beyond that multiple that a cold target tolerates in any second.
+    pub slack: f64,
+}
+
+impl ColdTolerance {
+    /// Returns the rate to keep to on average. What daemons draw varies, so the full rate is used
+    /// only where the tolerances leave room for that.
+    pub fn usable_rate(self, rate: f64) -> f64 {
+        let peak = PEAK_FACTOR * rate + PEAK_SLACK;
+        let tolerated = self.overage * rate + self.slack;
+        rate * (tolerated / peak).clamp(0.0, 1.0)
+    }
+}
+
+/// Limit that holds for a target while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// Requests per second over all daemons.
+    pub rate: f64,
+    /// Longest time for which a target is cold without saying so again.
+    pub time: Duration,
 }
 
 /// What a target has said of itself, and the requests sent to it since.
@@ -69,6 +108,16 @@
     paused_until: Option<Instant>,
     /// Time at which the target first said that it leaves; forgotten after [`LEAVING_MEMORY`].
     leaving_since: Option<Instant>,
+    cold: Option<ColdHold>,
+}
+
+/// The time for which a target is cold, and the requests sent to it since.
+#[derive(Clone, Copy, Debug)]
+struct ColdHold {
+    since: Instant,
+    until: Instant,
+    /// Use of the rate; its limit is set whenever it is asked.
+    rate: RateHold,
 }
 
 /// A limited rate and its use in the current period.
@@ -89,6 +138,7 @@
             rate: None,
             paused_until: None,
             leaving_since: None,
+            cold: None,
         }
     }
 
@@ -109,6 +159,61 @@
             self.pause(now, pause.min(MAX_PAUSE), changes);
         }
         changes.extend(self.record_rate(now, sent_at, report.rate_limit));
+        if let Some(cold_left) = report.cold_left {
+            changes.extend(self.record_cold(now, sent_at, cold_left));
+        }
+    }
+
+    /// Records for how long the target remains cold, by an answer to a request that was sent at
+    /// `sent_at`.
+    pub fn record_cold(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        cold_left: Duration,
+    ) -> Option<HoldChange> {
+        let until = now + cold_left.min(MAX_COLD_TIME);
+        match &mut self.cold {
+            // An answer to a request from before the cold time may be older than it.
+            Some(cold) if cold_left.is_zero() && sent_at < cold.since => None,
+            Some(cold) if now < cold.until => {
+                (cold.since, cold.until) = (now, until);
+                cold_left.is_zero().then_some(HoldChange::Warm)
+            }
+            Some(_) | None if cold_left.is_zero() => None,
+            Some(cold) => {
+                (cold.since, cold.until) = (now, until);
+                Some(HoldChange::Cold(cold_left))
+            }
+            None => {
+                let rate = RateHold {
+                    limit: 0.0,
+                    since: now,
+                    period: 0,
+                    used: 0,
+                };
+                let since = now;
+                self.cold = Some(ColdHold { since, until, rate });
+                Some(HoldChange::Cold(cold_left))
+            }
+        }
+    }
+
+    /// Returns the earliest time, `now` or later, at which the target may get a request although it
+    /// is cold.
+    pub fn cold_until(&self, now: Instant, daemons: u32, limit: ColdLimit) -> Instant {
+        let Some(cold) = self.cold else {
+            return now;
+        };
+        let until = cold.until.min(cold.since + limit.time);
+        if until <= now {
+            return now;
+        }
+        let rate = RateHold {
+            limit: limit.rate,
+            ..cold.rate
+        };
+        rate.earliest_send(now, daemons, self.seed).min(until)
     }
 
     /// Starts or extends a pause; a later word does not shorten it.
@@ -152,11 +257,10 @@
     /// Counts a request that is sent now.
     pub fn count_send(&mut self, now: Instant) {
         if let Some(rate) = &mut self.rate {
-            let period = rate.period_at(now);
-            if period != rate.period {
-                (rate.period, rate.used) = (period, 0);
-            }
-            rate.used += 1;
+            rate.count_send(now);
+        }
+        if let Some(cold) = &mut self.cold {
+            cold.rate.count_send(now);
         }
     }
 
@@ -196,6 +300,14 @@
 }
 
 impl RateHold {
+    fn count_send(&mut self, now: Instant) {
+        let period = self.period_at(now);
+        if period != self.period {
+            (self.period, self.used) = (period, 0);
+        }
+        self.used += 1;
+    }
+
     fn period_at(&self, now: Instant) -> u64 {
         let elapsed = now.saturating_duration_since(self.since);
         (elapsed.as_nanos() / PERIOD.as_nanos()) as u64
--- /dev/null
+++ b/core/tests/relay/cold_targets.rs
@@ -0,0 +1,144 @@
+//! Cold targets, and targets that are presumed cold after an evacuation.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use yuccalift_core::relay::route::{CallerLimits, ServiceEntry};
+use yuccalift_core::relay::{
+    ColdTolerance, RefusalCause, RelayEvent, RelayRefusal, RelayTuning, RepeatKind, RouteTable,
+    SelfReport, TargetRecord,
+};
+use yuccalift_testkit::cases;
+
+use crate::support::{DRAIN_TIME, RelayHarness, TIMEOUT, forward_route, ms, success, target};
+
+const COLD_TIME: Duration = Duration::from_secs(8);
+/// Requests a second that a cold target accepts from all daemons.
+const COLD_RATE: f64 = 4.0;
+
+/// Creates one daemon with one target, in front of which it is alone.
+fn relay_with(is_in_force: bool, record: TargetRecord) -> RelayHarness {
+    let route = forward_route("s0", RepeatKind::Idempotent, 2);
+    let mut harness = RelayHarness::new(vec![route.clone()], Vec::new());
+    let service = ServiceEntry {
+        name: "s0".into(),
+        connections: 80,
+        cold_rate: COLD_RATE,
+        cold_time: COLD_TIME,
+    };
+    let table = RouteTable::new(2, vec![route], vec![service], CallerLimits::default());
+    harness.feed(RelayEvent::RoutesChanged(Arc::new(table)));
+    harness.feed(RelayEvent::TuningChanged(RelayTuning {
+        retry_share: 0.2,
+        retry_window: Duration::from_secs(10),
+        drain_time: DRAIN_TIME,
+        cold: is_in_force.then_some(ColdTolerance {
+            overage: 1.5,
+            slack: 5.0,
+        }),
+    }));
+    harness.feed(RelayEvent::DaemonCountChanged(1));
+    harness.feed(RelayEvent::TargetListed(record));
+    harness
+}
+
+/// Sends requests one after the other for a second, and returns the number that was sent.
+fn sent_in_a_second(harness: &mut RelayHarness, report: SelfReport) -> usize {
+    let before = harness.sends.len();
+    let end = harness.now + Duration::from_secs(1);
+    while harness.now < end {
+        let sent = harness.sends.len();
+        harness.submit("to-s0", TIMEOUT);
+        harness.advance(ms(10));
+        if harness.sends.len() > sent {
+            let attempt = harness.last_send().attempt;
+            harness.end_with_report(attempt, success(b"0123456789abcdef"), Some(report));
+        }
+    }
+    harness.sends.len() - before
+}
+
+fn cold_record() -> TargetRecord {
+    TargetRecord {
+        cold_left: COLD_TIME,
+        ..target("a", "s0")
+    }
+}
+
+fn evacuate_and_return(harness: &mut RelayHarness) {
+    for active in [true, false] {
+        harness.feed(RelayEvent::EvacuationChanged {
+            data_centre: "here".into(),
+            active,
+        });
+        harness.advance(ms(100));
+    }
+}
+
+/// Guards against more requests to a cold target than it tolerates.
+fn cold_target_is_spared(record: TargetRecord, prepare: impl Fn(&mut RelayHarness)) {
+    let mut harness = relay_with(true, record);
+    prepare(&mut harness);
+    for _ in 0..5 {
+        let sent = sent_in_a_second(&mut harness, SelfReport::default());
+        assert!((1..=11).contains(&sent), "{sent} requests in a second");
+    }
+}
+
+/// Guards against a limit that applies where it is not called for, or for too long.
+fn target_is_not_limited(is_in_force: bool, prepare: impl Fn(&mut RelayHarness)) {
+    let mut harness = relay_with(is_in_force, cold_record());
+    prepare(&mut harness);
+    let sent = sent_in_a_second(&mut harness, SelfReport::default());
+    assert!(sent > 50, "{sent} requests in a second");
+}
+
+/// Answers a request with the target's word that it is warm.
+fn say_warm(harness: &mut RelayHarness) {
+    harness.advance(ms(10));
+    let warm = SelfReport {
+        cold_left: Some(Duration::ZERO),
+        ..SelfReport::default()
+    };
+    sent_in_a_second(harness, warm);
+}
+
+fn become_cold(harness: &mut RelayHarness) {
+    harness.submit("to-s0", TIMEOUT);
+    let attempt = harness.last_send().attempt;
+    let cold = SelfReport {
+        cold_left: Some(COLD_TIME),
+        ..SelfReport::default()
+    };
+    harness.end_with_report(attempt, success(b"0123456789abcdef"), Some(cold));
+}
+
+/// Guards against callers that wait while the rate of cold targets is used up, or that are told
+/// another cause or time.
+fn excess_is_refused_at_once() {
+    let mut harness = relay_with(true, cold_record());
+    let request = loop {
+        let sent = harness.sends.len();
+        let request = harness.submit("to-s0", TIMEOUT);
+        if harness.sends.len() == sent {
+            break request;
+        }
+    };
+    let end = harness.end_of_request(request);
+    assert_eq!(end.at, harness.now);
+    let Err(RelayRefusal::NotRun { retry_after, cause }) = end.result else {
+        panic!("{:?} instead of a refusal", end.result);
+    };
+    assert_eq!(cause, RefusalCause::Cold);
+    assert!(retry_after > Duration::ZERO && retry_after <= TIMEOUT / 4);
+}
+
+cases! {
+    a_target_whose_entry_says_cold_is_spared: cold_target_is_spared(cold_record(), |_harness| {});
+    a_target_whose_answer_says_cold_is_spared: cold_target_is_spared(target("a", "s0"), become_cold);
+    a_target_is_spared_after_an_evacuation: cold_target_is_spared(target("a", "s0"), evacuate_and_return);
+    a_relay_without_the_setting_limits_nothing: target_is_not_limited(false, evacuate_and_return);
+    a_target_is_not_limited_after_its_cold_time: target_is_not_limited(true, |harness| harness.advance(COLD_TIME));
+    a_target_that_says_it_is_warm_is_not_limited: target_is_not_limited(true, say_warm);
+    a_request_beyond_the_rate_is_refused_at_once: excess_is_refused_at_once();
+}
--- a/core/tests/relay/holds.rs
+++ b/core/tests/relay/holds.rs
@@ -16,17 +16,20 @@
     is_leaving: false,
     pause: None,
     rate_limit: ReportedRate::Limited(0.6),
+    cold_left: None,
 };
 /// A word by which a target wants nothing for longer than a test takes.
 const LONG_PAUSE: SelfReport = SelfReport {
     is_leaving: false,
     pause: Some(Duration::from_secs(50)),
     rate_limit: ReportedRate::Unlimited,
+    cold_left: None,
 };
 const LEAVING: SelfReport = SelfReport {
     is_leaving: true,
     pause: None,
     rate_limit: ReportedRate::Unlimited,
+    cold_left: None,
 };
 const DAEMONS: u32 = 30;
 
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay engine without a network.
 
 mod budget;
+mod cold_targets;
 mod crashing;
 mod departures;
 mod evacuations;
--- a/core/tests/relay/random_runs.rs
+++ b/core/tests/relay/random_runs.rs
@@ -98,6 +98,7 @@
             7 => ReportedRate::Unreadable,
             _ => ReportedRate::Unlimited,
         },
+        cold_left: None,
     })
 }
 
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -129,6 +129,7 @@
                     retry_share: 0.2,
                     retry_window: Duration::from_secs(10),
                     drain_time: DRAIN_TIME,
+                    cold: None,
                 },
             }),
             now: Instant::now(),
@@ -147,6 +148,7 @@
             .map(|target| ServiceEntry {
                 name: target.service.clone(),
                 connections: 30,
+                ..ServiceEntry::default()
             })
             .collect();
         services.dedup();
--- a/core/tests/target_hold.rs
+++ b/core/tests/target_hold.rs
@@ -166,11 +166,13 @@
     is_leaving: true,
     pause: None,
     rate_limit: ReportedRate::Unlimited,
+    cold_left: None,
 };
 const USUAL: SelfReport = SelfReport {
     is_leaving: false,
     pause: None,
     rate_limit: ReportedRate::Unlimited,
+    cold_left: None,
 };
 
 cases! {
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -216,6 +216,10 @@
     631 WARN "evacuation_started" EvacuationStarted { data_centre: &'a str }
     #[doc = "The evacuation of a data centre ended; its targets are used again."]
     632 INFO "evacuation_ended" EvacuationEnded { data_centre: &'a str }
+    #[doc = "A target says that it is cold for `left_ms`; meanwhile it gets only this daemon's part of the published rate."]
+    633 INFO "target_cold" TargetCold { target: &'a str, left_ms: u64 }
+    #[doc = "A target says that it is no longer cold."]
+    634 INFO "target_warm" TargetWarm { target: &'a str }
     #[doc = "A target was lost while it ran a request; `blame` is the request's share of the blame so far, in thousandths of a lost target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is quarantined, since targets were lost whenever they ran it."]
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -146,6 +146,9 @@
             _ => DaemonMetric::RelayFailed,
         };
         metrics.count(kind, 1);
+        if end.cause == RefusalCause::Cold.as_str() {
+            metrics.count(DaemonMetric::TargetsColdRefused, 1);
+        }
         if end.cause == RefusalCause::Evacuated.as_str() {
             metrics.count(DaemonMetric::EvacuationRefused, 1);
         }
@@ -358,6 +361,12 @@
                 .emit();
             }
             HoldChange::Unlimited => LogEvent::TargetUnlimited { target }.emit(),
+            HoldChange::Cold(left) => {
+                self.metrics.count(DaemonMetric::TargetsCold, 1);
+                let left_ms = millis(left);
+                LogEvent::TargetCold { target, left_ms }.emit();
+            }
+            HoldChange::Warm => LogEvent::TargetWarm { target }.emit(),
         }
     }
 
--- a/daemon/src/relay/settings_watch.rs
+++ b/daemon/src/relay/settings_watch.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
-use yuccalift_core::relay::{RelayEvent, RelayTuning};
+use yuccalift_core::relay::{ColdTolerance, RelayEvent, RelayTuning};
 use yuccalift_settings::{RelaySettings, parse_relay};
 
 use super::engine_driver::EngineDriver;
@@ -159,6 +159,10 @@
         retry_share: settings.retry_share,
         retry_window: settings.retry_window,
         drain_time: settings.drain_time,
+        cold: settings.cold_overage.map(|overage| ColdTolerance {
+            overage,
+            slack: settings.cold_slack,
+        }),
     }
 }
 
@@ -181,6 +185,14 @@
                 old.retry_share.to_bits() != new.retry_share.to_bits(),
             ),
             ("retries.window", old.retry_window != new.retry_window),
+            (
+                "cold.overage",
+                old.cold_overage.map(f64::to_bits) != new.cold_overage.map(f64::to_bits),
+            ),
+            (
+                "cold.slack",
+                old.cold_slack.to_bits() != new.cold_slack.to_bits(),
+            ),
             ("stop_timeout", old.stop_timeout != new.stop_timeout),
         ];
         let pending_restart = [
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -54,6 +54,11 @@
     /// Time within which an evacuation of a data centre must be in force; evacuations are ignored if
     /// absent.
     pub evacuation_time: Option<Duration>,
+    /// Multiple of the published rate that a cold target tolerates in any second; the rate is not
+    /// limited if absent.
+    pub cold_overage: Option<f64>,
+    /// Requests beyond that multiple that a cold target tolerates in any second.
+    pub cold_slack: f64,
     /// Maximum duration of a graceful stop; the process exits when it has passed.
     pub stop_timeout: Duration,
     /// Offset subtracted from the time of day, with which soak tests simulate a wrong host clock.
@@ -157,6 +162,24 @@
         default: FieldDefault::Absent,
         help: "time within which an evacuation of a data centre must be in force; evacuations are ignored if absent",
     },
+    FieldSpec {
+        name: "cold.overage",
+        kind: FieldKind::Number {
+            min: 0.0,
+            max: 1000.0,
+        },
+        default: FieldDefault::Absent,
+        help: "multiple of the published rate that a cold target tolerates in any second; the rate is not limited if absent",
+    },
+    FieldSpec {
+        name: "cold.slack",
+        kind: FieldKind::Number {
+            min: 0.0,
+            max: 1_000_000.0,
+        },
+        default: FieldDefault::Value("0"),
+        help: "requests beyond that multiple that a cold target tolerates in any second",
+    },
     FieldSpec {
         name: "stop_timeout",
         kind: FieldKind::Duration {
@@ -210,6 +233,8 @@
         retry_share: reader.number("retries.share")?,
         retry_window: reader.duration("retries.window")?,
         evacuation_time: reader.duration("evacuation.apply_time"),
+        cold_overage: reader.number("cold.overage"),
+        cold_slack: reader.number("cold.slack")?,
         stop_timeout: reader.duration("stop_timeout")?,
         clock_behind: reader.duration("clock_behind")?,
         log: build_log_settings(reader)?,
--- a/settings/tests/relay.rs
+++ b/settings/tests/relay.rs
@@ -23,7 +23,11 @@
 ];
 
 /// Placeholders of sections that only some deployments have a value for, with usual values.
-const OPTIONAL_VALUES: &[(&str, &str)] = &[("bounds.evacuate_ms", "5000")];
+const OPTIONAL_VALUES: &[(&str, &str)] = &[
+    ("bounds.evacuate_ms", "5000"),
+    ("bounds.cold_slack", "5"),
+    ("bounds.cold_overage", "1.5"),
+];
 
 /// Renders the section of the optional value `present`, and leaves out the other sections.
 fn with_sections(template: &str, present: &str) -> String {
@@ -97,6 +101,11 @@
         is_accepted("bounds.evacuate_ms", "4500.5", |settings| settings.evacuation_time == Some(ms(4501)));
     a_deployment_without_evacuations_has_no_time:
         is_accepted("bounds.grace_s", "6", |settings| settings.evacuation_time.is_none());
+    a_cold_overage_is_accepted:
+        is_accepted("bounds.cold_overage", "1.25", |settings| settings.cold_overage == Some(1.25));
+    a_deployment_without_cold_targets_has_no_overage:
+        is_accepted("bounds.grace_s", "6", |settings| settings.cold_overage.is_none());
+    an_infinite_overage_is_refused: is_refused("bounds.cold_overage", "inf");
     a_negative_time_is_refused: is_refused("bounds.grace_s", "-6.5");
     an_infinite_time_is_refused: is_refused("bounds.grace_s", "inf");
     a_time_that_is_no_number_is_refused: is_refused("bounds.grace_s", "6.5.1");
