--- a/core/src/relay/reports.rs
+++ b/core/src/relay/reports.rs
@@ -4,7 +4,8 @@
 
 use super::action::{RelayAction, RelayDecision};
 use super::event::TargetOutcome;
-use super::self_report::SelfReport;
+use super::request::LiveAttempt;
+use super::self_report::{ReportedLoad, SelfReport};
 use super::service::MIN_PRESUMED_DAEMONS;
 use super::target::relative_time;
 use super::{AttemptKey, RelayEngine};
@@ -20,7 +21,7 @@
         report: Option<SelfReport>,
         actions: &mut Vec<RelayAction>,
     ) {
-        let (Some(report), Some(live)) = (report, self.requests.attempt(attempt)) else {
+        let (Some(report), Some(live)) = (report, self.requests.attempt(attempt).copied()) else {
             return;
         };
         let Some(target) = self.targets.get_mut(live.target) else {
@@ -28,14 +29,29 @@
         };
         let mut changes = Vec::new();
         target.hold.record(now, live.sent_at, &report, &mut changes);
-        let name = &target.record.name;
+        let (name, service) = (target.record.name.clone(), target.record.service.clone());
+        changes.retain(|change| self.has_effect(*change, &service));
         actions.extend(changes.into_iter().map(|change| {
             RelayAction::Decided(RelayDecision::HoldChanged {
                 target: name.clone(),
                 change,
             })
         }));
-        let Some(load) = report.load else {
+        if let Some(load) = report.load {
+            self.record_load(now, &live, outcome, load, actions);
+        }
+    }
+
+    /// Records the load that the target of an attempt reports, and compares it with the response time.
+    fn record_load(
+        &mut self,
+        now: Instant,
+        live: &LiveAttempt,
+        outcome: &TargetOutcome,
+        load: ReportedLoad,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(target) = self.targets.get_mut(live.target) else {
             return;
         };
         target.load.record(now, load, target.in_flight.len());
@@ -48,7 +64,7 @@
         }
         let took = now.saturating_duration_since(live.sent_at);
         if let Some(change) = target.load.compare(now, relative_time(took, live)) {
-            let target = name.clone();
+            let target = target.record.name.clone();
             let decision = RelayDecision::LoadTrustChanged { target, change };
             actions.push(RelayAction::Decided(decision));
         }
--- a/core/tests/relay/holds.rs
+++ b/core/tests/relay/holds.rs
@@ -17,6 +17,7 @@
     pause: None,
     rate_limit: ReportedRate::Limited(0.6),
     load: None,
+    cold_left: None,
 };
 /// A word by which a target wants nothing for longer than a test takes.
 const LONG_PAUSE: SelfReport = SelfReport {
@@ -24,12 +25,14 @@
     pause: Some(Duration::from_secs(50)),
     rate_limit: ReportedRate::Unlimited,
     load: None,
+    cold_left: None,
 };
 const LEAVING: SelfReport = SelfReport {
     is_leaving: true,
     pause: None,
     rate_limit: ReportedRate::Unlimited,
     load: None,
+    cold_left: None,
 };
 const DAEMONS: u32 = 30;
 
--- a/core/tests/relay/random_runs.rs
+++ b/core/tests/relay/random_runs.rs
@@ -104,6 +104,7 @@
             slots: 9,
             pace: if word == 12 { f64::MAX } else { 1.0 },
         }),
+        cold_left: None,
     })
 }
 
--- a/core/tests/target_hold.rs
+++ b/core/tests/target_hold.rs
@@ -167,12 +167,14 @@
     pause: None,
     rate_limit: ReportedRate::Unlimited,
     load: None,
+    cold_left: None,
 };
 const USUAL: SelfReport = SelfReport {
     is_leaving: false,
     pause: None,
     rate_limit: ReportedRate::Unlimited,
     load: None,
+    cold_left: None,
 };
 
 cases! {
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -216,6 +216,10 @@
     631 WARN "evacuation_started" EvacuationStarted { data_centre: &'a str }
     #[doc = "The evacuation of a data centre ended; its targets are used again."]
     632 INFO "evacuation_ended" EvacuationEnded { data_centre: &'a str }
+    #[doc = "A target says that it is cold for `left_ms`; meanwhile it gets only this daemon's part of the published rate."]
+    633 INFO "target_cold" TargetCold { target: &'a str, left_ms: u64 }
+    #[doc = "A target says that it is no longer cold."]
+    634 INFO "target_warm" TargetWarm { target: &'a str }
     #[doc = "The response times of a target don't confirm the load that it reports, which has less influence now."]
     641 INFO "target_load_doubted" TargetLoadDoubted { target: &'a str }
     #[doc = "The response times of a target confirm the load that it reports again."]
