relay: bound the memory and connections that callers hold

Cause: bodies, heads and answers that stall were held without any limit, and so were connections. The server library queues each chunk by itself (32 bytes each, 2,700 in the 16 KiB of a turn), a head on a kept connection had no time limit, and the guard of a request was dropped when its answer had been copied to the write buffer, not when it had been written. A body had no time limit either, and a metrics port in use ended the start.

Change: `exchange::memory_account` counts what each served connection holds (library buffers, heads, bodies, unread answers), answers that are received (formerly `buffer_budget`) and large requests that are sent. Beyond a third of `memory_limit`, slow transfers are closed first, then idle connections. Each listener has a share of `descriptor_limit`; at the bound the connection that has been idle longest is closed. Heads have a limit of bytes and time on kept connections too, bodies end with 408 at the earlier of the caller's and the route's time-out, answers that nobody reads end after 60 s. A relay whose metrics address is in use starts without it (event 662).

`exchange server a_copied_answer_in_transit_is_completed` fails if a connection counts as idle while its answer is being written ("the answer is not complete"), and passes.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -212,6 +212,12 @@
     623 INFO "target_paused" TargetPaused { target: &'a str, pause_ms: u64 }
     #[doc = "A target says in an answer that it is leaving; it gets no requests soon, listed or not."]
     624 INFO "target_leaving" TargetLeaving { target: &'a str }
+    #[doc = "Connections that a listener had accepted were closed within a second: `memory` of them to stay within the memory limit, `connections` within the descriptors, `stalled` since a head or an answer made no progress."]
+    661 WARN "connections_closed" ConnectionsClosed {
+        memory: u64, connections: u64, stalled: u64, held_bytes: u64, open: u64,
+    }
+    #[doc = "The address for metrics can't be listened on; the relay runs without that listener."]
+    662 WARN "metrics_unserved" MetricsUnserved { address: &'a str, fault: &'a str }
     #[doc = "A target was lost while it ran a request; `blame` is the request's share of the blame so far, in thousandths of a lost target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is quarantined, since targets were lost whenever they ran it."]
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -128,6 +128,16 @@
     RelayHedges "relay.hedges" Counter "requests"
     #[doc = "Retries of a relay: requests sent to a target after a failed request."]
     RelayRetries "relay.retries" Counter "requests"
+    #[doc = "Bytes that a relay holds for its connections and for answers that it receives."]
+    MemoryHeld "memory.held" Gauge "bytes"
+    #[doc = "Connections that the listeners of a relay have open."]
+    ConnectionsOpen "connections.open" Gauge "connections"
+    #[doc = "Connections that a relay closed to stay within its memory limit."]
+    ConnectionsClosedMemory "connections.closed_memory" Counter "connections"
+    #[doc = "Connections that a relay closed since a listener had no descriptors left."]
+    ConnectionsClosedPlace "connections.closed_place" Counter "connections"
+    #[doc = "Connections that a relay closed since a head or an answer made no progress."]
+    ConnectionsClosedStalled "connections.closed_stalled" Counter "connections"
     #[doc = "Suspensions of targets after failed attempts."]
     TargetsSuspended "targets.suspended" Counter "suspensions"
     #[doc = "Times that a target began to name a limit of requests."]
--- a/daemon/src/relay/caller_listener.rs
+++ b/daemon/src/relay/caller_listener.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, Request, Response, StatusCode};
@@ -18,6 +18,9 @@
 use super::report::RequestEnd;
 use super::request_body::RequestBody;
 
+/// Retry delay of a request whose body has no room: the time in which the bodies of others arrive.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// State shared by the handlers of callers' requests.
 pub(super) struct CallerListenerState {
     pub(super) driver: Rc<EngineDriver>,
@@ -32,7 +35,7 @@
     let arrived_at = Instant::now();
     let caller = caller::read_head(request.head());
     let mut end = RequestEnd::new(&caller.request);
-    let mut body = RequestBody::new(request.take_payload());
+    let mut body = RequestBody::take(&mut request);
     let mut response = state
         .relay(arrived_at, &caller, &request, &mut body, &mut end)
         .await;
@@ -73,14 +76,17 @@
             end.cause = "large_head";
             return caller::empty_answer(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, None);
         }
-        let body = match body.read(routes.limits.body_bytes).await {
+        let timeout = caller.time_left.unwrap_or(route.timeout);
+        // Nothing has been passed on while the body arrives, so that 408 and 503 are true.
+        let body_deadline = arrived_at + timeout.min(route.timeout);
+        let body = match body.read_by(body_deadline, routes.limits.body_bytes).await {
             Ok(body) => body,
             Err(status) => {
-                end.cause = "bad_body";
-                return caller::empty_answer(status, None);
+                end.cause = body_fault(status);
+                let is_full = status == StatusCode::SERVICE_UNAVAILABLE;
+                return caller::empty_answer(status, is_full.then_some(FULL_RETRY_AFTER));
             }
         };
-        let timeout = caller.time_left.unwrap_or(route.timeout);
         let message = Rc::new(caller_message(caller, request, body));
         let result = self
             .submit_and_wait(message, &route, arrived_at + timeout)
@@ -112,6 +118,15 @@
     }
 }
 
+/// Names the fault of a body that was refused with a status.
+fn body_fault(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::REQUEST_TIMEOUT => "late_body",
+        StatusCode::SERVICE_UNAVAILABLE => "no_memory",
+        _ => "bad_body",
+    }
+}
+
 /// Reports to the engine, when dropped, that the caller's connection ended before the answer.
 struct DisconnectGuard<'driver> {
     driver: &'driver Rc<EngineDriver>,
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -60,6 +60,9 @@
 /// A small fleet does not wait, and in a large one most daemons learn the state from a peer first.
 const START_READ_SPACING: Duration = Duration::from_millis(1);
 
+/// Maximum time in which a peer's message must be complete; peers give up on a call long before.
+const MAX_MESSAGE_TIME: Duration = Duration::from_secs(15);
+
 /// The control plane and the services that its actions need; shared by the tasks of one thread.
 pub(super) struct RelayControl {
     node: RefCell<ControlNode>,
@@ -346,7 +349,7 @@
     control: Rc<RelayControl>,
     mut request: Request,
 ) -> Result<Response<BoxBody>, Infallible> {
-    let mut request_body = RequestBody::new(request.take_payload());
+    let mut request_body = RequestBody::take(&mut request);
     let is_exchange = request.path() == EXCHANGE_PATH && request.method() == Method::POST;
     if !is_exchange {
         return Ok(request_body.attach_to(empty_answer(StatusCode::NOT_FOUND, None)));
@@ -354,7 +357,8 @@
     let peer = request
         .peer_addr()
         .map_or_else(String::new, |peer| peer.to_string());
-    let body = match request_body.read(MAX_MESSAGE_BYTES).await {
+    let deadline = Instant::now() + MAX_MESSAGE_TIME;
+    let body = match request_body.read_by(deadline, MAX_MESSAGE_BYTES).await {
         Ok(body) => body,
         Err(status) => return Ok(request_body.attach_to(empty_answer(status, None))),
     };
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod caller_listener;
 mod control;
 mod engine_driver;
+mod host_limits;
 mod peer_call;
 mod pool;
 pub mod process;
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -15,12 +15,13 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::relay::{RelayEngine, RelayEvent, RelayOptions, RouteTable};
-use yuccalift_exchange::{LinkOptions, ServeOptions, StopTokens, listen};
+use yuccalift_exchange::{LIBRARY_HEAD_BYTES, LinkOptions, ServeOptions, StopTokens, listen};
 use yuccalift_settings::RelaySettings;
 
 use super::caller_listener::{CallerListenerState, answer_caller};
 use super::control::{RelayControl, answer_peer, store_read_settings};
 use super::engine_driver::EngineDriver;
+use super::host_limits::{HostLimits, report_account};
 use super::pool::LinkPool;
 use super::readiness::{RelayReadiness, answer_balancer};
 use super::report::RelayReport;
@@ -34,12 +35,18 @@
 const DEFAULT_SERVE_OPTIONS: ServeOptions = ServeOptions {
     idle_timeout: Duration::from_secs(120),
     head_timeout: Duration::from_secs(15),
+    // Replaced by the share of each listener.
+    max_connections: usize::MAX,
+    max_head_bytes: LIBRARY_HEAD_BYTES,
     link: LinkOptions {
         connect_timeout: Duration::from_secs(1),
         keepalive_interval: Duration::from_secs(5),
         keepalive_probes: 3,
     },
 };
+/// Bytes of an incomplete head beyond the published limit: a larger head that is complete gets 431,
+/// and bytes after the head may arrive with it.
+const HEAD_SLACK_BYTES: usize = 16 * 1024;
 /// Extra idle time of a caller's connection beyond the published limit, so that it is not closed
 /// while a request that was sent in time is on its way.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
@@ -64,6 +71,7 @@
 
 async fn serve(file: SettingsFile, settings: RelaySettings) -> Result<(), DaemonError> {
     let mut signals = RelaySignals::new()?;
+    let limits = HostLimits::apply(&settings);
     let callers = bind("callers", settings.caller_listen)?;
     let balancer = bind("readiness", settings.readiness_listen)?;
     let peers = bind("peers", settings.peer_listen)?;
@@ -86,6 +94,7 @@
         ..StopTokens::default()
     };
     actix_rt::spawn(Rc::clone(&driver).run_timers(stop.clone()));
+    actix_rt::spawn(report_account(metrics.clone(), stop.clone()));
     let control = RelayControl::new(
         &settings,
         link_config,
@@ -96,22 +105,21 @@
     let peer_control = Rc::clone(&control);
     spawn_listener(
         peers,
-        || DEFAULT_SERVE_OPTIONS,
+        move || default_serve_options(limits.peers),
         listener_stop.clone(),
         move |request| answer_peer(Rc::clone(&peer_control), request),
     );
     let balancer_readiness = Rc::clone(&readiness);
     spawn_listener(
         balancer,
-        || DEFAULT_SERVE_OPTIONS,
+        move || default_serve_options(limits.readiness),
         listener_stop.clone(),
         move |request| answer_balancer(Rc::clone(&balancer_readiness), request),
     );
-    if let Some(address) = settings.metrics_listen {
-        let listener = bind("metrics", address)?;
+    if let Some(listener) = settings.metrics_listen.and_then(bind_metrics) {
         spawn_listener(
             listener,
-            || DEFAULT_SERVE_OPTIONS,
+            move || default_serve_options(limits.metrics),
             listener_stop,
             move |_request| std::future::ready(Ok(answer_metrics(&metrics))),
         );
@@ -121,7 +129,7 @@
         readiness: Rc::clone(&readiness),
     });
     let caller_driver = Rc::clone(&driver);
-    let options = move || caller_serve_options(&caller_driver.routes());
+    let options = move || caller_serve_options(&caller_driver.routes(), limits.callers);
     let callers_served = spawn_listener(callers, options, caller_stop.clone(), move |request| {
         answer_caller(Rc::clone(&caller_state), request)
     });
@@ -138,14 +146,24 @@
     Ok(())
 }
 
+/// Returns how connections are served where no limit is published but their number.
+fn default_serve_options(max_connections: usize) -> ServeOptions {
+    ServeOptions {
+        max_connections,
+        ..DEFAULT_SERVE_OPTIONS
+    }
+}
+
 /// Returns how callers' connections are served under the published limits.
-fn caller_serve_options(routes: &RouteTable) -> ServeOptions {
+fn caller_serve_options(routes: &RouteTable, max_connections: usize) -> ServeOptions {
     if routes.version == 0 {
-        return DEFAULT_SERVE_OPTIONS;
+        return default_serve_options(max_connections);
     }
     ServeOptions {
         idle_timeout: routes.limits.idle_timeout + IDLE_SLACK,
         head_timeout: routes.limits.head_timeout,
+        max_connections,
+        max_head_bytes: LIBRARY_HEAD_BYTES.min(routes.limits.head_bytes + HEAD_SLACK_BYTES),
         ..DEFAULT_SERVE_OPTIONS
     }
 }
@@ -162,6 +180,20 @@
     listen(address).context(BindSnafu { listener, address })
 }
 
+/// Binds the listener for metrics. Its port is fixed on all hosts, so that another program may have
+/// it; callers must be served without metrics then.
+fn bind_metrics(address: SocketAddr) -> Option<TcpListener> {
+    listen(address)
+        .inspect_err(|error| {
+            LogEvent::MetricsUnserved {
+                address: &address.to_string(),
+                fault: &error.to_string(),
+            }
+            .emit();
+        })
+        .ok()
+}
+
 /// Serves a listener until `stop` tells it to end.
 fn spawn_listener<F, Fut>(
     listener: TcpListener,
--- a/daemon/src/relay/settings_watch.rs
+++ b/daemon/src/relay/settings_watch.rs
@@ -196,6 +196,11 @@
             ("store", old.store != new.store),
             ("seed_peers", old.seed_peers != new.seed_peers),
             ("store_calls_per_second", old.store_calls != new.store_calls),
+            ("memory_limit", old.memory_limit_mb != new.memory_limit_mb),
+            (
+                "descriptor_limit",
+                old.descriptor_limit != new.descriptor_limit,
+            ),
             ("clock_behind", old.clock_behind != new.clock_behind),
             ("log", old.log != new.log),
         ];
--- a/exchange/src/answer_buffer.rs
+++ b/exchange/src/answer_buffer.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::buffer_budget::BufferLease;
+use crate::memory_account::BufferLease;
 
 /// Maximum size of an answer's body, in bytes. It is far above the size of real answers and bounds
 /// the memory that a faulty peer can take.
--- a/exchange/src/connection_state.rs
+++ b/exchange/src/connection_state.rs
@@ -1,46 +1,49 @@
 //! What an open connection of a server waits for: [`ConnectionState`].
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use actix_http::body::BoxBody;
-use actix_http::{ConnectionType, Response};
+use actix_http::{ConnectionType, HttpMessage, Payload, Request, Response};
 
 use crate::held_body::hold_with_body;
-
-/// Whether a connection may be closed without losing an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum ConnectionStage {
-    /// No request has been received since the last answer.
-    #[default]
-    Idle,
-    /// A request has been received, and its answer is not complete.
-    Busy,
-    /// The last answer is being written; the connection closes by itself after it.
-    Ending,
-}
+use crate::holder::{HolderStage, MemoryHolder};
 
 /// State of one connection, shared by the connection and its requests.
 ///
 /// Each connection has its own. The peer's address does not identify one: a peer may connect again
 /// from the same port before the server has noticed that the earlier connection has ended.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct ConnectionState {
-    stage: Rc<Cell<ConnectionStage>>,
+    holder: Rc<MemoryHolder>,
 }
 
 impl ConnectionState {
+    pub(crate) fn new(holder: Rc<MemoryHolder>) -> Self {
+        Self { holder }
+    }
+
+    /// Returns what the connection holds.
+    pub(crate) fn holder(&self) -> &Rc<MemoryHolder> {
+        &self.holder
+    }
+
     /// Returns whether the connection may be closed without losing an answer.
     pub(crate) fn is_idle(&self) -> bool {
-        self.stage.get() == ConnectionStage::Idle
+        self.holder.is_idle()
     }
 
     /// Marks the connection as busy for as long as the returned guard exists.
-    pub(crate) fn begin_request(&self) -> RequestGuard {
-        self.stage.set(ConnectionStage::Busy);
+    pub(crate) fn begin_request(&self, request: &mut Request) -> RequestGuard {
+        let stage = match request.payload() {
+            Payload::None => HolderStage::Busy,
+            _ => HolderStage::Receiving {
+                chunked: request.chunked().unwrap_or(true),
+            },
+        };
+        self.holder.begin_request(stage);
         RequestGuard {
             state: self.clone(),
-            next_stage: ConnectionStage::Idle,
+            next_stage: HolderStage::Idle,
         }
     }
 }
@@ -49,14 +52,15 @@
 #[derive(Debug)]
 pub(crate) struct RequestGuard {
     state: ConnectionState,
-    next_stage: ConnectionStage,
+    next_stage: HolderStage,
 }
 
 impl RequestGuard {
-    /// Returns the answer to the request, which holds the guard until it has been encoded.
+    /// Returns the answer to the request, which holds the guard until it has been encoded. What has
+    /// been encoded and not written is known to the connection's stream.
     pub(crate) fn attach_to(mut self, response: Response<BoxBody>) -> Response<BoxBody> {
         if response.head().connection_type() == ConnectionType::Close {
-            self.next_stage = ConnectionStage::Ending;
+            self.next_stage = HolderStage::Ending;
         }
         hold_with_body(response, self)
     }
@@ -64,6 +68,6 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.state.stage.set(self.next_stage);
+        self.state.holder.end_request(self.next_stage);
     }
 }
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -8,11 +8,12 @@
 
 mod answer;
 mod answer_buffer;
-mod buffer_budget;
 mod connection_state;
 mod error;
 mod held_body;
+mod holder;
 mod link;
+mod memory_account;
 mod metered_stream;
 mod served_stream;
 mod server;
@@ -24,6 +25,7 @@
 pub use error::ExchangeError;
 pub use held_body::hold_with_body;
 pub use link::{AnswerOwner, ExchangeLink, OutgoingRequest};
-pub use server::{ServeOptions, StopTokens, serve};
+pub use memory_account::{AccountCounts, BodyLease, account_counts, set_memory_limit};
+pub use server::{LIBRARY_HEAD_BYTES, ServeOptions, StopTokens, serve};
 pub use socket::{LinkOptions, listen};
 pub use transfer_progress::{TransferLimit, TransferProgress};
--- a/exchange/src/link.rs
+++ b/exchange/src/link.rs
@@ -17,6 +17,7 @@
 use crate::answer::ExchangeAnswer;
 use crate::answer_buffer::AnswerBuffer;
 use crate::error::{ConnectionFailedSnafu, ExchangeError, GarbledSnafu, UnexpectedEndSnafu};
+use crate::memory_account::CopyLease;
 use crate::metered_stream::MeteredStream;
 use crate::socket::LinkOptions;
 use crate::transfer_progress::TransferProgress;
@@ -178,6 +179,7 @@
     };
     let headers = (!request.headers.is_empty()).then_some(request.headers);
     let head = RequestHeadType::Rc(request.head, headers);
+    let _copy = CopyLease::new(request.body.as_ref().map_or(0, Bytes::len));
     let mut bytes = BytesMut::with_capacity(HEAD_BYTES);
     let sent = async {
         codec.encode(Message::Item((head, size)), &mut bytes)?;
--- a/exchange/src/server.rs
+++ b/exchange/src/server.rs
@@ -1,9 +1,11 @@
 //! HTTP/1 server on the current thread: [`serve`].
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::task::Poll;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, Extensions, HttpServiceBuilder, KeepAlive, Request, Response};
@@ -13,6 +15,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::connection_state::ConnectionState;
+use crate::memory_account::{HolderEntry, end_stalled, make_place};
 use crate::served_stream::ServedStream;
 use crate::socket::LinkOptions;
 use crate::turn_stream::TurnStream;
@@ -21,6 +24,20 @@
 /// other connections close.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval at which connections are checked for heads and answers without progress.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which an answer of which the reader has taken nothing ends. A slow but proper reader
+/// takes bytes each few seconds.
+const ANSWER_STALL_LIMIT: Duration = Duration::from_secs(60);
+/// Extra time of a head: the server library ends the first one of a connection itself, with 408.
+const HEAD_SLACK: Duration = Duration::from_secs(1);
+/// Default of [`ServeOptions::max_head_bytes`]: what the server library accepts.
+pub const LIBRARY_HEAD_BYTES: usize = 128 * 1024;
+
+thread_local! {
+    static NEXT_LISTENER: Cell<u64> = const { Cell::new(0) };
+}
+
 /// Settings of served connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ServeOptions {
@@ -28,6 +45,10 @@
     pub idle_timeout: Duration,
     /// Maximum time in which a request's head must be complete.
     pub head_timeout: Duration,
+    /// Maximum number of open connections. At the bound, one without a request is closed.
+    pub max_connections: usize,
+    /// Maximum number of bytes of a head that is not complete; the connection is closed beyond.
+    pub max_head_bytes: usize,
     /// Socket options, which detect a peer that disappears without closing the connection.
     pub link: LinkOptions,
 }
@@ -64,10 +85,16 @@
     let Some(mut service) = connection_service(current_options, handler.clone()).await else {
         return;
     };
+    let number = NEXT_LISTENER.with(|next| next.replace(next.get() + 1));
+    let mut stall_checks = tokio::time::interval(STALL_CHECK_INTERVAL);
     loop {
         let accepted = tokio::select! {
             () = stop.abort.cancelled() => return,
             () = stop.drain.cancelled() => break,
+            _ = stall_checks.tick() => {
+                end_stalled_connections(number, current_options.head_timeout);
+                continue;
+            }
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, peer)) = accepted else {
@@ -80,17 +107,27 @@
         {
             (current_options, service) = (requested_options, changed);
         }
+        if !make_place(number, current_options.max_connections) {
+            // All connections wait for answers.
+            drop(stream);
+            continue;
+        }
         let _best_effort = stream.set_nodelay(true);
         let _best_effort = current_options.link.enable_keepalive(&stream);
         let (service, stop) = (Rc::clone(&service), stop.clone());
+        let max_head_bytes = current_options.max_head_bytes;
         tasks.spawn_local(async move {
-            let state = ConnectionState::default();
-            let stream = ServedStream::new(TurnStream::new(stream), state.clone());
+            let entry = HolderEntry::open(number);
+            let state = ConnectionState::new(Rc::clone(&entry.holder));
+            let stream = ServedStream::new(TurnStream::new(stream), state.clone(), max_head_bytes);
             // When the connection ends, its requests have been dropped, so the result is not
             // needed.
             let connection = service.call((stream, Some(peer)));
             run_connection(connection, &state, &stop).await;
+            drop(entry);
         });
+        // Connections that were told to end close their descriptors before the next is accepted.
+        tokio::task::yield_now().await;
     }
     drop(listener);
     tasks.close();
@@ -100,22 +137,43 @@
     }
 }
 
-/// Runs a connection until it ends or the server does. A connection without a request is not polled
-/// once the server drains, as that would read a request that has just arrived.
+/// Ends the connections of a listener whose heads or answers make no progress.
+fn end_stalled_connections(listener: u64, head_timeout: Duration) {
+    let now = Instant::now();
+    end_stalled(listener, |holder| {
+        holder.head_age(now) > head_timeout + HEAD_SLACK
+            || holder.output_age(now) > ANSWER_STALL_LIMIT
+    });
+}
+
+/// Runs a connection until it ends, is told to end, or the server does. A connection without a
+/// request is not polled once the server drains, as that would read a request that has just arrived.
 async fn run_connection(connection: impl Future, state: &ConnectionState, stop: &StopTokens) {
     tokio::pin!(connection);
+    let ending = state.holder().token();
     tokio::select! {
         biased;
         () = stop.abort.cancelled() => return,
+        () = ending.cancelled() => return,
         () = stop.drain.cancelled() => {}
         _ended = &mut connection => return,
     }
     if state.is_idle() {
         return;
     }
+    // An answer that was encoded before the drain doesn't close its connection.
+    let served = std::future::poll_fn(|cx| {
+        let ended = connection.as_mut().poll(cx);
+        if ended.is_ready() || state.is_idle() {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    });
     tokio::select! {
         () = stop.abort.cancelled() => {}
-        _ended = &mut connection => {}
+        () = ending.cancelled() => {}
+        () = served => {}
     }
 }
 
@@ -129,9 +187,9 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = HandlerResult> + 'static,
 {
-    move |request: Request| {
+    move |mut request: Request| {
         let state = request.conn_data::<ConnectionState>().cloned();
-        let guard = state.unwrap_or_default().begin_request();
+        let guard = state.map(|state| state.begin_request(&mut request));
         let answer = handler(request);
         let drain = drain.clone();
         Box::pin(async move {
@@ -141,7 +199,10 @@
                     .head_mut()
                     .set_connection_type(ConnectionType::Close);
             }
-            Ok(guard.attach_to(response))
+            Ok(match guard {
+                Some(guard) => guard.attach_to(response),
+                None => response,
+            })
         })
     }
 }
--- a/exchange/src/turn_stream.rs
+++ b/exchange/src/turn_stream.rs
@@ -36,6 +36,16 @@
         self.stream.readable().await
     }
 
+    /// Returns whether bytes may have arrived or the connection may have ended; wakes the task when
+    /// that is so.
+    ///
+    /// # Errors
+    ///
+    /// [`io::Error`] if the connection can't be observed.
+    pub(crate) fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream.poll_read_ready(cx)
+    }
+
     /// Reads bytes that have already arrived.
     ///
     /// # Errors
--- a/exchange/tests/reused_port.rs
+++ b/exchange/tests/reused_port.rs
@@ -9,11 +9,15 @@
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
-use yuccalift_exchange::{LinkOptions, ServeOptions, StopTokens, listen, serve};
+use yuccalift_exchange::{
+    LIBRARY_HEAD_BYTES, LinkOptions, ServeOptions, StopTokens, listen, serve,
+};
 
 const SERVE_OPTIONS: ServeOptions = ServeOptions {
     idle_timeout: Duration::from_secs(60),
     head_timeout: Duration::from_secs(10),
+    max_connections: usize::MAX,
+    max_head_bytes: LIBRARY_HEAD_BYTES,
     link: LinkOptions {
         connect_timeout: Duration::from_secs(1),
         keepalive_interval: Duration::from_secs(5),
--- a/exchange/tests/server.rs
+++ b/exchange/tests/server.rs
@@ -10,12 +10,17 @@
 use actix_http::body::BoxBody;
 use actix_http::{Request, Response, StatusCode};
 use futures_util::StreamExt;
-use yuccalift_exchange::{LinkOptions, ServeOptions, StopTokens, listen, serve};
+use socket2::{Domain, SockRef, Socket, Type};
+use yuccalift_exchange::{
+    LIBRARY_HEAD_BYTES, LinkOptions, ServeOptions, StopTokens, listen, serve,
+};
 use yuccalift_testkit::cases;
 
 const SERVE_OPTIONS: ServeOptions = ServeOptions {
     idle_timeout: Duration::from_secs(60),
     head_timeout: Duration::from_secs(10),
+    max_connections: usize::MAX,
+    max_head_bytes: LIBRARY_HEAD_BYTES,
     link: LinkOptions {
         connect_timeout: Duration::from_secs(1),
         keepalive_interval: Duration::from_secs(5),
@@ -29,6 +34,11 @@
 /// Size of an answer that the buffers of a connection do not hold.
 const LARGE_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
+/// Size of an answer that the server library copies to its buffer at once.
+const COPIED_ANSWER_BYTES: usize = 28 * 1024;
+/// Size of socket buffers that do not hold such an answer.
+const SMALL_BUFFER_BYTES: usize = 4 * 1024;
+
 struct ServerUnderTest {
     address: SocketAddr,
     stop: StopTokens,
@@ -45,6 +55,12 @@
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let listener = listen((Ipv4Addr::LOCALHOST, 0).into()).expect("a port is free");
+                if answer_bytes == COPIED_ANSWER_BYTES {
+                    // The connections that are accepted inherit it.
+                    SockRef::from(&listener)
+                        .set_send_buffer_size(SMALL_BUFFER_BYTES)
+                        .expect("the size is valid");
+                }
                 sender.send(listener.local_addr()).expect("the test waits");
                 let handler = move |request| answer(request, answer_bytes);
                 serve(listener, || SERVE_OPTIONS, server_stop, handler).await;
@@ -132,6 +148,33 @@
     server.wait_for_end();
 }
 
+/// An answer is complete when it has been written: the library drops the body of a small one once it
+/// has been copied to the buffer of the connection. A drain then must not cut a connection whose
+/// buffers take only a part of it.
+fn copied_answer_in_transit_is_completed() {
+    let server = ServerUnderTest::start(COPIED_ANSWER_BYTES);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is opened");
+    socket
+        .set_recv_buffer_size(SMALL_BUFFER_BYTES)
+        .expect("the size is valid");
+    socket
+        .connect(&server.address.into())
+        .expect("the server accepts");
+    let mut stream = TcpStream::from(socket);
+    stream
+        .set_read_timeout(Some(LIMIT))
+        .expect("the timeout is valid");
+    let head = b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+    stream.write_all(head).expect("the server reads");
+    std::thread::sleep(SETTLE_TIME);
+    server.stop.drain.cancel();
+    std::thread::sleep(SETTLE_TIME);
+    assert!(!server.has_ended(), "the answer is not complete");
+    let answer = read_to_end(&stream);
+    assert!(answer.len() > COPIED_ANSWER_BYTES, "{} bytes", answer.len());
+    server.wait_for_end();
+}
+
 /// A connection that has had its answers is closed, so that it delays the end of nobody.
 fn idle_connections_are_closed() {
     let server = ServerUnderTest::start(4);
@@ -162,6 +205,7 @@
 cases! {
     a_body_in_transit_is_awaited: body_in_transit_is_awaited();
     an_answer_in_transit_is_completed: answer_in_transit_is_completed();
+    a_copied_answer_in_transit_is_completed: copied_answer_in_transit_is_completed();
     idle_connections_are_closed_at_once: idle_connections_are_closed();
     an_abort_ends_at_once: abort_ends_at_once();
 }
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -53,6 +53,10 @@
     pub retry_window: Duration,
     /// Maximum duration of a graceful stop; the process exits when it has passed.
     pub stop_timeout: Duration,
+    /// Memory that the process may use, in MB.
+    pub memory_limit_mb: usize,
+    /// Descriptors that the process may have open, of which some are reserved for files.
+    pub descriptor_limit: usize,
     /// Offset subtracted from the time of day, with which soak tests simulate a wrong host clock.
     pub clock_behind: Duration,
     /// Format and level of the log.
@@ -154,6 +158,24 @@
         default: FieldDefault::Value("6s"),
         help: "maximum duration of a graceful stop, after which the process exits",
     },
+    FieldSpec {
+        name: "memory_limit",
+        kind: FieldKind::Number {
+            min: 32.0,
+            max: 1_000_000.0,
+        },
+        default: FieldDefault::Value("512"),
+        help: "memory that the process may use, in MB",
+    },
+    FieldSpec {
+        name: "descriptor_limit",
+        kind: FieldKind::Number {
+            min: 300.0,
+            max: 10_000_000.0,
+        },
+        default: FieldDefault::Value("8192"),
+        help: "descriptors that the process may have open, 200 of them for files",
+    },
     FieldSpec {
         name: "clock_behind",
         kind: FieldKind::Duration {
@@ -198,6 +220,8 @@
         retry_share: reader.number("retries.share")?,
         retry_window: reader.duration("retries.window")?,
         stop_timeout: reader.duration("stop_timeout")?,
+        memory_limit_mb: reader.number("memory_limit")? as usize,
+        descriptor_limit: reader.number("descriptor_limit")? as usize,
         clock_behind: reader.duration("clock_behind")?,
         log: build_log_settings(reader)?,
     })
--- a/settings/tests/relay.rs
+++ b/settings/tests/relay.rs
@@ -20,6 +20,8 @@
     ("bounds.retry_budget_ratio", "0.2"),
     ("bounds.budget_window_s", "10"),
     ("bounds.grace_s", "6"),
+    ("limits.memory_mb", "160"),
+    ("limits.max_fds", "4100"),
 ];
 
 /// Fills in the template of the deploy file, with one value other than usual.
