exchange: end stalled transfers before newcomers, and reserve room for small requests

Cause: a large body that had just stalled had a greater pace than a newcomer, so that the newcomer was ended; a newcomer without room was closed instead of refused with 503; large bodies of requests that wait for answers could fill the account, so that small requests were closed; a caller that sends on before its answer could keep megabytes unread in the kernel.

Change: the pace has a maximum. A body without room is refused with 503. Bodies of more than 16 KiB fill three quarters of the account, and what is smaller is accepted. Accepted connections have a receive buffer of 64 KiB (the kernel reserves 128), which is on the account while the connection is not read, and such a connection may be closed. Newcomers that are closed since all connections of a listener wait for answers are counted.

--- a/exchange/src/holder.rs
+++ b/exchange/src/holder.rs
@@ -6,13 +6,20 @@
 
 use tokio_util::sync::CancellationToken;
 
-use crate::memory_account::{CONNECTION_BYTES, change_bytes, next_idle_order};
+use crate::memory_account::{CONNECTION_BYTES, ChargeKind, change_bytes, next_idle_order};
+use crate::socket::RECEIVE_BUFFER_BYTES;
 
 /// Time in which the pace of a holder falls to half if it makes no progress.
 const PACE_HALF_LIFE: Duration = Duration::from_millis(250);
-/// Pace of a holder that has just started to transfer bytes. A holder is ended before idle
-/// connections if its pace is below: this is the pace of a transfer of about 180 KB/s.
-const FIRST_PACE: f64 = 64.0 * 1024.0;
+/// Maximum pace of a holder, and that of one that has just started to transfer bytes. With a greater
+/// maximum, a large body that has just stalled would stay while a newcomer is ended.
+const MAX_PACE: f64 = 64.0 * 1024.0;
+/// Pace below which a transfer is ended before an idle connection: without progress for 38 ms, or
+/// slower than about 160 KB/s.
+const SLOW_PACE: f64 = 0.9 * MAX_PACE;
+/// Size up to which a body, a head or an answer is accepted in any case: there are no more of them
+/// than connections.
+const SMALL_BYTES: usize = 16 * 1024;
 /// Bytes of the library's queue of the chunks that one read may contain.
 const CHUNK_QUEUE_BYTES: usize = 32 * 1024;
 
@@ -65,7 +72,7 @@
             input: Cell::new(0),
             body: Cell::new(0),
             output: Cell::new(0),
-            pace: Cell::new(FIRST_PACE),
+            pace: Cell::new(MAX_PACE),
             paced_at: Cell::new(Instant::now()),
             idle_order: Cell::new(next_idle_order()),
             head_seen_at: Cell::new(None),
@@ -112,15 +119,27 @@
         self.held()
     }
 
-    /// Sets one part of the bytes; returns false if they don't fit and no holder can be ended.
-    fn set_part(&self, part: &Cell<usize>, bytes: usize) -> bool {
+    /// Sets one part of the bytes. If they don't fit, holders are ended, this one if it is the
+    /// slowest.
+    fn set_part(&self, part: &Cell<usize>, bytes: usize) {
         let old = part.replace(bytes);
-        self.is_closed.get() || change_bytes(self, old, bytes)
+        let kind = match bytes {
+            ..=SMALL_BYTES => ChargeKind::Small,
+            _ => ChargeKind::Large,
+        };
+        if !self.is_closed.get() {
+            // What doesn't fit although all others wait for answers ends with these.
+            let _fits = change_bytes(self, old, bytes, kind);
+        }
     }
 
     /// Starts a request, whose head is complete.
     pub(crate) fn begin_request(&self, stage: HolderStage) {
         self.stage.set(stage);
+        if let HolderStage::Receiving { .. } = stage {
+            self.pace.set(MAX_PACE);
+            self.paced_at.set(Instant::now());
+        }
         self.head_seen_at.set(None);
         self.set_part(&self.input, 0);
     }
@@ -131,6 +150,8 @@
         self.idle_order.set(next_idle_order());
         self.set_part(&self.body, 0);
         if let Some(reader) = self.paused_reader.take() {
+            let unread = 2 * RECEIVE_BUFFER_BYTES as usize;
+            self.set_part(&self.input, self.input.get().saturating_sub(unread));
             reader.wake();
         }
     }
@@ -141,8 +162,7 @@
         match self.stage.get() {
             HolderStage::Receiving { .. } => {}
             HolderStage::Idle | HolderStage::Busy | HolderStage::Ending => {
-                // What doesn't fit is refused when the head is complete.
-                let _fits = self.set_part(&self.input, self.input.get() + bytes);
+                self.set_part(&self.input, self.input.get() + bytes);
             }
         }
     }
@@ -154,12 +174,14 @@
         if written == size && held == 0 {
             return;
         }
-        if written > 0 || held == 0 {
+        if held == 0 {
+            self.pace.set(MAX_PACE);
+            self.paced_at.set(Instant::now());
+        } else if written > 0 {
             self.record_progress(written);
         }
         let held = if written == size { 0 } else { held.max(size) };
-        // The answer of a finished request has no other place; the slowest reader is ended.
-        let _fits = self.set_part(&self.output, held);
+        self.set_part(&self.output, held);
     }
 
     /// Records progress of the body; see [`crate::BodyLease::extend`].
@@ -169,12 +191,19 @@
             HolderStage::Receiving { chunked: true } => CHUNK_QUEUE_BYTES,
             _ => 0,
         };
-        self.set_part(&self.body, capacity + queue)
+        let bytes = capacity + queue;
+        let old = self.body.replace(bytes);
+        let kind = match capacity {
+            ..=SMALL_BYTES => ChargeKind::Small,
+            _ => ChargeKind::Body,
+        };
+        let is_closed = self.is_closed.get();
+        is_closed || change_bytes(self, old, bytes, kind) || kind == ChargeKind::Small
     }
 
     fn record_progress(&self, bytes: usize) {
         let now = Instant::now();
-        self.pace.set(self.pace(now) + bytes as f64);
+        self.pace.set((self.pace(now) + bytes as f64).min(MAX_PACE));
         self.paced_at.set(now);
     }
 
@@ -189,7 +218,7 @@
         match self.stage.get() {
             HolderStage::Receiving { .. } => true,
             HolderStage::Idle => self.input.get() > 0 || self.output.get() > 0,
-            HolderStage::Busy | HolderStage::Ending => self.output.get() > 0,
+            HolderStage::Busy | HolderStage::Ending => self.output.get() > 0 || self.is_paused(),
         }
     }
 
@@ -205,7 +234,7 @@
             None
         } else if self.is_transferring() {
             let pace = self.pace(now);
-            let class = if pace < FIRST_PACE { 0 } else { 2 };
+            let class = if pace < SLOW_PACE { 0 } else { 2 };
             Some(HolderRank { class, value: pace })
         } else {
             self.is_idle().then(|| HolderRank {
@@ -252,9 +281,19 @@
         }
     }
 
-    /// Wakes a task once the present request has ended.
+    /// Wakes a task once the present request has ended. Until then, the connection's receive buffer is
+    /// on the account too.
     pub(crate) fn pause_reader(&self, waker: &Waker) {
-        *self.paused_reader.borrow_mut() = Some(waker.clone());
+        let former = self.paused_reader.replace(Some(waker.clone()));
+        if former.is_none() {
+            let held = self.input.get() + 2 * RECEIVE_BUFFER_BYTES as usize;
+            self.set_part(&self.input, held);
+        }
+    }
+
+    /// Returns whether the connection sends more than is read before the present answer.
+    fn is_paused(&self) -> bool {
+        self.paused_reader.borrow().is_some()
     }
 }
 
--- a/exchange/src/memory_account.rs
+++ b/exchange/src/memory_account.rs
@@ -18,6 +18,9 @@
 /// Share of a process's memory limit that the account may fill. The rest is for the program, for
 /// copies that exist for a moment, and for memory that the allocator can't reuse at once.
 const ACCOUNT_SHARE: usize = 3;
+/// Part of the account that large bodies don't fill, so that small requests get through while others
+/// with large bodies wait for their answers.
+const RESERVE: usize = 4;
 /// Memory limit of a process whose settings name none, in bytes.
 const DEFAULT_MEMORY_LIMIT: usize = 512 * 1024 * 1024;
 /// Bytes of an open connection: two buffers of the server library with 8 KiB each, its state and
@@ -117,20 +120,21 @@
         holder.end();
     }
 
-    /// Ends holders until the others fit; returns false if they don't and no other can be ended.
-    fn make_room(&mut self) -> bool {
+    /// Ends holders until the others fit; returns false if they don't and none can be ended, or if
+    /// the next one would be `kept`, which is refused instead.
+    fn make_room(&mut self, limit: usize, kept: Option<u64>) -> bool {
         let now = Instant::now();
-        while self.held.saturating_sub(self.ending) > self.limit {
+        while self.held.saturating_sub(self.ending) > limit {
             let worst = self
                 .holders
                 .iter()
                 .filter_map(|holder| Some((holder.memory_rank(now)?, holder)))
                 .min_by(|(left, _), (right, _)| left.total_cmp(right))
                 .map(|(_, holder)| Rc::clone(holder));
-            let Some(worst) = worst else {
-                return false;
-            };
-            self.end(&worst, EndCause::Memory);
+            match worst {
+                Some(worst) if Some(worst.id) != kept => self.end(&worst, EndCause::Memory),
+                _ => return false,
+            }
         }
         true
     }
@@ -140,9 +144,26 @@
     }
 }
 
+/// How bytes of a holder are put on the account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ChargeKind {
+    /// Small bytes, for which other holders are ended, but not this one.
+    Small,
+    /// Bytes for which the holder itself may be ended.
+    Large,
+    /// Bytes of a large body, which is refused if they don't fit in the part of the account that is
+    /// not reserved for small ones.
+    Body,
+}
+
 /// Changes the bytes of a holder from `old` to `new`. Returns false if they don't fit and no holder
 /// can be ended for them; they are on the account in any case.
-pub(crate) fn change_bytes(holder: &MemoryHolder, old: usize, new: usize) -> bool {
+pub(crate) fn change_bytes(
+    holder: &MemoryHolder,
+    old: usize,
+    new: usize,
+    kind: ChargeKind,
+) -> bool {
     if old == new {
         return true;
     }
@@ -151,7 +172,12 @@
         if holder.is_ending() {
             account.ending = account.ending + new - old;
         }
-        new < old || account.held <= account.limit || account.make_room()
+        let (limit, kept) = match kind {
+            ChargeKind::Small => (account.limit, Some(holder.id)),
+            ChargeKind::Large => (account.limit, None),
+            ChargeKind::Body => (account.limit - account.limit / RESERVE, Some(holder.id)),
+        };
+        new < old || account.held <= limit || account.make_room(limit, kept)
     })
 }
 
@@ -170,8 +196,10 @@
             account.next_id += 1;
             account.held += CONNECTION_BYTES;
             account.holders.push(Rc::clone(&holder));
-            // A connection that doesn't fit is refused with its first body.
-            let _fits = account.held <= account.limit || account.make_room();
+            // Others are closed for it; if all of them wait for answers, it may still send a small
+            // request.
+            let (limit, kept) = (account.limit, Some(holder.id));
+            let _fits = account.held <= limit || account.make_room(limit, kept);
             holder
         });
         Self { holder }
@@ -211,6 +239,7 @@
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
             .map(|(_, holder)| Rc::clone(holder));
         let Some(worst) = worst else {
+            account.counts.closed_for_connections += 1;
             return false;
         };
         account.end(&worst, EndCause::Connections);
@@ -262,7 +291,7 @@
             account.held += more;
             self.bytes += more;
             // Answers have a limit of their own, which leaves room on the account.
-            let _fits = account.held <= account.limit || account.make_room();
+            let _fits = account.held <= account.limit || account.make_room(account.limit, None);
             true
         })
     }
@@ -294,7 +323,7 @@
         if bytes > 0 {
             ACCOUNT.with_borrow_mut(|account| {
                 account.held += bytes;
-                let _fits = account.held <= account.limit || account.make_room();
+                let _fits = account.held <= account.limit || account.make_room(account.limit, None);
             });
         }
         Self { bytes }
--- a/exchange/src/socket.rs
+++ b/exchange/src/socket.rs
@@ -10,6 +10,11 @@
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
 
+/// Size of the receive buffer of a connection that is accepted. The kernel reserves twice as much, its
+/// usual size at first, and would otherwise let it grow to megabytes, which count towards the memory
+/// of the process while they are unread.
+pub(crate) const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+
 /// Socket options by which a connection detects that its peer is unreachable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkOptions {
@@ -63,6 +68,7 @@
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(address)?;
     socket.listen(ACCEPT_BACKLOG)
 }
