--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod caller_listener;
 mod control;
 mod engine_driver;
+mod host_limits;
 mod metrics_listener;
 mod peer_call;
 mod pool;
--- a/daemon/src/relay/settings_watch.rs
+++ b/daemon/src/relay/settings_watch.rs
@@ -212,6 +212,11 @@
                 "evacuation.apply_time",
                 old.evacuation_time != new.evacuation_time,
             ),
+            ("memory_limit", old.memory_limit_mb != new.memory_limit_mb),
+            (
+                "descriptor_limit",
+                old.descriptor_limit != new.descriptor_limit,
+            ),
             ("clock_behind", old.clock_behind != new.clock_behind),
             ("log", old.log != new.log),
         ];
