--- a/daemon/src/relay/request_body.rs
+++ b/daemon/src/relay/request_body.rs
@@ -25,10 +25,15 @@
     /// Takes over the payload of a request.
     pub(super) fn take(request: &mut Request) -> Self {
         let payload = request.take_payload();
-        let is_empty = matches!(payload, Payload::None);
-        Self {
-            unread: (!is_empty).then_some(payload),
-            lease: BodyLease::of(request),
+        match payload {
+            Payload::None => Self {
+                unread: None,
+                lease: BodyLease::default(),
+            },
+            payload => Self {
+                unread: Some(payload),
+                lease: BodyLease::of(request),
+            },
         }
     }
 
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -161,7 +161,7 @@
     FieldSpec {
         name: "memory_limit",
         kind: FieldKind::Number {
-            min: 32.0,
+            min: 1.0,
             max: 1_000_000.0,
         },
         default: FieldDefault::Value("512"),
@@ -170,7 +170,7 @@
     FieldSpec {
         name: "descriptor_limit",
         kind: FieldKind::Number {
-            min: 300.0,
+            min: 1.0,
             max: 10_000_000.0,
         },
         default: FieldDefault::Value("8192"),
--- a/settings/tests/relay.rs
+++ b/settings/tests/relay.rs
@@ -55,6 +55,13 @@
 cases! {
     a_whole_stop_time_is_accepted:
         is_accepted("bounds.grace_s", "7", |settings| settings.stop_timeout == ms(7000));
+    a_fractional_memory_limit_is_accepted:
+        is_accepted("limits.memory_mb", "160.5", |settings| settings.memory_limit_mb == 160);
+    a_small_memory_limit_is_accepted:
+        is_accepted("limits.memory_mb", "16", |settings| settings.memory_limit_mb == 16);
+    a_descriptor_limit_with_a_decimal_point_is_accepted:
+        is_accepted("limits.max_fds", "4100.0", |settings| settings.descriptor_limit == 4100);
+    a_memory_limit_that_is_no_number_is_refused: is_refused("limits.memory_mb", "much");
     a_fractional_stop_time_is_accepted:
         is_accepted("bounds.grace_s", "6.5", |settings| settings.stop_timeout == ms(6500));
     a_stop_time_below_a_second_is_accepted:
