relay: admission control, first version

Cause: with more load than the targets can serve, every request is sent, its legs wait in queues or are rejected, and most answers are late or lack too many legs.

Change: each target has an estimate of the time by which attempts exceed the typical latency, and of its rejections. A request is admitted with a share that falls as the expected time of its slowest necessary leg approaches the latency aim; a less urgent request also follows the pressure on the more urgent routes that use the same services. Hedges stop at services whose targets are all slow or full.

--- a/core/benches/relay.rs
+++ b/core/benches/relay.rs
@@ -7,9 +7,9 @@
 use criterion::{BenchmarkId, Criterion, Throughput};
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry};
 use yuccalift_core::relay::{
-    AttemptKey, MergeRule, RelayAction, RelayEngine, RelayEvent, RelayOptions, RelayRequest,
-    RelayTuning, RepeatKind, RequestKey, RouteDestination, RouteEntry, RouteTable, SelfReport,
-    TargetOutcome, TargetPhase, TargetRecord, TargetReply,
+    AdmissionMode, AttemptKey, MergeRule, RelayAction, RelayEngine, RelayEvent, RelayOptions,
+    RelayRequest, RelayTuning, RepeatKind, RequestKey, RouteDestination, RouteEntry, RouteTable,
+    SelfReport, TargetOutcome, TargetPhase, TargetRecord, TargetReply,
 };
 
 /// Number of targets of each service.
@@ -98,6 +98,7 @@
             retry_share: 0.2,
             retry_window: Duration::from_secs(10),
             drain_time: Duration::from_secs(3),
+            admission: AdmissionMode::Off,
         },
     }
 }
--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -122,6 +122,8 @@
     Rejected,
     /// The deadline is too close for any target to answer.
     NoTime,
+    /// The request was not admitted, since its targets are under pressure.
+    Overload,
     /// The request has crashed targets and is quarantined.
     Quarantined,
 }
@@ -134,6 +136,7 @@
             Self::NoCapacity => "no_room",
             Self::Rejected => "rejected",
             Self::NoTime => "no_time",
+            Self::Overload => "overload",
             Self::Quarantined => "quarantined",
         }
     }
--- a/core/src/relay/hedging.rs
+++ b/core/src/relay/hedging.rs
@@ -157,6 +157,7 @@
         let suspected = self.suspicion.table.is_suspected(state.fingerprint);
         if suspected
             || leg.tried.contains(&target)
+            || self.is_pressed(now, &state.route, &leg.service)
             || !self.reserve_attempt(now, request, leg_index)
         {
             return None;
--- a/core/src/relay/latencies.rs
+++ b/core/src/relay/latencies.rs
@@ -29,6 +29,12 @@
         self.entries[index].1.record(took);
     }
 
+    /// Returns whether there are enough samples of the route.
+    pub(super) fn is_known(&self, route: &RouteEntry) -> bool {
+        let histogram = self.find(&route.name);
+        histogram.is_some_and(|histogram| histogram.quantiles().is_some())
+    }
+
     /// Returns the median latency of an attempt on the route.
     pub(super) fn typical(&self, route: &RouteEntry) -> Duration {
         self.find(&route.name)
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -18,6 +18,7 @@
 //!   get a request now.
 //! - `idle_links`: the idle connections to each target.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the stages of request processing.
+//! - [`admission`]: overload control, before anything of a request is sent.
 //! - `probing`: connection probes of targets that may be unreachable.
 //! - `suspicion`: detection of requests that crash their targets.
 //! - `budget`: the retry budget of each service.
@@ -29,6 +30,7 @@
 //! See `docs/PLATFORM.md`.
 
 pub mod action;
+pub mod admission;
 mod budget;
 mod choice;
 mod directory;
@@ -62,6 +64,7 @@
 pub use action::{
     AttemptOrder, ProbeOrder, RefusalCause, RelayAction, RelayAnswer, RelayDecision, RelayRefusal,
 };
+pub use admission::AdmissionMode;
 pub use event::{ProbeOutcome, RelayEvent, RelayRequest, TargetOutcome, TargetReply};
 pub use idle_policy::IdlePolicy;
 pub use link_history::LinkHistory;
@@ -70,6 +73,7 @@
 pub use target_hold::HoldChange;
 pub use target_record::{TargetPhase, TargetRecord};
 
+use admission::AdmissionState;
 use latencies::RouteLatencies;
 use request::RequestTable;
 use service::ServiceTable;
@@ -106,6 +110,8 @@
     pub retry_window: Duration,
     /// How long a target keeps serving after it has announced that it is leaving.
     pub drain_time: Duration,
+    /// Whether requests are refused early while targets are under pressure.
+    pub admission: AdmissionMode,
 }
 
 /// The state and all decisions of the relay of one daemon.
@@ -117,6 +123,7 @@
     targets: RelayTargets,
     requests: RequestTable,
     latencies: RouteLatencies,
+    admission: AdmissionState,
     suspicion: SuspicionState,
     timers: TimerQueue,
     /// Time of the last [`RelayEvent::Paused`]; delays that began earlier are not reliable.
@@ -139,6 +146,7 @@
             targets: RelayTargets::default(),
             requests: RequestTable::default(),
             latencies: RouteLatencies::default(),
+            admission: AdmissionState::default(),
             suspicion: SuspicionState::default(),
             timers: TimerQueue::default(),
             resumed_at: None,
@@ -218,6 +226,7 @@
         self.services
             .set_connection_limits(&table, self.daemon_count);
         self.latencies.retain(&table);
+        self.admission.retain(&table);
         self.routes = table;
     }
 
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -68,6 +68,19 @@
             return;
         };
         target.end_attempt(attempt.attempt);
+        match outcome {
+            TargetOutcome::Replied(_) if !paused => {
+                let delay = took.div_f64(attempt.link_factor);
+                let delay = delay.saturating_sub(attempt.typical);
+                target.response.record(now, delay);
+            }
+            TargetOutcome::Abandoned { sent: true } if took > attempt.typical && !paused => {
+                let delay = took.saturating_sub(attempt.typical);
+                target.response.record_unanswered(now, delay);
+            }
+            TargetOutcome::Rejected => target.response.record_rejection(now),
+            _ => {}
+        }
         let name = &target.record.name;
         match outcome {
             TargetOutcome::Replied(reply) if reply.is_success() => {
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -151,7 +151,7 @@
 }
 
 /// Returns the smallest number of services that satisfies `min_coverage`.
-fn min_count(services: usize, min_coverage: f64) -> usize {
+pub(super) fn min_count(services: usize, min_coverage: f64) -> usize {
     (0..=services)
         .find(|count| *count as f64 >= min_coverage * services as f64)
         .unwrap_or(services)
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -53,6 +53,13 @@
             });
             return;
         }
+        if let Some(refusal) = self.shed(now, &state) {
+            actions.push(RelayAction::Refuse {
+                request: key,
+                refusal,
+            });
+            return;
+        }
         for leg in &state.legs {
             let window = self.options.tuning.retry_window;
             self.services
@@ -187,7 +194,7 @@
 }
 
 /// Maps consecutive numbers to evenly distributed fractions from 0 to 1.
-fn golden_ratio_fraction(counter: u64) -> f64 {
+pub(super) fn golden_ratio_fraction(counter: u64) -> f64 {
     const GOLDEN_RATIO: f64 = 0.618_033_988_749_894_9;
     (counter as f64 * GOLDEN_RATIO).fract()
 }
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -4,6 +4,7 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use super::admission::ResponseEstimate;
 use super::idle_links::IdleLinks;
 use super::request::LiveAttempt;
 use super::target_hold::TargetHold;
@@ -83,6 +84,8 @@
     cold_until: Instant,
     /// Latency as a multiple of the route's typical latency; a factor of 1 is stored as one second.
     relative_latency: LatencyAverage,
+    /// Recent response times and rejections, for admission control.
+    pub(super) response: ResponseEstimate,
     failure_rate: f64,
     failure_updated_at: Option<Instant>,
     consecutive_failures: u32,
@@ -118,6 +121,7 @@
             last_sent: None,
             idle_links: IdleLinks::default(),
             relative_latency: LatencyAverage::default(),
+            response: ResponseEstimate::default(),
             failure_rate: 0.0,
             failure_updated_at: None,
             consecutive_failures: 0,
@@ -302,6 +306,16 @@
         }
     }
 
+    /// Returns by how much the oldest attempt in flight exceeds its typical latency; the time before
+    /// a pause is not counted.
+    pub(super) fn overdue_time(&self, now: Instant, resumed_at: Option<Instant>) -> Duration {
+        self.in_flight.first().map_or(Duration::ZERO, |oldest| {
+            let since = resumed_at.map_or(oldest.sent_at, |resumed| resumed.max(oldest.sent_at));
+            let age = now.saturating_duration_since(since);
+            age.saturating_sub(oldest.typical)
+        })
+    }
+
     /// Returns the age of the oldest attempt in flight as a multiple of its typical latency.
     fn oldest_relative_age(&self, now: Instant, resumed_at: Option<Instant>) -> f64 {
         let Some(oldest) = self.in_flight.first() else {
--- a/core/tests/relay/load.rs
+++ b/core/tests/relay/load.rs
@@ -2,20 +2,21 @@
 //! simulated time.
 
 use std::collections::VecDeque;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use yuccalift_core::relay::{
-    AttemptKey, AttemptOrder, RequestKey, RouteEntry, TargetOutcome, TargetRecord,
+    AttemptKey, AttemptOrder, RelayEvent, RequestKey, RouteEntry, TargetOutcome, TargetRecord,
 };
 
-use crate::support::{RelayHarness, TIMEOUT, success};
+use crate::support::{RelayHarness, RequestEnd, TIMEOUT, success};
 
 /// Step of the simulated time.
 const STEP: Duration = Duration::from_millis(1);
 /// Duration of an attempt at a target of normal speed.
-const WORK: std::ops::Range<Duration> = Duration::from_millis(8)..Duration::from_millis(22);
+const WORK: Range<Duration> = Duration::from_millis(8)..Duration::from_millis(22);
 
 /// A target that runs as many attempts concurrently as it has slots, and queues the others.
 #[derive(Debug)]
@@ -26,6 +27,10 @@
     pub slowdown: f64,
     /// Share of the attempts that are rejected at once.
     pub reject_share: f64,
+    /// Number of waiting attempts from which further ones are rejected as not run.
+    pub queue_limit: usize,
+    /// Number of attempts that were rejected because the queue was full.
+    pub rejections: usize,
     running: Vec<(Instant, SimulatedAttempt)>,
     queue: VecDeque<(SimulatedAttempt, Duration)>,
 }
@@ -43,6 +48,8 @@
             slots,
             slowdown: 1.0,
             reject_share: 0.0,
+            queue_limit: usize::MAX,
+            rejections: 0,
             running: Vec::new(),
             queue: VecDeque::new(),
         }
@@ -85,6 +92,10 @@
     sends_taken: usize,
     /// Number of the harness's cancellations that the simulation has processed.
     cancels_taken: usize,
+    /// Number of the harness's ends of requests that the simulation has passed on.
+    ends_taken: usize,
+    /// Work of the attempts of each request, by request key; [`WORK`] if it is not listed.
+    work: Vec<Range<Duration>>,
 }
 
 impl LoadSimulation {
@@ -99,13 +110,16 @@
         let simulated = targets
             .iter()
             .map(|target| SimulatedTarget::new(&target.name, slots));
-        let daemons = (0..daemons).map(|_| {
-            let mut harness = RelayHarness::new(routes.to_vec(), targets.to_vec());
+        let daemons = (0..daemons).map(|number| {
+            let host = format!("entry-{number}");
+            let mut harness = RelayHarness::on_host(&host, routes.to_vec(), targets.to_vec());
             harness.now = now;
             SimulatedDaemon {
                 harness,
                 sends_taken: 0,
                 cancels_taken: 0,
+                ends_taken: 0,
+                work: Vec::new(),
             }
         });
         Self {
@@ -116,6 +130,47 @@
         }
     }
 
+    /// Passes an event to all daemons.
+    pub fn feed_all(&mut self, event: &RelayEvent) {
+        for daemon in &mut self.daemons {
+            daemon.harness.feed(event.clone());
+        }
+    }
+
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Submits a request to a daemon; each of its attempts takes a time drawn from `work`.
+    pub fn submit(
+        &mut self,
+        daemon_index: usize,
+        route: &str,
+        time_left: Duration,
+        work: Range<Duration>,
+    ) -> RequestKey {
+        let daemon = &mut self.daemons[daemon_index];
+        // Keys are assigned in sequence, from 1.
+        daemon.work.push(work);
+        daemon.harness.submit(route, time_left)
+    }
+
+    /// Returns the ends of requests since the last call, each with the index of its daemon.
+    pub fn take_ends(&mut self) -> Vec<(usize, RequestEnd)> {
+        let mut ends = Vec::new();
+        for (daemon_index, daemon) in self.daemons.iter_mut().enumerate() {
+            let new = &daemon.harness.ends[daemon.ends_taken..];
+            ends.extend(new.iter().map(|end| (daemon_index, end.clone())));
+            daemon.ends_taken = daemon.harness.ends.len();
+        }
+        ends
+    }
+
+    /// Returns the numbers of attempts that the daemons have sent.
+    pub fn attempts(&self) -> usize {
+        self.daemons.iter().map(|daemon| daemon.sends_taken).sum()
+    }
+
     /// Returns the simulated target with the given name.
     pub fn target(&mut self, name: &str) -> &mut SimulatedTarget {
         let mut targets = self.targets.iter_mut();
@@ -153,7 +208,8 @@
         }
     }
 
-    fn step(&mut self) {
+    /// Advances the simulated time by one step.
+    pub fn step(&mut self) {
         self.now += STEP;
         for daemon_index in 0..self.daemons.len() {
             self.apply_actions(daemon_index);
@@ -184,11 +240,17 @@
     }
 
     fn enqueue(&mut self, daemon_index: usize, order: &AttemptOrder) {
-        let work = self.rng.random_range(WORK);
+        let known = self.daemons[daemon_index]
+            .work
+            .get(order.request as usize - 1);
+        let work = known.cloned().unwrap_or(WORK);
+        let work = self.rng.random_range(work);
         let sample = self.rng.random::<f64>();
         let now = self.now;
         let target = self.target(&order.name);
-        if sample < target.reject_share {
+        let is_full = target.queue.len() >= target.queue_limit;
+        target.rejections += usize::from(is_full);
+        if is_full || sample < target.reject_share {
             let harness = &mut self.daemons[daemon_index].harness;
             harness.end(order.attempt, TargetOutcome::Rejected);
             return;
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod forwarding;
 mod gathering;
+mod goodput;
 mod hedging;
 mod holds;
 mod idle_links;
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -6,10 +6,10 @@
 use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry, WeightedService};
 use yuccalift_core::relay::{
-    AttemptKey, AttemptOrder, MergeRule, ProbeOrder, RelayAction, RelayAnswer, RelayDecision,
-    RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RelayTuning, RepeatKind,
-    RequestKey, RouteDestination, RouteEntry, RouteTable, SelfReport, TargetOutcome, TargetPhase,
-    TargetRecord, TargetReply,
+    AdmissionMode, AttemptKey, AttemptOrder, MergeRule, ProbeOrder, RelayAction, RelayAnswer,
+    RelayDecision, RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RelayTuning,
+    RepeatKind, RequestKey, RouteDestination, RouteEntry, RouteTable, SelfReport, TargetOutcome,
+    TargetPhase, TargetRecord, TargetReply,
 };
 
 pub const LATENCY_AIM: Duration = Duration::from_millis(100);
@@ -17,10 +17,20 @@
 pub const DRAIN_TIME: Duration = Duration::from_secs(3);
 
 /// Returns a duration of the given number of milliseconds.
-pub fn ms(number: u64) -> Duration {
+pub const fn ms(number: u64) -> Duration {
     Duration::from_millis(number)
 }
 
+/// Returns the options of the tests, with this admission of requests.
+pub fn tuning(admission: AdmissionMode) -> RelayTuning {
+    RelayTuning {
+        retry_share: 0.2,
+        retry_window: Duration::from_secs(10),
+        drain_time: DRAIN_TIME,
+        admission,
+    }
+}
+
 /// Creates a route to one service.
 pub fn forward_route(service: &str, repeat: RepeatKind, attempts: u32) -> RouteEntry {
     RouteEntry {
@@ -125,11 +135,7 @@
             engine: RelayEngine::new(RelayOptions {
                 host: host.into(),
                 data_centre: "here".into(),
-                tuning: RelayTuning {
-                    retry_share: 0.2,
-                    retry_window: Duration::from_secs(10),
-                    drain_time: DRAIN_TIME,
-                },
+                tuning: tuning(AdmissionMode::Off),
             }),
             now: Instant::now(),
             sends: Vec::new(),
--- a/daemon/src/relay/settings_watch.rs
+++ b/daemon/src/relay/settings_watch.rs
@@ -159,6 +159,7 @@
         retry_share: settings.retry_share,
         retry_window: settings.retry_window,
         drain_time: settings.drain_time,
+        admission: settings.admission,
     }
 }
 
@@ -180,6 +181,7 @@
                 "retries.share",
                 old.retry_share.to_bits() != new.retry_share.to_bits(),
             ),
+            ("overload.admission", old.admission != new.admission),
             ("retries.window", old.retry_window != new.retry_window),
             ("stop_timeout", old.stop_timeout != new.stop_timeout),
         ];
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -5,6 +5,7 @@
 
 use yuccalift_core::control::call_budget::PlatformCallRate;
 use yuccalift_core::ids::{DataCentreName, HostName};
+use yuccalift_core::relay::AdmissionMode;
 
 use crate::daemon::LogSettings;
 use crate::daemon_file::{LOG_FORMAT, LOG_LEVEL, build_log_settings};
@@ -16,6 +17,8 @@
 const READINESS: &str = "listen.readiness";
 const PEERS: &str = "listen.peers";
 const METRICS: &str = "listen.metrics";
+const ADMISSION: &str = "overload.admission";
+const ADMISSION_MODES: &[&str] = &["adaptive", "off"];
 
 /// Minimum number of calls per second that the store grants each daemon. The size of the fleet is
 /// not published, but the call rate of its store grows with it: existing sites grant 67 or more per
@@ -51,6 +54,8 @@
     pub retry_share: f64,
     /// Window over which [`retry_share`](Self::retry_share) is measured.
     pub retry_window: Duration,
+    /// Whether requests are refused early while targets are under pressure.
+    pub admission: AdmissionMode,
     /// Maximum duration of a graceful stop; the process exits when it has passed.
     pub stop_timeout: Duration,
     /// Offset subtracted from the time of day, with which soak tests simulate a wrong host clock.
@@ -145,6 +150,12 @@
         default: FieldDefault::Value("10s"),
         help: "window over which the retry share is measured",
     },
+    FieldSpec {
+        name: ADMISSION,
+        kind: FieldKind::Choice(ADMISSION_MODES),
+        default: FieldDefault::Value("off"),
+        help: "whether requests are refused early while targets are under pressure",
+    },
     FieldSpec {
         name: "stop_timeout",
         kind: FieldKind::Duration {
@@ -197,6 +208,10 @@
         drain_time: reader.duration("drain_time")?,
         retry_share: reader.number("retries.share")?,
         retry_window: reader.duration("retries.window")?,
+        admission: match reader.text(ADMISSION)?.as_ref() {
+            "adaptive" => AdmissionMode::Adaptive,
+            _ => AdmissionMode::Off,
+        },
         stop_timeout: reader.duration("stop_timeout")?,
         clock_behind: reader.duration("clock_behind")?,
         log: build_log_settings(reader)?,
