relay: pace slow targets, and send parked legs that can be answered in time first

Cause: with half of the targets slow, the queue of a slow target stays full as long as every daemon keeps an attempt there, and the oldest legs, which are late already, were sent first.

Change: after an attempt that exceeded the typical latency by more than 0.3 of the aim, or that was rejected, a daemon pauses before the next send to that target. Parked legs that can still be answered in time go first. The curve of the admitted share counts the slowest leg as twice the average one.

--- a/core/src/relay/admission.rs
+++ b/core/src/relay/admission.rs
@@ -13,20 +13,35 @@
 use super::RelayEngine;
 use super::action::{RefusalCause, RelayRefusal};
 use super::choice::TargetChoice;
-use super::request::{RequestState, min_count};
+use super::event::TargetOutcome;
+use super::request::{LiveAttempt, RequestState, min_count};
 use super::route::{RouteDestination, RouteEntry, RouteTable};
-use super::service::ServiceState;
+use super::service::{ParkedLeg, ServiceState};
 use super::submit::{golden_ratio_fraction, response_due};
 use super::target::RelayTarget;
+use super::timers::TimerKind;
 
 /// Weight of a new response time or rejection in a target's moving averages.
-const SAMPLE_WEIGHT: f64 = 0.35;
+const SAMPLE_WEIGHT: f64 = 0.5;
 /// Half-life of a target's estimate without new samples, in seconds.
-const ESTIMATE_HALF_LIFE_SECONDS: f64 = 0.8;
+const ESTIMATE_HALF_LIFE_SECONDS: f64 = 2.0;
 /// Pressure up to which all requests are admitted.
-const FULL_PRESSURE: f64 = 0.45;
+const FULL_PRESSURE: f64 = 0.55;
 /// Pressure from which only the remainder is admitted.
-const REMAINDER_PRESSURE: f64 = 0.95;
+const REMAINDER_PRESSURE: f64 = 1.0;
+/// Ratio of the expected time of a merged request to that of one leg: the slowest of many legs
+/// takes longer than the average that is estimated, and the estimate is older than the load.
+const SLOWEST_LEG_FACTOR: f64 = 2.0;
+/// Share of the latency aim by which an attempt may exceed the typical latency before further sends
+/// to its target are delayed.
+const PACED_DELAY_SHARE: f64 = 0.3;
+/// Delay of further sends to a target that rejected an attempt.
+const REJECTED_PACE: Duration = Duration::from_millis(20);
+/// Pause after a slow attempt, as a multiple of its delay and of the ratio by which the delay exceeds
+/// what is allowed. With 0.4 the queues at slow targets stayed full.
+const PACE_FACTOR: f64 = 1.0;
+/// Maximum delay of further sends to a target.
+const MAX_PACE: Duration = Duration::from_millis(600);
 /// Share of requests that is always admitted, so that recovery is noticed.
 const REMAINDER_SHARE: f64 = 0.11;
 /// Increase of the pressure of a more urgent route, for each rank, when it decides about a less
@@ -37,6 +52,10 @@
 /// Number of recent requests from which a route counts as in use; less than one, counted with the
 /// half-life of the counts.
 const MIN_OFFERED: f64 = 0.25;
+/// Time that a parked leg needs to be answered in time, as a multiple of the typical latency. It does
+/// not follow the measured delay: with full queues no leg would seem to be in time, and the oldest
+/// would be sent first, all of them late.
+const IN_TIME_FACTOR: f64 = 4.0;
 /// Least time that a request is compared with.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
 /// Minimum share of a kind that is admitted, relative to the share of all requests; a quarter is
@@ -292,7 +311,7 @@
             .map(|outlook| outlook.rejected_share * outlook.rejected_share)
             .sum();
         let rejected = rejected / (may_omit as f64 + REJECTED_LEGS);
-        ((usual + slowest) / due).max(rejected)
+        ((usual + slowest) * SLOWEST_LEG_FACTOR / due).max(rejected)
     }
 
     /// Returns what a leg would meet if it were sent now; nothing if no target is usable.
@@ -353,6 +372,85 @@
         }
     }
 
+    /// Records the response time or rejection of an attempt that has ended, and delays further sends
+    /// to its target if it is slow or full.
+    pub(super) fn record_response(
+        &mut self,
+        now: Instant,
+        attempt: &LiveAttempt,
+        outcome: &TargetOutcome,
+        took: Duration,
+    ) {
+        let link_factor = match outcome {
+            TargetOutcome::Replied(_) => attempt.link_factor,
+            _ => 1.0,
+        };
+        let delay = took.div_f64(link_factor).saturating_sub(attempt.typical);
+        let pace = match outcome {
+            TargetOutcome::Rejected => self.pace(attempt, MAX_PACE).min(REJECTED_PACE),
+            _ => self.pace(attempt, delay),
+        };
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
+        match outcome {
+            TargetOutcome::Replied(_) => target.response.record(now, delay),
+            TargetOutcome::Rejected => target.response.record_rejection(now),
+            TargetOutcome::Abandoned { sent: true } => {
+                target.response.record_unanswered(now, delay);
+            }
+            TargetOutcome::Abandoned { sent: false }
+            | TargetOutcome::Misdirected
+            | TargetOutcome::NotSent
+            | TargetOutcome::Lost
+            | TargetOutcome::Garbled => return,
+        }
+        if !pace.is_zero() {
+            let until = now + pace;
+            target.paced_until = target.paced_until.max(Some(until));
+            let kind = TimerKind::Paced {
+                target: attempt.target,
+            };
+            self.timers.add(until, kind);
+        }
+    }
+
+    /// Returns how long no further attempt is sent to a target after an attempt that exceeded its
+    /// typical latency by `delay`. The pauses of all daemons together shorten the target's queue:
+    /// requests then wait in the daemons, where they can be ordered.
+    pub(super) fn pace(&self, attempt: &LiveAttempt, delay: Duration) -> Duration {
+        match self.options.tuning.admission {
+            AdmissionMode::Off => return Duration::ZERO,
+            AdmissionMode::Adaptive => {}
+        }
+        let Some(state) = self.requests.get(attempt.request) else {
+            return Duration::ZERO;
+        };
+        let allowed = state.route.latency_aim.mul_f64(PACED_DELAY_SHARE);
+        let excess = delay.saturating_sub(allowed).as_secs_f64();
+        let excess = excess / allowed.max(MIN_TIME_LEFT).as_secs_f64();
+        delay.mul_f64(excess * PACE_FACTOR).min(MAX_PACE)
+    }
+
+    /// Returns the parked leg of a service that is sent next: the first one that can still be
+    /// answered in time, or else the first one.
+    pub(super) fn next_parked(&self, now: Instant, service: &str) -> Option<ParkedLeg> {
+        let service = self.services.get(service)?;
+        let first = service.parked.first().copied();
+        match self.options.tuning.admission {
+            AdmissionMode::Off => return first,
+            AdmissionMode::Adaptive => {}
+        }
+        let in_time = service.parked.iter().find(|parked| {
+            self.requests.get(parked.request).is_none_or(|state| {
+                let usual = self.latencies.typical(&state.route);
+                now + usual.mul_f64(IN_TIME_FACTOR)
+                    <= response_due(state.arrived_at, state.route.latency_aim)
+            })
+        });
+        in_time.copied().or(first)
+    }
+
     /// Returns whether all usable targets of a service are slow or full, so that a hedge would only
     /// add to their load.
     pub(super) fn is_pressed(&self, now: Instant, route: &RouteEntry, service: &str) -> bool {
--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -71,7 +71,8 @@
                     continue;
                 }
             }
-            if target.in_flight.len() >= service.in_flight_limit as usize {
+            let is_paced = target.paced_until.is_some_and(|until| now < until);
+            if is_paced || target.in_flight.len() >= service.in_flight_limit as usize {
                 any_ready_full |= tier == CandidateTier::Ready;
                 continue;
             }
--- a/core/src/relay/dispatch.rs
+++ b/core/src/relay/dispatch.rs
@@ -227,11 +227,7 @@
         actions: &mut Vec<RelayAction>,
     ) {
         loop {
-            let Some(entry) = self
-                .services
-                .get(service)
-                .and_then(|service| service.parked.first().copied())
-            else {
+            let Some(entry) = self.next_parked(now, service) else {
                 return;
             };
             let state = self.requests.get(entry.request);
@@ -244,7 +240,7 @@
                 return;
             }
             if let Some(service) = self.services.get_mut(service) {
-                service.parked.remove(0);
+                service.parked.retain(|parked| *parked != entry);
             }
             match choice {
                 Some(TargetChoice::Send(_)) => {
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -248,6 +248,7 @@
                 TimerKind::Retry { request, leg_index } => {
                     self.retry_leg(now, request, leg_index, actions);
                 }
+                TimerKind::Paced { target } => self.dispatch_parked_to(now, target, actions),
                 TimerKind::Probe { target } => self.probe_if_due(now, target, actions),
                 TimerKind::Departure { target } => self.end_departure(now, target, actions),
             }
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -7,7 +7,7 @@
 use super::request::{AttemptDisposition, LegStage, LiveAttempt};
 use super::target::ListingState;
 use super::timers::TimerKind;
-use super::{AttemptKey, RelayEngine, RequestKey};
+use super::{AttemptKey, RelayEngine, RequestKey, TargetKey};
 
 /// Maximum time that a surplus attempt may run, counted from its start; half a second of useless
 /// work is too much.
@@ -44,7 +44,17 @@
         attempt: &LiveAttempt,
         actions: &mut Vec<RelayAction>,
     ) {
-        let service = self.targets.get(attempt.target);
+        self.dispatch_parked_to(now, attempt.target, actions);
+    }
+
+    /// Sends the parked legs of a target's service while its targets have capacity.
+    pub(super) fn dispatch_parked_to(
+        &mut self,
+        now: Instant,
+        target: TargetKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let service = self.targets.get(target);
         let Some(service) = service.map(|target| target.record.service.clone()) else {
             return;
         };
@@ -68,19 +78,12 @@
             return;
         };
         target.end_attempt(attempt.attempt);
-        match outcome {
-            TargetOutcome::Replied(_) if !paused => {
-                let delay = took.div_f64(attempt.link_factor);
-                let delay = delay.saturating_sub(attempt.typical);
-                target.response.record(now, delay);
-            }
-            TargetOutcome::Abandoned { sent: true } if took > attempt.typical && !paused => {
-                let delay = took.saturating_sub(attempt.typical);
-                target.response.record_unanswered(now, delay);
-            }
-            TargetOutcome::Rejected => target.response.record_rejection(now),
-            _ => {}
+        if !paused {
+            self.record_response(now, attempt, outcome, took);
         }
+        let Some(target) = self.targets.get_mut(attempt.target) else {
+            return;
+        };
         let name = &target.record.name;
         match outcome {
             TargetOutcome::Replied(reply) if reply.is_success() => {
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -86,6 +86,8 @@
     relative_latency: LatencyAverage,
     /// Recent response times and rejections, for admission control.
     pub(super) response: ResponseEstimate,
+    /// Time until which no further attempt is sent, since the target is slow or full.
+    pub(super) paced_until: Option<Instant>,
     failure_rate: f64,
     failure_updated_at: Option<Instant>,
     consecutive_failures: u32,
@@ -122,6 +124,7 @@
             idle_links: IdleLinks::default(),
             relative_latency: LatencyAverage::default(),
             response: ResponseEstimate::default(),
+            paced_until: None,
             failure_rate: 0.0,
             failure_updated_at: None,
             consecutive_failures: 0,
--- a/core/src/relay/timers.rs
+++ b/core/src/relay/timers.rs
@@ -24,6 +24,8 @@
         request: RequestKey,
         leg_index: usize,
     },
+    /// Send parked legs to a target that was paced.
+    Paced { target: TargetKey },
     /// Probe an unreachable target.
     Probe { target: TargetKey },
     /// Remove a target that has left.
