relay: tell slow service from waiting, and let less urgent kinds give way

Change: the estimate of a target holds its delay, the deviation of it, and the delay relative to the typical latency; the lesser of a fixed and a proportional delay is expected. All requests are admitted up to a pressure of 0.6. The pressure of a more urgent kind counts for a less urgent one as far as the work of the latter matters, and an urgent kind is shed after the kinds that can give way to it. Targets are paced only while all targets of the service are slow or full. Event 651 names the service that causes the refusals, and the metric relay.shed counts them.

--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -204,6 +204,17 @@
         /// The reason for which the service is missing.
         reason: &'static str,
     },
+    /// Requests of a route were not admitted. Logged at most once a second for each route.
+    Shed {
+        /// Name of the route.
+        route: Box<str>,
+        /// Name of the service whose targets put the route under pressure; empty if it is unknown.
+        service: Box<str>,
+        /// Number of requests that were not admitted since the last such decision.
+        requests: u32,
+        /// The pressure; 1 means that the latency aim is used up.
+        pressure: f64,
+    },
     /// A target failed and receives no requests for a while.
     Suspended {
         /// Name of the suspended target.
--- a/core/src/relay/admission.rs
+++ b/core/src/relay/admission.rs
@@ -1,9 +1,9 @@
 //! Decides which requests are admitted while targets are under pressure.
 //!
-//! Each target has a [`ResponseEstimate`]: its recent response times and rejections. The expected
+//! Each target has a `ResponseEstimate`: its recent response times and rejections. The expected
 //! time of a request is that of its slowest necessary leg, at the target that the leg would be sent
 //! to now. The share of admitted requests falls as this time approaches the latency aim of the
-//! route; see `docs/design/overload.md`.
+//! route. Owns the counts of admitted requests by route. See `docs/design/overload.md`.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,66 +11,41 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::RelayEngine;
-use super::action::{RefusalCause, RelayRefusal};
+use super::action::{RefusalCause, RelayAction, RelayDecision, RelayRefusal};
 use super::choice::TargetChoice;
-use super::event::TargetOutcome;
-use super::request::{LiveAttempt, RequestState, min_count};
+use super::request::{RequestState, min_count};
+use super::response_estimate::ResponseEstimate;
 use super::route::{RouteDestination, RouteEntry, RouteTable};
-use super::service::{ParkedLeg, ServiceState};
+use super::service::ServiceState;
 use super::submit::{golden_ratio_fraction, response_due};
 use super::target::RelayTarget;
-use super::timers::TimerKind;
 
-/// Weight of a new response time or rejection in a target's moving averages.
-const SAMPLE_WEIGHT: f64 = 0.5;
-/// Half-life of a target's estimate without new samples, in seconds.
-const ESTIMATE_HALF_LIFE_SECONDS: f64 = 2.0;
-/// Pressure up to which all requests are admitted.
-const FULL_PRESSURE: f64 = 0.55;
+/// Pressure up to which all requests are admitted. With 0.45, slow service without a queue was shed.
+const FULL_PRESSURE: f64 = 0.6;
 /// Pressure from which only the remainder is admitted.
-const REMAINDER_PRESSURE: f64 = 1.0;
-/// Ratio of the expected time of a merged request to that of one leg: the slowest of many legs
-/// takes longer than the average that is estimated, and the estimate is older than the load.
-const SLOWEST_LEG_FACTOR: f64 = 2.0;
-/// Share of the latency aim by which an attempt may exceed the typical latency before further sends
-/// to its target are delayed.
-const PACED_DELAY_SHARE: f64 = 0.3;
-/// Delay of further sends to a target that rejected an attempt.
-const REJECTED_PACE: Duration = Duration::from_millis(20);
-/// Pause after a slow attempt, as a multiple of its delay and of the ratio by which the delay exceeds
-/// what is allowed. With 0.4 the queues at slow targets stayed full.
-const PACE_FACTOR: f64 = 1.0;
-/// Maximum delay of further sends to a target.
-const MAX_PACE: Duration = Duration::from_millis(600);
+const REMAINDER_PRESSURE: f64 = 0.8;
 /// Share of requests that is always admitted, so that recovery is noticed.
 const REMAINDER_SHARE: f64 = 0.11;
 /// Increase of the pressure of a more urgent route, for each rank, when it decides about a less
 /// urgent request.
-const PRIORITY_STEP: f64 = 0.15;
+const PRIORITY_STEP: f64 = 0.3;
 /// Maximum difference of ranks that increases the pressure.
 const MAX_RANKS: u32 = 4;
 /// Number of recent requests from which a route counts as in use; less than one, counted with the
 /// half-life of the counts.
 const MIN_OFFERED: f64 = 0.25;
-/// Time that a parked leg needs to be answered in time, as a multiple of the typical latency. It does
-/// not follow the measured delay: with full queues no leg would seem to be in time, and the oldest
-/// would be sent first, all of them late.
-const IN_TIME_FACTOR: f64 = 4.0;
 /// Least time that a request is compared with.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
+pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
 /// Minimum share of a kind that is admitted, relative to the share of all requests; a quarter is
 /// required of the served ones.
 const MIN_RELATIVE_SHARE: f64 = 0.35;
+/// Minimum time between two log lines about requests of a route that were not admitted.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Half-life of the counts of offered and admitted requests, in seconds.
 const COUNT_HALF_LIFE_SECONDS: f64 = 2.0;
 /// Expected number of legs that stay without an answer because of rejections, beyond those that the
 /// coverage lets a request omit, at which the pressure is 1.
-const REJECTED_LEGS: f64 = 0.5;
-/// Delay, as a multiple of the typical latency, from which a target counts as slow for hedges.
-const SLOW_DELAY: f64 = 2.0;
-/// Share of rejected attempts from which a target counts as full for hedges: the weight of one
-/// rejection.
-const FULL_REJECTED_SHARE: f64 = 0.3;
+const REJECTED_LEGS: f64 = 0.15;
 /// Least part of the longest possible `retry_after` that a shed request is told.
 const MIN_RETRY_PART: f64 = 0.4;
 
@@ -84,75 +59,21 @@
     Adaptive,
 }
 
-/// How much longer than usual recent attempts at a target took, and how many it rejected.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct ResponseEstimate {
-    /// Time beyond the typical latency of the route, in seconds. The delay, unlike the whole time,
-    /// is comparable between routes with different work.
-    delay: f64,
-    rejected_share: f64,
-    updated_at: Option<Instant>,
-}
-
-impl ResponseEstimate {
-    /// Records an answer that took `delay` longer than usual.
-    pub(super) fn record(&mut self, now: Instant, delay: Duration) {
-        let weight = self.advance(now);
-        self.delay += weight * (delay.as_secs_f64() - self.delay);
-        self.rejected_share -= SAMPLE_WEIGHT * self.rejected_share;
-    }
-
-    /// Records that an attempt was given up without an answer, `delay` later than usual.
-    pub(super) fn record_unanswered(&mut self, now: Instant, delay: Duration) {
-        let weight = self.advance(now);
-        self.delay += weight * (delay.as_secs_f64() - self.delay).max(0.0);
-    }
-
-    /// Records a rejection, which means that the target's queue is full.
-    pub(super) fn record_rejection(&mut self, now: Instant) {
-        self.advance(now);
-        self.rejected_share += SAMPLE_WEIGHT * (1.0 - self.rejected_share);
-    }
-
-    /// Returns the expected delay in seconds, which decays without new samples.
-    fn delay(&self, now: Instant) -> f64 {
-        self.delay * self.retained(now)
-    }
-
-    fn rejected_share(&self, now: Instant) -> f64 {
-        self.rejected_share * self.retained(now)
-    }
-
-    fn is_older_than(&self, time: Option<Instant>) -> bool {
-        self.updated_at
-            .zip(time)
-            .is_some_and(|(updated, time)| updated < time)
-    }
-
-    /// Returns the weight of the next sample, which grows with the age of the previous one.
-    fn advance(&mut self, now: Instant) -> f64 {
-        let retained = self.retained(now);
-        self.rejected_share *= retained;
-        self.updated_at = Some(now);
-        1.0 - (1.0 - SAMPLE_WEIGHT) * retained
-    }
-
-    /// Returns the weight of past samples, from 1 for one just recorded towards 0.
-    fn retained(&self, now: Instant) -> f64 {
-        let Some(updated_at) = self.updated_at else {
-            return 0.0;
-        };
-        let age = now.saturating_duration_since(updated_at).as_secs_f64();
-        (-age / ESTIMATE_HALF_LIFE_SECONDS).exp2()
-    }
-}
-
 /// What a leg would meet if it were sent now.
 #[derive(Clone, Copy, Debug)]
-struct LegOutlook {
+pub(super) struct LegOutlook {
     /// Time beyond the typical latency, in seconds.
-    delay: f64,
-    rejected_share: f64,
+    pub(super) delay: f64,
+    pub(super) rejected_share: f64,
+}
+
+/// How far the expected time of a request uses up its latency aim, or its expected rejections use
+/// up its coverage; 1 means entirely.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pressure<'a> {
+    value: f64,
+    /// The service that causes it.
+    service: Option<&'a str>,
 }
 
 /// Counts of one route.
@@ -164,6 +85,9 @@
     credit: f64,
     offered: f64,
     admitted: f64,
+    /// Number of requests that were not admitted since the last log line about them.
+    unreported: u32,
+    reported_at: Option<Instant>,
 }
 
 /// Counts of offered and admitted requests, sorted by route name.
@@ -192,6 +116,23 @@
         }
     }
 
+    /// Returns the number of requests of a route that were not admitted since the last report; nothing
+    /// if that was less than [`REPORT_INTERVAL`] ago.
+    fn report_shed(&mut self, now: Instant, route: &RouteEntry) -> Option<u32> {
+        let index = self
+            .routes
+            .binary_search_by(|counts| counts.route.name.cmp(&route.name));
+        let counts = self.routes.get_mut(index.ok()?)?;
+        counts.unreported += 1;
+        let is_due = counts
+            .reported_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL);
+        is_due.then(|| {
+            counts.reported_at = Some(now);
+            std::mem::take(&mut counts.unreported)
+        })
+    }
+
     /// Decides whether a request on the route is admitted, given the share to admit.
     fn admit(&mut self, now: Instant, route: &Arc<RouteEntry>, share: f64, host: &str) -> bool {
         let age = self
@@ -237,22 +178,40 @@
             credit: hash as f64 / u64::MAX as f64 * 0.999,
             offered: 0.0,
             admitted: 0.0,
+            unreported: 0,
+            reported_at: None,
         }
     }
 }
 
 impl RelayEngine {
     /// Returns the refusal of a request that is not admitted.
-    pub(super) fn shed(&mut self, now: Instant, state: &RequestState) -> Option<RelayRefusal> {
+    pub(super) fn shed(
+        &mut self,
+        now: Instant,
+        state: &RequestState,
+        actions: &mut Vec<RelayAction>,
+    ) -> Option<RelayRefusal> {
         match self.options.tuning.admission {
             AdmissionMode::Off => return None,
             AdmissionMode::Adaptive => {}
         }
-        let share = admitted_share(self.pressure(now, state));
+        let pressure = self.pressure(now, state);
+        let service: Box<str> = pressure.service.unwrap_or_default().into();
+        let pressure = pressure.value;
+        let share = admitted_share(pressure);
         let (route, host) = (&state.route, &self.options.host);
         if self.admission.admit(now, route, share, host) {
             return None;
         }
+        if let Some(requests) = self.admission.report_shed(now, route) {
+            actions.push(RelayAction::Decided(RelayDecision::Shed {
+                route: route.name.clone(),
+                service,
+                requests,
+                pressure,
+            }));
+        }
         let part = golden_ratio_fraction(self.admission.shed);
         let part = MIN_RETRY_PART + (1.0 - MIN_RETRY_PART) * part;
         Some(RelayRefusal::NotRun {
@@ -264,11 +223,19 @@
     /// Returns the pressure that decides about a request: the greatest of its own and those of the
     /// more urgent routes that recently used the same services. A less urgent request thereby gives
     /// way before the answers of a more urgent kind are late.
-    fn pressure(&self, now: Instant, state: &RequestState) -> f64 {
+    fn pressure<'a>(&'a self, now: Instant, state: &'a RequestState) -> Pressure<'a> {
         let route = &state.route;
         let services: Vec<&str> = state.legs.iter().map(|leg| leg.service.as_ref()).collect();
         let left = state.deadline.saturating_duration_since(now);
-        let own = self.route_pressure(now, route, &services, left);
+        let mut own = self.route_pressure(now, route, &services, left);
+        // Less urgent requests give way first, as far as their work matters.
+        let relief = self.admission.routes.iter().filter(|counts| {
+            counts.route.priority > route.priority && counts.offered > MIN_OFFERED
+        });
+        let relief = relief
+            .map(|counts| self.work(&counts.route) / self.work(route))
+            .fold(0.0, f64::max);
+        own.value /= 1.0 + PRIORITY_STEP * relief.min(1.0);
         let urgent = self.admission.routes.iter().filter(|counts| {
             counts.route.priority < route.priority && counts.offered > MIN_OFFERED
         });
@@ -278,40 +245,74 @@
                 .collect();
             let ranks = f64::from((route.priority - counts.route.priority).min(MAX_RANKS));
             let pressure = self.route_pressure(now, &counts.route, &shared, counts.route.timeout);
-            pressure * (1.0 + PRIORITY_STEP * ranks)
+            let relief = self.work(route) / self.work(&counts.route);
+            Pressure {
+                value: pressure.value * (1.0 + PRIORITY_STEP * ranks) * relief.min(1.0),
+                ..pressure
+            }
         });
-        pressures.fold(own, f64::max)
+        pressures.fold(own, |greatest, pressure| {
+            if pressure.value > greatest.value {
+                pressure
+            } else {
+                greatest
+            }
+        })
     }
 
     /// Returns how far the expected time of a request to these services uses up the latency aim of
     /// its route and the time left, and its expected rejections its coverage; 1 means entirely.
-    fn route_pressure(
+    fn route_pressure<'a>(
         &self,
         now: Instant,
         route: &RouteEntry,
-        services: &[&str],
+        services: &[&'a str],
         left: Duration,
-    ) -> f64 {
+    ) -> Pressure<'a> {
         if !self.latencies.is_known(route) {
-            return 0.0;
+            return Pressure::default();
         }
         let usual = self.latencies.typical(route).as_secs_f64();
         let outlooks = services
             .iter()
-            .filter_map(|service| self.outlook(now, service, usual));
-        let mut outlooks: Vec<LegOutlook> = outlooks.collect();
-        outlooks.sort_by(|left, right| right.delay.total_cmp(&left.delay));
+            .filter_map(|service| Some((*service, self.outlook(now, service, usual)?)));
+        let mut outlooks: Vec<(&str, LegOutlook)> = outlooks.collect();
+        outlooks.sort_by(|(_, left), (_, right)| right.delay.total_cmp(&left.delay));
         let unavailable = services.len() - outlooks.len();
         let may_omit = omittable_legs(route).saturating_sub(unavailable);
-        let slowest = outlooks.get(may_omit).map_or(0.0, |outlook| outlook.delay);
+        let slowest = outlooks.get(may_omit);
+        let expected = usual + slowest.map_or(0.0, |(_, outlook)| outlook.delay);
         let due = response_due(now, route.latency_aim).saturating_duration_since(now);
-        let due = due.min(left).as_secs_f64().max(MIN_TIME_LEFT.as_secs_f64());
+        let due = due.min(left).max(MIN_TIME_LEFT).as_secs_f64();
+        // A rejected leg is sent to a second target, which may reject it as well.
         let rejected: f64 = outlooks
             .iter()
-            .map(|outlook| outlook.rejected_share * outlook.rejected_share)
+            .map(|(_, outlook)| outlook.rejected_share * outlook.rejected_share)
             .sum();
         let rejected = rejected / (may_omit as f64 + REJECTED_LEGS);
-        ((usual + slowest) * SLOWEST_LEG_FACTOR / due).max(rejected)
+        let fullest = outlooks
+            .iter()
+            .max_by(|(_, left), (_, right)| left.rejected_share.total_cmp(&right.rejected_share));
+        let by_time = expected / due;
+        let cause = if by_time >= rejected {
+            slowest
+        } else {
+            fullest
+        };
+        Pressure {
+            value: by_time.max(rejected),
+            service: cause.map(|(service, _)| *service),
+        }
+    }
+
+    /// Returns the work of a request on the route: its legs times the typical latency of one.
+    fn work(&self, route: &RouteEntry) -> f64 {
+        let legs = match &route.destination {
+            RouteDestination::Gather { services, .. } => services.len(),
+            RouteDestination::Split(_) => 1,
+        };
+        let typical = self.latencies.typical(route).max(MIN_TIME_LEFT);
+        legs as f64 * typical.as_secs_f64()
     }
 
     /// Returns what a leg would meet if it were sent now; nothing if no target is usable.
@@ -319,7 +320,7 @@
         match self.choose_target(now, service, &[], false) {
             TargetChoice::Send(key) => {
                 let target = self.targets.get(key)?;
-                Some(self.target_outlook(now, target))
+                Some(self.target_outlook(now, target, usual))
             }
             TargetChoice::Wait => self.waiting_outlook(now, self.services.get(service)?, usual),
             TargetChoice::Unavailable { .. } => None,
@@ -333,7 +334,7 @@
         service: &ServiceState,
         usual: f64,
     ) -> Option<LegOutlook> {
-        let outlooks: Vec<LegOutlook> = self.usable_outlooks(now, service).collect();
+        let outlooks: Vec<LegOutlook> = self.usable_outlooks(now, service, usual).collect();
         let best = outlooks
             .iter()
             .min_by(|left, right| left.delay.total_cmp(&right.delay))?;
@@ -346,125 +347,33 @@
     }
 
     /// Iterates over the outlooks of a service's targets that are not suspended.
-    fn usable_outlooks(
+    pub(super) fn usable_outlooks(
         &self,
         now: Instant,
         service: &ServiceState,
+        usual: f64,
     ) -> impl Iterator<Item = LegOutlook> {
         let targets = service
             .targets
             .iter()
             .filter_map(|key| self.targets.get(*key));
         let usable = targets.filter(move |target| !target.is_suspended(now));
-        usable.map(move |target| self.target_outlook(now, target))
+        usable.map(move |target| self.target_outlook(now, target, usual))
     }
 
-    fn target_outlook(&self, now: Instant, target: &RelayTarget) -> LegOutlook {
+    fn target_outlook(&self, now: Instant, target: &RelayTarget, usual: f64) -> LegOutlook {
         let estimate = if target.response.is_older_than(self.resumed_at) {
             ResponseEstimate::default()
         } else {
             target.response
         };
-        let overdue = target.overdue_time(now, self.resumed_at).as_secs_f64();
+        let (overdue, typical) = target.overdue_time(now, self.resumed_at);
+        let overdue = overdue.as_secs_f64() * (usual / typical.as_secs_f64().max(1e-6)).min(1.0);
         LegOutlook {
-            delay: estimate.delay(now).max(overdue),
+            delay: estimate.delay(now, usual).max(overdue),
             rejected_share: estimate.rejected_share(now),
         }
     }
-
-    /// Records the response time or rejection of an attempt that has ended, and delays further sends
-    /// to its target if it is slow or full.
-    pub(super) fn record_response(
-        &mut self,
-        now: Instant,
-        attempt: &LiveAttempt,
-        outcome: &TargetOutcome,
-        took: Duration,
-    ) {
-        let link_factor = match outcome {
-            TargetOutcome::Replied(_) => attempt.link_factor,
-            _ => 1.0,
-        };
-        let delay = took.div_f64(link_factor).saturating_sub(attempt.typical);
-        let pace = match outcome {
-            TargetOutcome::Rejected => self.pace(attempt, MAX_PACE).min(REJECTED_PACE),
-            _ => self.pace(attempt, delay),
-        };
-        let Some(target) = self.targets.get_mut(attempt.target) else {
-            return;
-        };
-        match outcome {
-            TargetOutcome::Replied(_) => target.response.record(now, delay),
-            TargetOutcome::Rejected => target.response.record_rejection(now),
-            TargetOutcome::Abandoned { sent: true } => {
-                target.response.record_unanswered(now, delay);
-            }
-            TargetOutcome::Abandoned { sent: false }
-            | TargetOutcome::Misdirected
-            | TargetOutcome::NotSent
-            | TargetOutcome::Lost
-            | TargetOutcome::Garbled => return,
-        }
-        if !pace.is_zero() {
-            let until = now + pace;
-            target.paced_until = target.paced_until.max(Some(until));
-            let kind = TimerKind::Paced {
-                target: attempt.target,
-            };
-            self.timers.add(until, kind);
-        }
-    }
-
-    /// Returns how long no further attempt is sent to a target after an attempt that exceeded its
-    /// typical latency by `delay`. The pauses of all daemons together shorten the target's queue:
-    /// requests then wait in the daemons, where they can be ordered.
-    pub(super) fn pace(&self, attempt: &LiveAttempt, delay: Duration) -> Duration {
-        match self.options.tuning.admission {
-            AdmissionMode::Off => return Duration::ZERO,
-            AdmissionMode::Adaptive => {}
-        }
-        let Some(state) = self.requests.get(attempt.request) else {
-            return Duration::ZERO;
-        };
-        let allowed = state.route.latency_aim.mul_f64(PACED_DELAY_SHARE);
-        let excess = delay.saturating_sub(allowed).as_secs_f64();
-        let excess = excess / allowed.max(MIN_TIME_LEFT).as_secs_f64();
-        delay.mul_f64(excess * PACE_FACTOR).min(MAX_PACE)
-    }
-
-    /// Returns the parked leg of a service that is sent next: the first one that can still be
-    /// answered in time, or else the first one.
-    pub(super) fn next_parked(&self, now: Instant, service: &str) -> Option<ParkedLeg> {
-        let service = self.services.get(service)?;
-        let first = service.parked.first().copied();
-        match self.options.tuning.admission {
-            AdmissionMode::Off => return first,
-            AdmissionMode::Adaptive => {}
-        }
-        let in_time = service.parked.iter().find(|parked| {
-            self.requests.get(parked.request).is_none_or(|state| {
-                let usual = self.latencies.typical(&state.route);
-                now + usual.mul_f64(IN_TIME_FACTOR)
-                    <= response_due(state.arrived_at, state.route.latency_aim)
-            })
-        });
-        in_time.copied().or(first)
-    }
-
-    /// Returns whether all usable targets of a service are slow or full, so that a hedge would only
-    /// add to their load.
-    pub(super) fn is_pressed(&self, now: Instant, route: &RouteEntry, service: &str) -> bool {
-        match self.options.tuning.admission {
-            AdmissionMode::Off => return false,
-            AdmissionMode::Adaptive => {}
-        }
-        let Some(service) = self.services.get(service) else {
-            return false;
-        };
-        let slow = SLOW_DELAY * self.latencies.typical(route).as_secs_f64();
-        self.usable_outlooks(now, service)
-            .all(|outlook| outlook.delay > slow || outlook.rejected_share > FULL_REJECTED_SHARE)
-    }
 }
 
 fn destination_services(route: &RouteEntry) -> impl Iterator<Item = &str> {
@@ -490,7 +399,7 @@
 /// Returns the share of requests to admit; it falls smoothly from 1 to the remainder, and from there
 /// as the pressure rises further: under a pressure far above 1, the remainder alone may be more than
 /// the targets can serve.
-fn admitted_share(pressure: f64) -> f64 {
+pub fn admitted_share(pressure: f64) -> f64 {
     if pressure > REMAINDER_PRESSURE {
         let ratio = REMAINDER_PRESSURE / pressure;
         return REMAINDER_SHARE * ratio * ratio;
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -18,7 +18,8 @@
 //!   get a request now.
 //! - `idle_links`: the idle connections to each target.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the stages of request processing.
-//! - [`admission`]: overload control, before anything of a request is sent.
+//! - [`admission`], `response_estimate`, `pacing`: overload control, before a request is sent and
+//!   at slow targets.
 //! - `probing`: connection probes of targets that may be unreachable.
 //! - `suspicion`: detection of requests that crash their targets.
 //! - `budget`: the retry budget of each service.
@@ -43,10 +44,12 @@
 mod latencies;
 mod link_history;
 pub mod merge;
+mod pacing;
 mod probing;
 mod replies;
 mod reports;
 mod request;
+mod response_estimate;
 pub mod route;
 pub mod self_report;
 mod service;
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -53,7 +53,7 @@
             });
             return;
         }
-        if let Some(refusal) = self.shed(now, &state) {
+        if let Some(refusal) = self.shed(now, &state, actions) {
             actions.push(RelayAction::Refuse {
                 request: key,
                 refusal,
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -4,9 +4,9 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::admission::ResponseEstimate;
 use super::idle_links::IdleLinks;
 use super::request::LiveAttempt;
+use super::response_estimate::ResponseEstimate;
 use super::target_hold::TargetHold;
 use super::target_record::{TargetName, TargetRecord};
 use super::{AttemptKey, TargetKey};
@@ -309,14 +309,21 @@
         }
     }
 
-    /// Returns by how much the oldest attempt in flight exceeds its typical latency; the time before
-    /// a pause is not counted.
-    pub(super) fn overdue_time(&self, now: Instant, resumed_at: Option<Instant>) -> Duration {
-        self.in_flight.first().map_or(Duration::ZERO, |oldest| {
-            let since = resumed_at.map_or(oldest.sent_at, |resumed| resumed.max(oldest.sent_at));
-            let age = now.saturating_duration_since(since);
-            age.saturating_sub(oldest.typical)
-        })
+    /// Returns by how much the oldest attempt in flight exceeds its typical latency, and that latency;
+    /// the time before a pause is not counted.
+    pub(super) fn overdue_time(
+        &self,
+        now: Instant,
+        resumed_at: Option<Instant>,
+    ) -> (Duration, Duration) {
+        self.in_flight
+            .first()
+            .map_or_else(Default::default, |oldest| {
+                let since =
+                    resumed_at.map_or(oldest.sent_at, |resumed| resumed.max(oldest.sent_at));
+                let age = now.saturating_duration_since(since);
+                (age.saturating_sub(oldest.typical), oldest.typical)
+            })
     }
 
     /// Returns the age of the oldest attempt in flight as a multiple of its typical latency.
--- a/core/tests/relay/goodput.rs
+++ b/core/tests/relay/goodput.rs
@@ -9,7 +9,10 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use yuccalift_core::relay::{AdmissionMode, RelayEvent, RelayRefusal, RequestKey, RouteEntry};
+use yuccalift_core::relay::{
+    AdmissionMode, AttemptKey, RelayEvent, RelayRefusal, RequestKey, RouteEntry,
+};
+use yuccalift_testkit::cases;
 
 use crate::load::LoadSimulation;
 use crate::support::{gather_route, ms, target, tuning};
@@ -40,7 +43,8 @@
     share: f64,
 }
 
-const KINDS: [RequestKind; 2] = [
+/// Two kinds of which the more urgent one has more work.
+const SEARCH_MIX: [RequestKind; 2] = [
     RequestKind {
         route: "ranked",
         work_ms: 11,
@@ -61,6 +65,28 @@
     },
 ];
 
+/// Two kinds of which the more urgent one has less work and a shorter latency aim.
+const URGENT_MIX: [RequestKind; 2] = [
+    RequestKind {
+        route: "heavy",
+        work_ms: 15,
+        aim: ms(150),
+        deadline: ms(800),
+        priority: 1,
+        coverage: 0.95,
+        share: 0.64,
+    },
+    RequestKind {
+        route: "urgent",
+        work_ms: 5,
+        aim: ms(50),
+        deadline: ms(300),
+        priority: 0,
+        coverage: 0.85,
+        share: 0.36,
+    },
+];
+
 /// A request of a caller that has not ended.
 struct OpenRequest {
     daemon: usize,
@@ -79,7 +105,7 @@
 }
 
 /// Results by kind.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct KindResult {
     requests: usize,
     /// Answers within the latency aim.
@@ -94,8 +120,10 @@
 #[derive(Debug)]
 struct RunResult {
     kinds: [KindResult; 2],
+    /// Attempts that targets rejected while the load was applied.
     rejections: usize,
-    attempts: usize,
+    /// Attempts that each daemon sent, with the names of their targets.
+    sends: Vec<Vec<(AttemptKey, Box<str>)>>,
 }
 
 impl RunResult {
@@ -104,6 +132,28 @@
         let in_aim: usize = self.kinds.iter().map(|kind| kind.in_aim).sum();
         in_aim as f64 / LOADED.as_secs_f64()
     }
+
+    /// Returns the row of the run in the table of `docs/MEASUREMENTS.md`.
+    fn table_row(&self, load: f64) -> String {
+        let kinds = self.kinds.map(|kind| {
+            let ended = (
+                kind.requests,
+                kind.in_aim,
+                kind.late,
+                kind.refused,
+                kind.failed,
+            );
+            format!(
+                "{} | {} | {} | {} | {}",
+                ended.0, ended.1, ended.2, ended.3, ended.4
+            )
+        });
+        let (goodput, rejections) = (self.goodput(), self.rejections);
+        format!(
+            "| {load} | {goodput:.0} | {} | {rejections} |",
+            kinds.join(" | ")
+        )
+    }
 }
 
 /// Which targets are slow while the load is applied.
@@ -115,6 +165,7 @@
 }
 
 struct GoodputRun {
+    mix: &'static [RequestKind; 2],
     load: LoadSimulation,
     rng: ChaCha8Rng,
     open: Vec<OpenRequest>,
@@ -124,13 +175,13 @@
 }
 
 impl GoodputRun {
-    fn new(admission: AdmissionMode) -> Self {
+    fn new(mix: &'static [RequestKind; 2], admission: AdmissionMode) -> Self {
         let names: Vec<String> = (0..SERVICES).map(|number| format!("s{number}")).collect();
         let services: Vec<&str> = names.iter().map(String::as_str).collect();
         let targets = services.iter().flat_map(|service| {
             ["a", "b", "c"].map(|name| target(&format!("{service}-{name}"), service))
         });
-        let routes = KINDS.map(|kind| RouteEntry {
+        let routes = mix.each_ref().map(|kind| RouteEntry {
             name: kind.route.into(),
             prefix: format!("/{}/", kind.route).into(),
             latency_aim: kind.aim,
@@ -147,6 +198,7 @@
         load.feed_all(&RelayEvent::TuningChanged(tuning(admission)));
         let counted_from = load.now() + WARM_UP;
         Self {
+            mix,
             load,
             rng: ChaCha8Rng::seed_from_u64(5),
             open: Vec::new(),
@@ -157,7 +209,7 @@
     }
 
     fn submit(&mut self, kind_index: usize, deadline: Instant, is_repeat: bool) {
-        let kind = &KINDS[kind_index];
+        let kind = &self.mix[kind_index];
         let daemon = self.rng.random_range(0..DAEMONS);
         let now = self.load.now();
         let work = work_range(kind.work_ms);
@@ -177,7 +229,8 @@
 
     /// Applies a load, as a multiple of the capacity of all targets at normal speed.
     fn apply(&mut self, load: f64, length: Duration) {
-        let work: f64 = KINDS
+        let work: f64 = self
+            .mix
             .iter()
             .map(|kind| kind.share * kind.work_ms as f64)
             .sum();
@@ -187,8 +240,8 @@
         let mut passed_ms = 0.0;
         while self.load.now() < end {
             while next <= passed_ms {
-                let kind = usize::from(self.rng.random::<f64>() >= KINDS[0].share);
-                self.submit(kind, self.load.now() + KINDS[kind].deadline, false);
+                let kind = usize::from(self.rng.random::<f64>() >= self.mix[0].share);
+                self.submit(kind, self.load.now() + self.mix[kind].deadline, false);
                 next += -(1.0 - self.rng.random::<f64>()).ln() / rate;
             }
             self.step();
@@ -231,7 +284,7 @@
             let took = end.at.duration_since(open.submitted);
             let kind = &mut self.kinds[open.kind];
             match &end.result {
-                Ok(_) if took <= KINDS[open.kind].aim => kind.in_aim += 1,
+                Ok(_) if took <= self.mix[open.kind].aim => kind.in_aim += 1,
                 Ok(_) => kind.late += 1,
                 Err(RelayRefusal::NotRun { .. }) => kind.refused += 1,
                 Err(_) => kind.failed += 1,
@@ -239,8 +292,13 @@
         }
     }
 
-    fn run(load: f64, slow: SlowTargets, admission: AdmissionMode) -> RunResult {
-        let mut run = Self::new(admission);
+    fn run(
+        mix: &'static [RequestKind; 2],
+        load: f64,
+        slow: SlowTargets,
+        admission: AdmissionMode,
+    ) -> RunResult {
+        let mut run = Self::new(mix, admission);
         run.apply(WARM_UP_LOAD, WARM_UP);
         if slow == SlowTargets::Half {
             let count = run.load.targets.len();
@@ -248,9 +306,8 @@
                 run.load.targets[index].slowdown = SLOWDOWN;
             }
         }
-        let attempts = run.load.attempts();
         run.apply(load, LOADED);
-        let result = RunResult {
+        RunResult {
             kinds: run.kinds,
             rejections: run
                 .load
@@ -258,13 +315,8 @@
                 .iter()
                 .map(|target| target.rejections)
                 .sum(),
-            attempts: run.load.attempts() - attempts,
-        };
-        println!(
-            "{admission:?} load {load} slow {slow:?} goodput {:.0}/s {result:?}",
-            result.goodput()
-        );
-        result
+            sends: run.load.sends(),
+        }
     }
 }
 
@@ -273,11 +325,56 @@
     work.mul_f64(0.6)..work.mul_f64(1.4)
 }
 
-#[test]
-fn goodput_table() {
+/// Prints the table of `docs/MEASUREMENTS.md`.
+fn print_table(mix: &'static [RequestKind; 2], admission: AdmissionMode) {
     for slow in [SlowTargets::None, SlowTargets::Half] {
-        for load in [0.3, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0] {
-            GoodputRun::run(load, slow, AdmissionMode::Adaptive);
+        println!("{admission:?}, slow targets: {slow:?}");
+        for load in [0.1, 0.3, 0.5, 0.8, 1.0, 1.5, 2.0, 3.0, 5.0] {
+            let result = GoodputRun::run(mix, load, slow, admission);
+            println!("{}", result.table_row(load));
         }
     }
 }
+
+/// Without pressure, nothing is refused, and the same attempts are sent to the same targets in the
+/// same order as without admission control.
+fn check_nothing_changes(mix: &'static [RequestKind; 2], load: f64) {
+    let off = GoodputRun::run(mix, load, SlowTargets::None, AdmissionMode::Off);
+    let adaptive = GoodputRun::run(mix, load, SlowTargets::None, AdmissionMode::Adaptive);
+    assert_eq!(adaptive.kinds, off.kinds);
+    assert_eq!(adaptive.kinds.map(|kind| kind.refused), [0, 0]);
+    assert!(adaptive.sends == off.sends, "the same attempts are sent");
+}
+
+/// Guards against the collapse under overload: most answers late or failed, since more is sent than
+/// the targets can serve. `min_goodput` is below what was measured, and above the figure without
+/// admission control.
+fn check_goodput(load: f64, slow: SlowTargets, min_goodput: f64) {
+    let result = GoodputRun::run(&SEARCH_MIX, load, slow, AdmissionMode::Adaptive);
+    let row = result.table_row(load);
+    assert!(result.goodput() >= min_goodput, "{row}");
+}
+
+/// Guards against late answers of an urgent kind with a short latency aim, while a less urgent one
+/// makes its own.
+fn check_urgent_kind(load: f64, slow: SlowTargets, min_share: f64) {
+    let result = GoodputRun::run(&URGENT_MIX, load, slow, AdmissionMode::Adaptive);
+    let urgent = result.kinds[1];
+    let share = urgent.in_aim as f64 / urgent.requests as f64;
+    assert!(share >= min_share, "{share}: {}", result.table_row(load));
+}
+
+cases! {
+    #[ignore = "prints the table of docs/MEASUREMENTS.md; run with --release --nocapture"]
+    goodput_without_admission_control: print_table(&SEARCH_MIX, AdmissionMode::Off);
+    #[ignore = "prints the table of docs/MEASUREMENTS.md; run with --release --nocapture"]
+    goodput_with_admission_control: print_table(&SEARCH_MIX, AdmissionMode::Adaptive);
+    #[ignore = "prints the table of docs/MEASUREMENTS.md; run with --release --nocapture"]
+    urgent_goodput_without_admission_control: print_table(&URGENT_MIX, AdmissionMode::Off);
+    #[ignore = "prints the table of docs/MEASUREMENTS.md; run with --release --nocapture"]
+    urgent_goodput_with_admission_control: print_table(&URGENT_MIX, AdmissionMode::Adaptive);
+    nothing_changes_without_pressure: check_nothing_changes(&SEARCH_MIX, 0.75);
+    goodput_holds_at_three_times_the_capacity: check_goodput(3.0, SlowTargets::None, 1_000.0);
+    goodput_holds_with_slow_targets: check_goodput(0.3, SlowTargets::Half, 175.0);
+    an_urgent_kind_keeps_its_aim: check_urgent_kind(1.5, SlowTargets::None, 0.75);
+}
--- a/core/tests/relay/load.rs
+++ b/core/tests/relay/load.rs
@@ -166,9 +166,14 @@
         ends
     }
 
-    /// Returns the numbers of attempts that the daemons have sent.
-    pub fn attempts(&self) -> usize {
-        self.daemons.iter().map(|daemon| daemon.sends_taken).sum()
+    /// Returns the attempts that each daemon has sent, with the names of their targets.
+    pub fn sends(&self) -> Vec<Vec<(AttemptKey, Box<str>)>> {
+        let sends = self.daemons.iter().map(|daemon| {
+            let orders = daemon.harness.sends.iter();
+            let orders = orders.map(|(_, order)| (order.attempt, order.name.clone()));
+            orders.collect()
+        });
+        sends.collect()
     }
 
     /// Returns the simulated target with the given name.
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -212,6 +212,10 @@
     623 INFO "target_paused" TargetPaused { target: &'a str, pause_ms: u64 }
     #[doc = "A target says in an answer that it is leaving; it gets no requests soon, listed or not."]
     624 INFO "target_leaving" TargetLeaving { target: &'a str }
+    #[doc = "Requests of a route were refused before anything was sent, since the targets of `service` are slow or full; `requests` is their number since the last such line of the route, which has one a second at most. At a `pressure_percent` of 100 the latency aim is used up."]
+    651 INFO "requests_shed" RequestsShed {
+        route: &'a str, service: &'a str, requests: u64, pressure_percent: u64,
+    }
     #[doc = "A target was lost while it ran a request; `blame` is the request's share of the blame so far, in thousandths of a lost target."]
     701 INFO "request_suspected" RequestSuspected { fingerprint: &'a str, shard: u32, blame: u32 }
     #[doc = "A request is quarantined, since targets were lost whenever they ran it."]
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -118,6 +118,8 @@
     RelayPartial "relay.partial" Counter "requests"
     #[doc = "Requests that a relay refused; they did not run."]
     RelayRefused "relay.refused" Counter "requests"
+    #[doc = "Requests that a relay refused before sending anything, since targets were under pressure; counted as refused as well."]
+    RelayShed "relay.shed" Counter "requests"
     #[doc = "Requests that a relay did not answer with success and that may have run."]
     RelayFailed "relay.failed" Counter "requests"
     #[doc = "Time from a request's arrival at a relay to its end."]
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use yuccalift_core::relay::target_record::TargetName;
-use yuccalift_core::relay::{HoldChange, RelayDecision, RequestKey, RouteTable};
+use yuccalift_core::relay::{HoldChange, RefusalCause, RelayDecision, RequestKey, RouteTable};
 use yuccalift_platform::DecodeError;
 use yuccalift_platform::store::StoreError;
 
@@ -146,6 +146,9 @@
             _ => DaemonMetric::RelayFailed,
         };
         metrics.count(kind, 1);
+        if end.cause == RefusalCause::Overload.as_str() {
+            metrics.count(DaemonMetric::RelayShed, 1);
+        }
         if end.missing > 0 {
             metrics.count(DaemonMetric::RelayPartial, 1);
         }
@@ -227,6 +230,18 @@
                 service,
                 reason,
             }),
+            RelayDecision::Shed {
+                route,
+                service,
+                requests,
+                pressure,
+            } => LogEvent::RequestsShed {
+                route,
+                service,
+                requests: u64::from(*requests),
+                pressure_percent: (pressure * 100.0) as u64,
+            }
+            .emit(),
             RelayDecision::Suspended { target, period } => {
                 self.metrics.count(DaemonMetric::TargetsSuspended, 1);
                 LogEvent::TargetSuspended {
