--- a/core/src/relay/admission.rs
+++ b/core/src/relay/admission.rs
@@ -20,10 +20,11 @@
 use super::submit::{golden_ratio_fraction, response_due};
 use super::target::RelayTarget;
 
-/// Pressure up to which all requests are admitted. With 0.45, slow service without a queue was shed.
-const FULL_PRESSURE: f64 = 0.6;
+/// Pressure up to which all requests are admitted. With 0.6 and less, services that
+/// were only slow, with hardly a queue, were shed.
+const FULL_PRESSURE: f64 = 0.75;
 /// Pressure from which only the remainder is admitted.
-const REMAINDER_PRESSURE: f64 = 0.8;
+const REMAINDER_PRESSURE: f64 = 0.95;
 /// Share of requests that is always admitted, so that recovery is noticed.
 const REMAINDER_SHARE: f64 = 0.11;
 /// Increase of the pressure of a more urgent route, for each rank, when it decides about a less
@@ -68,6 +69,8 @@
     /// Time beyond the typical latency, in seconds.
     pub(super) delay: f64,
     pub(super) rejected_share: f64,
+    /// Whether a usable target of the service is saturated.
+    is_saturated: bool,
 }
 
 /// How far the expected time of a request uses up its latency aim, or its expected rejections use
@@ -77,6 +80,8 @@
     value: f64,
     /// The service that causes it.
     service: Option<&'a str>,
+    /// Whether more services than the request may omit have a saturated target.
+    is_saturated: bool,
 }
 
 /// Counts of one route.
@@ -248,6 +253,11 @@
                 .collect();
             let ranks = f64::from((route.priority - counts.route.priority).min(MAX_RANKS));
             let pressure = self.route_pressure(now, &counts.route, &shared, counts.route.timeout);
+            // Fewer requests help the urgent ones only where targets are saturated: slow service is
+            // not shortened by sending less.
+            if !pressure.is_saturated {
+                return Pressure::default();
+            }
             let relief = self.work(route) / self.work(&counts.route);
             Pressure {
                 value: pressure.value * (1.0 + PRIORITY_STEP * ranks) * relief.min(1.0),
@@ -287,6 +297,8 @@
         let expected = usual + slowest.map_or(0.0, |(_, outlook)| outlook.delay);
         let due = response_due(now, route.latency_aim).saturating_duration_since(now);
         let due = due.min(left).max(MIN_TIME_LEFT).as_secs_f64();
+        let saturated = outlooks.iter().filter(|(_, outlook)| outlook.is_saturated);
+        let is_saturated = saturated.count() > may_omit;
         // A rejected leg is sent to a second target, which may reject it as well.
         let rejected: f64 = outlooks
             .iter()
@@ -305,6 +317,7 @@
         Pressure {
             value: by_time.max(rejected),
             service: cause.map(|(service, _)| *service),
+            is_saturated,
         }
     }
 
@@ -326,10 +339,14 @@
                 let chosen = self.target_outlook(now, target, usual);
                 let best = self.best_outlook(now, self.services.get(service)?, usual)?;
                 // A leg that is slow at its first target is hedged to a clearly faster one.
-                Some(if best.delay < HEDGED_RATIO * chosen.delay {
+                let expected = if best.delay < HEDGED_RATIO * chosen.delay {
                     best
                 } else {
                     chosen
+                };
+                Some(LegOutlook {
+                    is_saturated: best.is_saturated,
+                    ..expected
                 })
             }
             TargetChoice::Wait => self.waiting_outlook(now, self.services.get(service)?, usual),
@@ -350,14 +367,18 @@
         let turns = (service.parked.len() + 1) as f64 / places as f64;
         Some(LegOutlook {
             delay: best.delay + turns * (usual + best.delay),
-            rejected_share: best.rejected_share,
+            ..best
         })
     }
 
-    /// Returns the outlook at the fastest usable target of a service.
+    /// Returns the outlook at the fastest usable target of a service; it is saturated if any is.
     fn best_outlook(&self, now: Instant, service: &ServiceState, usual: f64) -> Option<LegOutlook> {
-        self.usable_outlooks(now, service, usual)
-            .min_by(|left, right| left.delay.total_cmp(&right.delay))
+        let outlooks = || self.usable_outlooks(now, service, usual);
+        let best = outlooks().min_by(|left, right| left.delay.total_cmp(&right.delay))?;
+        Some(LegOutlook {
+            is_saturated: outlooks().any(|outlook| outlook.is_saturated),
+            ..best
+        })
     }
 
     /// Iterates over the outlooks of a service's targets that are not suspended.
@@ -386,6 +407,7 @@
         LegOutlook {
             delay: estimate.delay(now, usual).max(overdue),
             rejected_share: estimate.rejected_share(now),
+            is_saturated: estimate.is_saturated(now),
         }
     }
 }
--- a/core/src/relay/pacing.rs
+++ b/core/src/relay/pacing.rs
@@ -7,6 +7,7 @@
 use super::admission::{AdmissionMode, MIN_TIME_LEFT};
 use super::event::TargetOutcome;
 use super::request::LiveAttempt;
+use super::response_estimate::DelaySample;
 use super::route::RouteEntry;
 use super::service::ParkedLeg;
 use super::submit::response_due;
@@ -26,6 +27,8 @@
 /// not follow the measured delay: with full queues no leg would seem to be in time, and the oldest
 /// would be sent first, all of them late.
 const IN_TIME_FACTOR: f64 = 4.0;
+/// Multiple of the latency aim from which a response time shows that a target is saturated.
+const SATURATED_AIMS: f64 = 1.5;
 /// Delay, as a multiple of the typical latency, from which a target counts as slow for hedges.
 const SLOW_DELAY: f64 = 2.0;
 /// Share of rejected attempts from which a target counts as full for hedges: the weight of one
@@ -51,16 +54,21 @@
             TargetOutcome::Rejected => self.pace(now, attempt, MAX_PACE).min(REJECTED_PACE),
             _ => self.pace(now, attempt, delay),
         };
+        let state = self.requests.get(attempt.request);
+        let sample = DelaySample {
+            delay,
+            typical: attempt.typical,
+            is_late: state
+                .is_some_and(|state| took > state.route.latency_aim.mul_f64(SATURATED_AIMS)),
+        };
         let Some(target) = self.targets.get_mut(attempt.target) else {
             return;
         };
         match outcome {
-            TargetOutcome::Replied(_) => target.response.record(now, delay, attempt.typical),
+            TargetOutcome::Replied(_) => target.response.record(now, sample),
             TargetOutcome::Rejected => target.response.record_rejection(now),
             TargetOutcome::Abandoned { sent: true } => {
-                target
-                    .response
-                    .record_unanswered(now, delay, attempt.typical);
+                target.response.record_unanswered(now, sample);
             }
             TargetOutcome::Abandoned { sent: false }
             | TargetOutcome::Misdirected
