--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -128,6 +128,8 @@
     Rejected,
     /// The deadline is too close for any target to answer.
     NoTime,
+    /// The request was not admitted, since its targets are under pressure.
+    Overload,
     /// The request has crashed targets and is quarantined.
     Quarantined,
 }
@@ -142,6 +144,7 @@
             Self::NoCapacity => "no_room",
             Self::Rejected => "rejected",
             Self::NoTime => "no_time",
+            Self::Overload => "overload",
             Self::Quarantined => "quarantined",
         }
     }
@@ -209,6 +212,17 @@
         /// The reason for which the service is missing.
         reason: &'static str,
     },
+    /// Requests of a route were not admitted. Logged at most once a second for each route.
+    Shed {
+        /// Name of the route.
+        route: Box<str>,
+        /// Name of the service whose targets put the route under pressure; empty if it is unknown.
+        service: Box<str>,
+        /// Number of requests that were not admitted since the last such decision.
+        requests: u32,
+        /// The pressure; 1 means that the latency aim is used up.
+        pressure: f64,
+    },
     /// A target failed and receives no requests for a while.
     Suspended {
         /// Name of the suspended target.
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -224,6 +224,10 @@
     641 INFO "target_load_doubted" TargetLoadDoubted { target: &'a str }
     #[doc = "The response times of a target confirm the load that it reports again."]
     642 INFO "target_load_believed" TargetLoadBelieved { target: &'a str }
+    #[doc = "Requests of a route were refused before anything was sent, since the targets of `service` are slow or full; `requests` is their number since the last such line of the route, which has one a second at most. At a `pressure_percent` of 100 the latency aim is used up."]
+    651 INFO "requests_shed" RequestsShed {
+        route: &'a str, service: &'a str, requests: u64, pressure_percent: u64,
+    }
     #[doc = "Connections that a listener had accepted were closed within a second: `memory` of them to stay within the memory limit, `connections` within the descriptors, `stalled` since a head or an answer made no progress."]
     661 WARN "connections_closed" ConnectionsClosed {
         memory: u64, connections: u64, stalled: u64, held_bytes: u64, open: u64,
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -154,6 +154,9 @@
         if end.cause == RefusalCause::Evacuated.as_str() {
             metrics.count(DaemonMetric::EvacuationRefused, 1);
         }
+        if end.cause == RefusalCause::Overload.as_str() {
+            metrics.count(DaemonMetric::RelayShed, 1);
+        }
         if end.missing > 0 {
             metrics.count(DaemonMetric::RelayPartial, 1);
         }
@@ -231,6 +234,12 @@
                 service,
                 reason,
             } => self.log_missed_service(&request_id(*request), service, reason),
+            RelayDecision::Shed {
+                route,
+                service,
+                requests,
+                pressure,
+            } => log_shed(route, service, *requests, *pressure),
             RelayDecision::Suspended { target, period } => {
                 self.metrics.count(DaemonMetric::TargetsSuspended, 1);
                 LogEvent::TargetSuspended {
@@ -424,3 +433,13 @@
         }
     }
 }
+
+fn log_shed(route: &str, service: &str, requests: u32, pressure: f64) {
+    LogEvent::RequestsShed {
+        route,
+        service,
+        requests: u64::from(requests),
+        pressure_percent: (pressure * 100.0) as u64,
+    }
+    .emit();
+}
--- a/daemon/src/relay/settings_watch.rs
+++ b/daemon/src/relay/settings_watch.rs
@@ -163,6 +163,7 @@
             overage,
             slack: settings.cold_slack,
         }),
+        admission: settings.admission,
     }
 }
 
@@ -184,6 +185,7 @@
                 "retries.share",
                 old.retry_share.to_bits() != new.retry_share.to_bits(),
             ),
+            ("overload.admission", old.admission != new.admission),
             ("retries.window", old.retry_window != new.retry_window),
             (
                 "cold.overage",
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -5,6 +5,7 @@
 
 use yuccalift_core::control::call_budget::PlatformCallRate;
 use yuccalift_core::ids::{DataCentreName, HostName};
+use yuccalift_core::relay::AdmissionMode;
 
 use crate::daemon::LogSettings;
 use crate::daemon_file::{LOG_FORMAT, LOG_LEVEL, build_log_settings};
@@ -16,6 +17,8 @@
 const READINESS: &str = "listen.readiness";
 const PEERS: &str = "listen.peers";
 const METRICS: &str = "listen.metrics";
+const ADMISSION: &str = "overload.admission";
+const ADMISSION_MODES: &[&str] = &["adaptive", "off"];
 
 /// Minimum number of calls per second that the store grants each daemon. The size of the fleet is
 /// not published, but the call rate of its store grows with it: existing sites grant 67 or more per
@@ -59,6 +62,8 @@
     pub cold_overage: Option<f64>,
     /// Requests beyond that multiple that a cold target tolerates in any second.
     pub cold_slack: f64,
+    /// Whether requests are refused early while targets are under pressure.
+    pub admission: AdmissionMode,
     /// Maximum duration of a graceful stop; the process exits when it has passed.
     pub stop_timeout: Duration,
     /// Memory that the process may use, in MB.
@@ -184,6 +189,12 @@
         default: FieldDefault::Value("0"),
         help: "requests beyond that multiple that a cold target tolerates in any second",
     },
+    FieldSpec {
+        name: ADMISSION,
+        kind: FieldKind::Choice(ADMISSION_MODES),
+        default: FieldDefault::Value("off"),
+        help: "whether requests are refused early while targets are under pressure",
+    },
     FieldSpec {
         name: "stop_timeout",
         kind: FieldKind::Duration {
@@ -257,6 +268,10 @@
         evacuation_time: reader.duration("evacuation.apply_time"),
         cold_overage: reader.number("cold.overage"),
         cold_slack: reader.number("cold.slack")?,
+        admission: match reader.text(ADMISSION)?.as_ref() {
+            "adaptive" => AdmissionMode::Adaptive,
+            _ => AdmissionMode::Off,
+        },
         stop_timeout: reader.duration("stop_timeout")?,
         memory_limit_mb: reader.number("memory_limit")? as usize,
         descriptor_limit: reader.number("descriptor_limit")? as usize,
