--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -21,6 +21,8 @@
 //! - `idle_links`: the idle connections to each target.
 //! - `cold_targets`: the rate at which cold targets get requests.
 //! - `dispatch`, `replies`, `hedging`, `finish`: the stages of request processing.
+//! - [`admission`], `response_estimate`, `pacing`: overload control, before a request is sent and
+//!   at slow targets.
 //! - `probing`: connection probes of targets that may be unreachable.
 //! - `suspicion`: detection of requests that crash their targets.
 //! - `budget`: the retry budget of each service.
@@ -33,6 +35,7 @@
 //! See `docs/PLATFORM.md`.
 
 pub mod action;
+pub mod admission;
 mod budget;
 mod choice;
 mod cold_targets;
@@ -49,10 +52,12 @@
 mod link_history;
 pub mod load_estimate;
 pub mod merge;
+mod pacing;
 mod probing;
 mod replies;
 mod reports;
 mod request;
+mod response_estimate;
 pub mod route;
 pub mod self_report;
 mod service;
@@ -70,6 +75,7 @@
 pub use action::{
     AttemptOrder, ProbeOrder, RefusalCause, RelayAction, RelayAnswer, RelayDecision, RelayRefusal,
 };
+pub use admission::AdmissionMode;
 pub use event::{ProbeOutcome, RelayEvent, RelayRequest, TargetOutcome, TargetReply};
 pub use explanation::RequestExplanation;
 pub use idle_policy::IdlePolicy;
@@ -80,6 +86,7 @@
 pub use target_hold::{ColdTolerance, HoldChange};
 pub use target_record::{TargetPhase, TargetRecord};
 
+use admission::AdmissionState;
 use evacuation::EvacuationSet;
 use latencies::RouteLatencies;
 use request::RequestTable;
@@ -119,6 +126,8 @@
     pub drain_time: Duration,
     /// Tolerances of the rate at which cold targets get requests; the rate is not limited if absent.
     pub cold: Option<ColdTolerance>,
+    /// Whether requests are refused early while targets are under pressure.
+    pub admission: AdmissionMode,
 }
 
 /// The state and all decisions of the relay of one daemon.
@@ -130,6 +139,7 @@
     targets: RelayTargets,
     requests: RequestTable,
     latencies: RouteLatencies,
+    admission: AdmissionState,
     suspicion: SuspicionState,
     evacuations: EvacuationSet,
     timers: TimerQueue,
@@ -153,6 +163,7 @@
             targets: RelayTargets::default(),
             requests: RequestTable::default(),
             latencies: RouteLatencies::default(),
+            admission: AdmissionState::default(),
             suspicion: SuspicionState::default(),
             evacuations: EvacuationSet::default(),
             timers: TimerQueue::default(),
@@ -237,6 +248,7 @@
         self.services
             .set_connection_limits(&table, self.daemon_count);
         self.latencies.retain(&table);
+        self.admission.retain(&table);
         self.routes = table;
     }
 
@@ -258,6 +270,7 @@
                 TimerKind::Retry { request, leg_index } => {
                     self.retry_leg(now, request, leg_index, actions);
                 }
+                TimerKind::Paced { target } => self.dispatch_parked_to(now, target, actions),
                 TimerKind::Probe { target } => self.probe_if_due(now, target, actions),
                 TimerKind::Departure { target } => self.end_departure(now, target, actions),
             }
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -7,6 +7,7 @@
 use super::idle_links::IdleLinks;
 use super::load_estimate::LoadEstimate;
 use super::request::LiveAttempt;
+use super::response_estimate::ResponseEstimate;
 use super::target_hold::TargetHold;
 use super::target_record::{TargetName, TargetRecord};
 use super::{AttemptKey, TargetKey};
@@ -85,6 +86,10 @@
     cold_until: Instant,
     /// Latency as a multiple of the route's typical latency; a factor of 1 is stored as one second.
     relative_latency: LatencyAverage,
+    /// Recent response times and rejections, for admission control.
+    pub(super) response: ResponseEstimate,
+    /// Time until which no further attempt is sent, since the target is slow or full.
+    pub(super) paced_until: Option<Instant>,
     failure_rate: f64,
     failure_updated_at: Option<Instant>,
     consecutive_failures: u32,
@@ -121,6 +126,8 @@
             last_sent: None,
             idle_links: IdleLinks::default(),
             relative_latency: LatencyAverage::default(),
+            response: ResponseEstimate::default(),
+            paced_until: None,
             failure_rate: 0.0,
             failure_updated_at: None,
             consecutive_failures: 0,
@@ -305,6 +312,23 @@
         }
     }
 
+    /// Returns by how much the oldest attempt in flight exceeds its typical latency, and that latency;
+    /// the time before a pause is not counted.
+    pub(super) fn overdue_time(
+        &self,
+        now: Instant,
+        resumed_at: Option<Instant>,
+    ) -> (Duration, Duration) {
+        self.in_flight
+            .first()
+            .map_or_else(Default::default, |oldest| {
+                let since =
+                    resumed_at.map_or(oldest.sent_at, |resumed| resumed.max(oldest.sent_at));
+                let age = now.saturating_duration_since(since);
+                (age.saturating_sub(oldest.typical), oldest.typical)
+            })
+    }
+
     /// Returns the age of the oldest attempt in flight as a multiple of its typical latency.
     fn oldest_relative_age(&self, now: Instant, resumed_at: Option<Instant>) -> f64 {
         let Some(oldest) = self.in_flight.first() else {
--- a/core/tests/relay/cold_targets.rs
+++ b/core/tests/relay/cold_targets.rs
@@ -5,12 +5,12 @@
 
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry};
 use yuccalift_core::relay::{
-    ColdTolerance, RefusalCause, RelayEvent, RelayRefusal, RelayTuning, RepeatKind, RouteTable,
-    SelfReport, TargetRecord,
+    AdmissionMode, ColdTolerance, RefusalCause, RelayEvent, RelayRefusal, RelayTuning, RepeatKind,
+    RouteTable, SelfReport, TargetRecord,
 };
 use yuccalift_testkit::cases;
 
-use crate::support::{DRAIN_TIME, RelayHarness, TIMEOUT, forward_route, ms, success, target};
+use crate::support::{RelayHarness, TIMEOUT, forward_route, ms, success, target, tuning};
 
 const COLD_TIME: Duration = Duration::from_secs(8);
 /// Requests a second that a cold target accepts from all daemons.
@@ -29,13 +29,11 @@
     let table = RouteTable::new(2, vec![route], vec![service], CallerLimits::default());
     harness.feed(RelayEvent::RoutesChanged(Arc::new(table)));
     harness.feed(RelayEvent::TuningChanged(RelayTuning {
-        retry_share: 0.2,
-        retry_window: Duration::from_secs(10),
-        drain_time: DRAIN_TIME,
         cold: is_in_force.then_some(ColdTolerance {
             overage: 1.5,
             slack: 5.0,
         }),
+        ..tuning(AdmissionMode::Off)
     }));
     harness.feed(RelayEvent::DaemonCountChanged(1));
     harness.feed(RelayEvent::TargetListed(record));
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the relay engine without a network.
 
+mod admission;
 mod budget;
 mod cold_targets;
 mod crashing;
@@ -8,6 +9,7 @@
 mod explanations;
 mod forwarding;
 mod gathering;
+mod goodput;
 mod hedging;
 mod holds;
 mod idle_links;
