relay: let a watch wait 3 s again where evacuations apply within 5 s

Cause: watches waited half of evacuation.apply_time, 2.5 s instead of 3 s, so that each reader called the store a fifth more often. Change: a watch waits 0.6 of the time, at most 3 s. What is left covers the end of a watch that the store has lost and another call.

--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -46,9 +46,9 @@
 /// within that time, and failed calls are repeated within a second.
 pub(super) fn store_read_settings(settings: &RelaySettings) -> ReadSettings {
     ReadSettings {
-        watch_wait: settings
-            .evacuation_time
-            .map_or(MAX_WATCH_WAIT, |time| (time / 2).min(MAX_WATCH_WAIT)),
+        watch_wait: settings.evacuation_time.map_or(MAX_WATCH_WAIT, |time| {
+            time.mul_f64(WATCH_SHARE).min(MAX_WATCH_WAIT)
+        }),
         watch_gap: Duration::from_millis(60),
         initial_backoff: Duration::from_millis(100),
         max_backoff: Duration::from_millis(800),
@@ -58,6 +58,9 @@
     }
 }
 
+/// Share of the time within which an evacuation must take effect that a watch waits. The rest is for
+/// a repeated call and for its answer.
+const WATCH_SHARE: f64 = 0.6;
 /// Maximum time that a watch waits for a change.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(3);
 /// Spacing of the first store reads when a whole fleet starts, per daemon that the fleet may have.
