relay: presume later targets cold after an evacuation

Cause: at the end of an evacuation only the targets known at that moment were presumed cold, and only if routes and cold settings were known by then. Targets listed or restarted afterwards got requests without a limit. An entry or an older answer with a smaller cold time shortened the known one: an entry that gave 1 ms ended the presumption.

Change: the end of an evacuation is kept with its time, and targets that are added later are presumed cold from then. The presumption is kept apart from what a target says and uses the cold time published when it is asked. An answer to a request from before the last word doesn't shorten the cold time, and an entry never does.

--- a/core/src/relay/cold_targets.rs
+++ b/core/src/relay/cold_targets.rs
@@ -19,26 +19,30 @@
         })
     }
 
-    /// Records that the entry of a target names a remaining cold time.
+    /// Records the remaining cold time that a target's entry gives.
     pub(super) fn record_listed_cold(&mut self, now: Instant, key: TargetKey, cold_left: Duration) {
-        if let Some(target) = self.targets.get_mut(key).filter(|_| !cold_left.is_zero()) {
-            target.hold.record_cold(now, now, cold_left);
+        if let Some(target) = self.targets.get_mut(key) {
+            target.hold.record_listed_cold(now, cold_left);
         }
     }
 
-    /// Treats the targets of a data centre as cold, since its evacuation has ended: they have had no
-    /// requests, and their entries may not tell yet.
+    /// Presumes that the targets of a data centre are cold, since its evacuation has ended: they have
+    /// had no requests, and their entries may not tell yet.
     pub(super) fn presume_cold(&mut self, now: Instant, data_centre: &str) {
-        let targets = self.targets.iter();
-        let cold: Vec<(TargetKey, Duration)> = targets
-            .filter(|target| target.record.data_centre.as_ref() == data_centre)
-            .filter_map(|target| {
-                let limit = self.cold_limit(&target.record.service)?;
-                Some((target.key, limit.time))
-            })
-            .collect();
-        for (key, time) in cold {
-            self.record_listed_cold(now, key, time);
+        let targets = self.targets.iter_mut();
+        for target in targets.filter(|target| target.record.data_centre.as_ref() == data_centre) {
+            target.hold.presume_cold(now);
+        }
+    }
+
+    /// Presumes that a target that has just been added is cold, if the evacuation of its data centre
+    /// has ended before.
+    pub(super) fn presume_added_cold(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        if let Some(ended_at) = self.evacuations.ended_at(&target.record.data_centre) {
+            target.hold.presume_cold(ended_at);
         }
     }
 
--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -56,6 +56,7 @@
             is_local,
             &self.options.host,
         ));
+        self.presume_added_cold(key);
         self.record_listed_cold(now, key, cold_left);
         self.dispatch_parked(now, &service, actions);
     }
--- a/core/src/relay/evacuation.rs
+++ b/core/src/relay/evacuation.rs
@@ -9,12 +9,17 @@
 use super::action::{RefusalCause, RelayAction, RelayDecision};
 use super::route::ServiceName;
 use super::target::RelayTarget;
+use super::target_hold::MAX_COLD_TIME;
 use crate::ids::DataCentreName;
 
-/// The evacuated data centres, sorted by name.
+/// The evacuated data centres, and those whose evacuation has ended.
 #[derive(Debug, Default)]
 pub(super) struct EvacuationSet {
+    /// The evacuated data centres, sorted by name.
     data_centres: Vec<DataCentreName>,
+    /// The data centres whose evacuation ended within [`MAX_COLD_TIME`] before the last change, with
+    /// the time of the end, sorted by name.
+    ended: Vec<(DataCentreName, Instant)>,
 }
 
 impl EvacuationSet {
@@ -23,16 +28,34 @@
         self.index(data_centre).is_ok()
     }
 
+    /// Returns the time at which the last evacuation of a data centre ended, if it is not evacuated
+    /// again and the end is known.
+    pub(super) fn ended_at(&self, data_centre: &str) -> Option<Instant> {
+        let index = self.ended_index(data_centre).ok()?;
+        Some(self.ended[index].1)
+    }
+
     /// Adds or removes a data centre; returns false if that changes nothing.
-    fn set(&mut self, data_centre: &str, active: bool) -> bool {
+    fn set(&mut self, now: Instant, data_centre: &str, active: bool) -> bool {
         match (self.index(data_centre), active) {
             (Err(index), true) => self.data_centres.insert(index, data_centre.into()),
             (Ok(index), false) => drop(self.data_centres.remove(index)),
             (Ok(_), true) | (Err(_), false) => return false,
         }
+        self.ended.retain(|(name, at)| {
+            name.as_ref() != data_centre && now.saturating_duration_since(*at) < MAX_COLD_TIME
+        });
+        if !active && let Err(index) = self.ended_index(data_centre) {
+            self.ended.insert(index, (data_centre.into(), now));
+        }
         true
     }
 
+    fn ended_index(&self, data_centre: &str) -> Result<usize, usize> {
+        self.ended
+            .binary_search_by(|(other, _)| other.as_ref().cmp(data_centre))
+    }
+
     fn index(&self, data_centre: &str) -> Result<usize, usize> {
         self.data_centres
             .binary_search_by(|other| other.as_ref().cmp(data_centre))
@@ -54,7 +77,7 @@
         active: bool,
         actions: &mut Vec<RelayAction>,
     ) {
-        if !self.evacuations.set(data_centre, active) {
+        if !self.evacuations.set(now, data_centre, active) {
             return;
         }
         actions.push(RelayAction::Decided(RelayDecision::EvacuationChanged {
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -403,6 +403,11 @@
         Some(target)
     }
 
+    /// Iterates over all targets for modification.
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut RelayTarget> {
+        self.entries.iter_mut()
+    }
+
     /// Iterates over all targets.
     pub(super) fn iter(&self) -> impl Iterator<Item = &RelayTarget> {
         self.entries.iter()
--- a/core/src/relay/target_hold.rs
+++ b/core/src/relay/target_hold.rs
@@ -33,7 +33,7 @@
 const PEAK_FACTOR: f64 = 1.5;
 const PEAK_SLACK: f64 = 5.0;
 /// Longest remaining cold time that is recorded.
-const MAX_COLD_TIME: Duration = Duration::from_secs(3_600);
+pub(super) const MAX_COLD_TIME: Duration = Duration::from_secs(3_600);
 
 /// Longest time for which a target that turned a request away gets none, whatever it says.
 const MAX_PAUSE: Duration = Duration::from_secs(60);
@@ -114,12 +114,21 @@
 /// The time for which a target is cold, and the requests sent to it since.
 #[derive(Clone, Copy, Debug)]
 struct ColdHold {
-    since: Instant,
-    until: Instant,
+    /// What the target last said of its cold time.
+    word: Option<ColdWord>,
+    /// Time since which the target is presumed cold for the published cold time.
+    presumed_since: Option<Instant>,
     /// Use of the rate; its limit is set whenever it is asked.
     rate: RateHold,
 }
 
+/// A remaining cold time that a target has named.
+#[derive(Clone, Copy, Debug)]
+struct ColdWord {
+    since: Instant,
+    until: Instant,
+}
+
 /// A limited rate and its use in the current period.
 #[derive(Clone, Copy, Debug)]
 struct RateHold {
@@ -165,50 +174,84 @@
     }
 
     /// Records for how long the target remains cold, by an answer to a request that was sent at
-    /// `sent_at`.
+    /// `sent_at`. It ends a presumption from before the request.
     pub fn record_cold(
         &mut self,
         now: Instant,
         sent_at: Instant,
         cold_left: Duration,
     ) -> Option<HoldChange> {
+        if let Some(cold) = &mut self.cold {
+            cold.presumed_since = cold.presumed_since.filter(|since| sent_at < *since);
+        }
         let until = now + cold_left.min(MAX_COLD_TIME);
-        match &mut self.cold {
-            // An answer to a request from before the cold time may be older than it.
-            Some(cold) if cold_left.is_zero() && sent_at < cold.since => None,
-            Some(cold) if now < cold.until => {
-                (cold.since, cold.until) = (now, until);
+        let known = self.cold.and_then(|cold| cold.word);
+        match known {
+            // An answer to a request from before the word may be older than it, and must not shorten
+            // the cold time.
+            Some(word) if sent_at < word.since && until <= word.until => None,
+            Some(word) if now < word.until => {
+                self.set_cold_word(now, until);
                 cold_left.is_zero().then_some(HoldChange::Warm)
             }
             Some(_) | None if cold_left.is_zero() => None,
-            Some(cold) => {
-                (cold.since, cold.until) = (now, until);
-                Some(HoldChange::Cold(cold_left))
-            }
-            None => {
-                let rate = RateHold {
-                    limit: 0.0,
-                    since: now,
-                    period: 0,
-                    used: 0,
-                };
-                let since = now;
-                self.cold = Some(ColdHold { since, until, rate });
+            Some(_) | None => {
+                self.set_cold_word(now, until);
                 Some(HoldChange::Cold(cold_left))
             }
         }
     }
 
+    /// Records for how long the target remains cold, by its entry. The entry may be older than what
+    /// is known, so it never shortens the cold time.
+    pub fn record_listed_cold(&mut self, now: Instant, cold_left: Duration) -> Option<HoldChange> {
+        if cold_left.is_zero() {
+            return None;
+        }
+        let until = now + cold_left.min(MAX_COLD_TIME);
+        let word = self.cold.and_then(|cold| cold.word);
+        let known_until = word.map(|word| word.until).filter(|until| now < *until);
+        self.set_cold_word(now, known_until.map_or(until, |known| known.max(until)));
+        known_until.is_none().then_some(HoldChange::Cold(cold_left))
+    }
+
+    /// Presumes that the target is cold since `since`, for the published cold time, until an answer
+    /// to a later request says for how long it is.
+    pub fn presume_cold(&mut self, since: Instant) {
+        self.cold_hold(since).presumed_since = Some(since);
+    }
+
+    fn set_cold_word(&mut self, since: Instant, until: Instant) {
+        self.cold_hold(since).word = Some(ColdWord { since, until });
+    }
+
+    fn cold_hold(&mut self, since: Instant) -> &mut ColdHold {
+        self.cold.get_or_insert(ColdHold {
+            word: None,
+            presumed_since: None,
+            rate: RateHold {
+                limit: 0.0,
+                since,
+                period: 0,
+                used: 0,
+            },
+        })
+    }
+
     /// Returns the earliest time, `now` or later, at which the target may get a request although it
     /// is cold.
     pub fn cold_until(&self, now: Instant, daemons: u32, limit: ColdLimit) -> Instant {
         let Some(cold) = self.cold else {
             return now;
         };
-        let until = cold.until.min(cold.since + limit.time);
-        if until <= now {
+        let word_until = cold
+            .word
+            .map(|word| word.until.min(word.since + limit.time));
+        let presumed_until = cold.presumed_since.map(|since| since + limit.time);
+        let until = word_until.max(presumed_until);
+        let Some(until) = until.filter(|until| *until > now) else {
             return now;
-        }
+        };
         let rate = RateHold {
             limit: limit.rate,
             ..cold.rate
--- a/core/tests/cold_targets.rs
+++ b/core/tests/cold_targets.rs
@@ -107,6 +107,9 @@
     a_target_is_warm_after_its_time: words_hold_the_target(&[(0, 0, 3_000)], 3_000, false);
     a_target_that_says_it_is_warm_is_free: words_hold_the_target(&[(0, 0, 3_000), (200, 100, 0)], 1_000, false);
     an_older_answer_does_not_end_the_cold_time: words_hold_the_target(&[(100, 100, 3_000), (200, 50, 0)], 1_000, true);
+    an_older_answer_does_not_shorten_the_cold_time: words_hold_the_target(&[(100, 100, 3_000), (200, 50, 1)], 1_000, true);
+    a_later_answer_shortens_the_cold_time: words_hold_the_target(&[(100, 100, 3_000), (200, 150, 1)], 1_000, false);
+    an_older_answer_may_extend_the_cold_time: words_hold_the_target(&[(100, 100, 300), (200, 50, 3_000)], 1_000, true);
     a_target_may_become_cold_again: words_hold_the_target(&[(0, 0, 500), (900, 900, 3_000)], 1_000, true);
     a_time_of_years_ends_with_the_cold_time: words_hold_the_target(&[(0, 0, u64::MAX / 2_000)], 20_000, false);
     the_usual_tolerance_gives_the_whole_rate: tolerance_gives_rate(1.5, 5.0, 10.0);
--- a/core/tests/relay/cold_targets.rs
+++ b/core/tests/relay/cold_targets.rs
@@ -5,8 +5,8 @@
 
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry};
 use yuccalift_core::relay::{
-    AdmissionMode, ColdTolerance, RefusalCause, RelayEvent, RelayRefusal, RelayTuning, RepeatKind,
-    RouteTable, SelfReport, TargetRecord,
+    AdmissionMode, ColdTolerance, HoldChange, RefusalCause, RelayDecision, RelayEvent,
+    RelayRefusal, RelayTuning, RepeatKind, RouteTable, SelfReport, TargetRecord,
 };
 use yuccalift_testkit::cases;
 
@@ -18,16 +18,33 @@
 
 /// Creates one daemon with one target, in front of which it is alone.
 fn relay_with(is_in_force: bool, record: TargetRecord) -> RelayHarness {
+    let mut harness = unconfigured_relay("entry-1");
+    publish_rate(&mut harness, COLD_RATE);
+    set_tolerance(&mut harness, is_in_force);
+    harness.feed(RelayEvent::DaemonCountChanged(1));
+    harness.feed(RelayEvent::TargetListed(record));
+    harness
+}
+
+/// Creates a daemon that knows neither targets nor limits.
+fn unconfigured_relay(host: &str) -> RelayHarness {
+    let route = forward_route("s0", RepeatKind::Idempotent, 2);
+    RelayHarness::on_host(host, vec![route], Vec::new())
+}
+
+fn publish_rate(harness: &mut RelayHarness, cold_rate: f64) {
     let route = forward_route("s0", RepeatKind::Idempotent, 2);
-    let mut harness = RelayHarness::new(vec![route.clone()], Vec::new());
     let service = ServiceEntry {
         name: "s0".into(),
         connections: 80,
-        cold_rate: COLD_RATE,
+        cold_rate,
         cold_time: COLD_TIME,
     };
     let table = RouteTable::new(2, vec![route], vec![service], CallerLimits::default());
     harness.feed(RelayEvent::RoutesChanged(Arc::new(table)));
+}
+
+fn set_tolerance(harness: &mut RelayHarness, is_in_force: bool) {
     harness.feed(RelayEvent::TuningChanged(RelayTuning {
         cold: is_in_force.then_some(ColdTolerance {
             overage: 1.5,
@@ -35,9 +52,6 @@
         }),
         ..tuning(AdmissionMode::Off)
     }));
-    harness.feed(RelayEvent::DaemonCountChanged(1));
-    harness.feed(RelayEvent::TargetListed(record));
-    harness
 }
 
 /// Sends requests one after the other for a second, and returns the number that was sent.
@@ -83,6 +97,71 @@
     }
 }
 
+/// Lists the next incarnation of the target, which says nothing of a cold time.
+fn restart(harness: &mut RelayHarness) {
+    harness.feed(RelayEvent::TargetListed(TargetRecord {
+        started_ms: Some(2),
+        ..target("a", "s0")
+    }));
+}
+
+/// Lists the target again with an entry that gives nearly no remaining cold time.
+fn list_as_nearly_warm(harness: &mut RelayHarness) {
+    harness.feed(RelayEvent::TargetListed(TargetRecord {
+        cold_left: ms(1),
+        ..target("a", "s0")
+    }));
+    harness.advance(ms(2));
+}
+
+/// Guards against a target that is not presumed cold after an evacuation if what limits it, or the
+/// target itself, becomes known only after the end.
+fn late_knowledge_limits_the_target(learn: impl Fn(&mut RelayHarness)) {
+    let mut harness = unconfigured_relay("entry-1");
+    harness.feed(RelayEvent::DaemonCountChanged(1));
+    learn(&mut harness);
+    for _ in 0..5 {
+        let sent = sent_in_a_second(&mut harness, SelfReport::default());
+        assert!((1..=11).contains(&sent), "{sent} requests in a second");
+    }
+}
+
+fn learn_targets_last(harness: &mut RelayHarness) {
+    publish_rate(harness, COLD_RATE);
+    set_tolerance(harness, true);
+    evacuate_and_return(harness);
+    harness.feed(RelayEvent::TargetListed(target("a", "s0")));
+}
+
+fn learn_routes_last(harness: &mut RelayHarness) {
+    set_tolerance(harness, true);
+    harness.feed(RelayEvent::TargetListed(target("a", "s0")));
+    evacuate_and_return(harness);
+    publish_rate(harness, COLD_RATE);
+}
+
+fn learn_settings_last(harness: &mut RelayHarness) {
+    publish_rate(harness, COLD_RATE);
+    harness.feed(RelayEvent::TargetListed(target("a", "s0")));
+    evacuate_and_return(harness);
+    set_tolerance(harness, true);
+}
+
+/// Guards against an entry that says that a target is cold without a line of the log, and against a
+/// line for each target after an evacuation, whose end has one.
+fn cold_targets_are_logged(prepare: impl Fn(&mut RelayHarness), expected: &[HoldChange]) {
+    let mut harness = relay_with(true, target("a", "s0"));
+    prepare(&mut harness);
+    say_warm(&mut harness);
+    let changes = harness.decisions.iter().filter_map(|decision| {
+        let RelayDecision::HoldChanged { change, .. } = decision else {
+            return None;
+        };
+        Some(*change)
+    });
+    assert_eq!(changes.collect::<Vec<_>>(), expected);
+}
+
 /// Guards against a limit that applies where it is not called for, or for too long.
 fn target_is_not_limited(is_in_force: bool, prepare: impl Fn(&mut RelayHarness)) {
     let mut harness = relay_with(is_in_force, cold_record());
@@ -132,6 +211,24 @@
 }
 
 cases! {
+    a_target_restarted_after_an_evacuation_is_spared: cold_target_is_spared(target("a", "s0"), |harness| {
+        evacuate_and_return(harness);
+        restart(harness);
+    });
+    a_target_listed_after_an_evacuation_is_spared: late_knowledge_limits_the_target(learn_targets_last);
+    routes_after_an_evacuation_limit_the_target: late_knowledge_limits_the_target(learn_routes_last);
+    settings_after_an_evacuation_limit_the_target: late_knowledge_limits_the_target(learn_settings_last);
+    a_target_restarted_long_after_an_evacuation_is_not_limited: target_is_not_limited(true, |harness| {
+        evacuate_and_return(harness);
+        harness.advance(COLD_TIME);
+        restart(harness);
+    });
+    an_entry_does_not_shorten_a_presumed_cold_time: cold_target_is_spared(target("a", "s0"), |harness| {
+        evacuate_and_return(harness);
+        list_as_nearly_warm(harness);
+    });
+    an_entry_does_not_shorten_a_known_cold_time: cold_target_is_spared(cold_record(), list_as_nearly_warm);
+    a_presumed_cold_target_is_not_logged: cold_targets_are_logged(evacuate_and_return, &[]);
     a_target_whose_entry_says_cold_is_spared: cold_target_is_spared(cold_record(), |_harness| {});
     a_target_whose_answer_says_cold_is_spared: cold_target_is_spared(target("a", "s0"), become_cold);
     a_target_is_spared_after_an_evacuation: cold_target_is_spared(target("a", "s0"), evacuate_and_return);
