relay: divide the cold rate by the greatest recent number of daemons

Cause: when peers are suspected, the number of daemons falls at once. Two halves of a fleet that are cut off from each other each divided the rate of a cold target by half of the daemons, and sent up to twice the rate together.

Change: for the cold limit only, a former number of daemons counts for 60 s if it was greater.

In a partition of more than 60 s each part still sends more.

--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -60,6 +60,7 @@
         let daemons = self.presumed_daemons();
         let last_resort_time = self.last_resort_time();
         let cold_limit = self.cold_limit(&service.name);
+        let cold_daemons = self.cold_daemons(now);
         let mut candidates: Vec<Candidate<'_>> = Vec::with_capacity(service.targets.len());
         let mut uses_reports = false;
         let mut any_ready_full = false;
@@ -85,7 +86,7 @@
                 }
             }
             if let Some(limit) = cold_limit {
-                let until = target.hold.cold_until(now, daemons, limit);
+                let until = target.hold.cold_until(now, cold_daemons, limit);
                 if until > now {
                     retry_at = retry_at.into_iter().chain(Some(until)).min();
                     continue;
--- a/core/src/relay/cold_targets.rs
+++ b/core/src/relay/cold_targets.rs
@@ -7,7 +7,46 @@
 use super::target_hold::{ColdLimit, HoldChange};
 use super::{RelayEngine, TargetKey};
 
+/// Time for which a former number of daemons counts if it was greater. In a partition each part of
+/// the fleet knows only its own daemons, while all of them go on sending to the cold targets.
+const COUNT_MEMORY: Duration = Duration::from_secs(60);
+
+/// Former numbers of daemons that were greater than all later ones.
+#[derive(Debug, Default)]
+pub(super) struct FormerCounts {
+    /// The numbers, in descending order, each with the time at which a smaller one replaced it.
+    entries: Vec<(Instant, u32)>,
+}
+
+impl FormerCounts {
+    /// Records that the number of daemons changes.
+    pub(super) fn record(&mut self, now: Instant, former: u32, current: u32) {
+        self.entries
+            .retain(|(at, daemons)| *daemons > former.max(current) && is_remembered(now, *at));
+        if former > current {
+            self.entries.push((now, former));
+        }
+    }
+
+    /// Returns the greatest former number that still counts, or 0.
+    fn greatest(&self, now: Instant) -> u32 {
+        let mut entries = self.entries.iter();
+        let greatest = entries.find(|(at, _)| is_remembered(now, *at));
+        greatest.map_or(0, |(_, daemons)| *daemons)
+    }
+}
+
+fn is_remembered(now: Instant, at: Instant) -> bool {
+    now.saturating_duration_since(at) < COUNT_MEMORY
+}
+
 impl RelayEngine {
+    /// Returns the number of daemons among which the rate of a cold target is divided.
+    pub(super) fn cold_daemons(&self, now: Instant) -> u32 {
+        self.presumed_daemons()
+            .max(self.former_counts.greatest(now))
+    }
+
     /// Returns the limit that holds for the cold targets of a service, if one is published and the
     /// settings call for it.
     pub(super) fn cold_limit(&self, service: &str) -> Option<ColdLimit> {
@@ -52,7 +91,7 @@
         else {
             return false;
         };
-        let daemons = self.presumed_daemons();
+        let daemons = self.cold_daemons(now);
         let mut targets = service
             .targets
             .iter()
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -87,6 +87,7 @@
 pub use target_record::{TargetPhase, TargetRecord};
 
 use admission::AdmissionState;
+use cold_targets::FormerCounts;
 use evacuation::EvacuationSet;
 use latencies::RouteLatencies;
 use request::RequestTable;
@@ -151,6 +152,7 @@
     split_counter: u64,
     /// Estimated number of daemons; 0 while unknown.
     daemon_count: u32,
+    former_counts: FormerCounts,
 }
 
 impl RelayEngine {
@@ -171,6 +173,7 @@
             list_regained_at: None,
             split_counter: 0,
             daemon_count: 0,
+            former_counts: FormerCounts::default(),
         }
     }
 
@@ -212,7 +215,8 @@
             RelayEvent::Notice(notice) => self.handle_notice(now, &notice),
             RelayEvent::NoticeEnded(fingerprint) => self.handle_notice_ended(now, fingerprint),
             RelayEvent::DaemonCountChanged(daemons) => {
-                self.daemon_count = daemons;
+                let former = std::mem::replace(&mut self.daemon_count, daemons);
+                self.former_counts.record(now, former, daemons);
                 self.services.set_connection_limits(&self.routes, daemons);
             }
             RelayEvent::Ending => self.end_all_requests(now, actions),
--- a/core/tests/relay/cold_targets.rs
+++ b/core/tests/relay/cold_targets.rs
@@ -1,7 +1,7 @@
 //! Cold targets, and targets that are presumed cold after an evacuation.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry};
 use yuccalift_core::relay::{
@@ -147,6 +147,64 @@
     set_tolerance(harness, true);
 }
 
+/// Guards against daemons that together send more than a cold target tolerates in a second when
+/// they are cut off from each other: each part of the fleet counts only its own daemons.
+fn divided_fleet_keeps_the_rate() {
+    const DAEMONS: u32 = 40;
+    const RATE: f64 = 40.0;
+    let begun = Instant::now();
+    let mut fleet: Vec<RelayHarness> = (0..DAEMONS)
+        .map(|number| {
+            let mut harness = unconfigured_relay(&format!("entry-{number}"));
+            harness.now = begun;
+            publish_rate(&mut harness, RATE);
+            set_tolerance(&mut harness, true);
+            harness.feed(RelayEvent::DaemonCountChanged(DAEMONS));
+            harness.feed(RelayEvent::TargetListed(cold_record()));
+            harness
+        })
+        .collect();
+    for step in 0..140 {
+        for harness in &mut fleet {
+            if step == 40 {
+                harness.feed(RelayEvent::DaemonCountChanged(DAEMONS / 2));
+            }
+            for _ in 0..3 {
+                let sent = harness.sends.len();
+                harness.submit("to-s0", TIMEOUT);
+                if harness.sends.len() > sent {
+                    let attempt = harness.last_send().attempt;
+                    harness.end(attempt, success(b"0123456789abcdef"));
+                }
+            }
+            harness.advance(ms(50));
+        }
+    }
+    let sends = fleet.iter().flat_map(|harness| &harness.sends);
+    let mut times: Vec<Instant> = sends.map(|(at, _)| *at).collect();
+    times.sort_unstable();
+    let counts = times.iter().enumerate().map(|(first, at)| {
+        times.partition_point(|other| *other < *at + Duration::from_secs(1)) - first
+    });
+    let most = counts.max().unwrap_or(0);
+    let tolerated = 1.5 * RATE + 5.0;
+    assert!(
+        (1.0..=tolerated).contains(&(most as f64)),
+        "{most} in a second of {tolerated}"
+    );
+}
+
+/// Guards against a fleet that has become smaller and goes on to use a small part of the rate.
+fn former_count_is_forgotten() {
+    let mut harness = relay_with(true, target("a", "s0"));
+    harness.feed(RelayEvent::DaemonCountChanged(3_500));
+    harness.feed(RelayEvent::DaemonCountChanged(1));
+    harness.advance(Duration::from_secs(59));
+    harness.feed(RelayEvent::TargetListed(cold_record()));
+    assert_eq!(sent_in_a_second(&mut harness, SelfReport::default()), 0);
+    assert!(sent_in_a_second(&mut harness, SelfReport::default()) > 0);
+}
+
 /// Guards against an entry that says that a target is cold without a line of the log, and against a
 /// line for each target after an evacuation, whose end has one.
 fn cold_targets_are_logged(prepare: impl Fn(&mut RelayHarness), expected: &[HoldChange]) {
@@ -228,6 +286,8 @@
         list_as_nearly_warm(harness);
     });
     an_entry_does_not_shorten_a_known_cold_time: cold_target_is_spared(cold_record(), list_as_nearly_warm);
+    a_divided_fleet_keeps_the_rate: divided_fleet_keeps_the_rate();
+    a_count_of_more_than_a_minute_ago_is_forgotten: former_count_is_forgotten();
     a_presumed_cold_target_is_not_logged: cold_targets_are_logged(evacuate_and_return, &[]);
     a_target_whose_entry_says_cold_is_spared: cold_target_is_spared(cold_record(), |_harness| {});
     a_target_whose_answer_says_cold_is_spared: cold_target_is_spared(target("a", "s0"), become_cold);
