relay: let a target's word count without a published cold time

Cause: where the published cold time is missing or malformed it is zero, and the time since a target's word was limited to it, so that the limit was off whatever the target said. A presumption after an evacuation had lost its bound of an hour when the published cold time is longer.

Change: without a published cold time a target's word counts for up to an hour, the existing maximum. A presumption needs a published time, and lasts an hour at most.

Result: `cold_targets::a_word_without_a_published_time_counts` fails before and passes now.

--- a/core/src/relay/route.rs
+++ b/core/src/relay/route.rs
@@ -104,7 +104,7 @@
     /// no limit is published.
     #[serde(default)]
     pub cold_rate: f64,
-    /// Time for which a target is cold after its start.
+    /// Time for which a target is cold after its start; zero if none is published.
     #[serde(default)]
     pub cold_time: Duration,
 }
--- a/core/src/relay/target_hold.rs
+++ b/core/src/relay/target_hold.rs
@@ -95,10 +95,21 @@
 pub struct ColdLimit {
     /// Requests per second over all daemons.
     pub rate: f64,
-    /// Longest time for which a target is cold without saying so again.
+    /// Longest time for which a target is cold without saying so again; zero if none is published.
     pub time: Duration,
 }
 
+impl ColdLimit {
+    /// Returns the longest time for which a target's word counts.
+    fn word_time(self) -> Duration {
+        if self.time.is_zero() {
+            MAX_COLD_TIME
+        } else {
+            self.time
+        }
+    }
+}
+
 /// What a target has said of itself, and the requests sent to it since.
 #[derive(Clone, Debug)]
 pub struct TargetHold {
@@ -246,8 +257,10 @@
         };
         let word_until = cold
             .word
-            .map(|word| word.until.min(word.since + limit.time));
-        let presumed_until = cold.presumed_since.map(|since| since + limit.time);
+            .map(|word| word.until.min(word.since + limit.word_time()));
+        let presumed_until = cold
+            .presumed_since
+            .map(|since| since + limit.time.min(MAX_COLD_TIME));
         let until = word_until.max(presumed_until);
         let Some(until) = until.filter(|until| *until > now) else {
             return now;
--- a/core/tests/cold_targets.rs
+++ b/core/tests/cold_targets.rs
@@ -89,6 +89,41 @@
     assert_eq!(hold.cold_until(now, 1, limit(4.0)) > now, is_held);
 }
 
+/// Guards against a cold time that is not published, or can't be read, and switches the limit off,
+/// and against one that holds a target for ever.
+fn own_word_counts_without_a_published_time(cold_left: Duration, at: Duration, is_held: bool) {
+    let now = Instant::now();
+    let mut hold = TargetHold::new(1);
+    hold.record_cold(now, now, cold_left);
+    for _ in 0..100 {
+        hold.count_send(now + at);
+    }
+    let unpublished = ColdLimit {
+        time: Duration::ZERO,
+        ..limit(4.0)
+    };
+    assert_eq!(
+        hold.cold_until(now + at, 1, unpublished) > now + at,
+        is_held
+    );
+}
+
+/// Guards against a presumption without a published time, which nothing justifies, and against one
+/// that lasts for a published time of any length.
+fn presumption_lasts(published: Duration, at: Duration, is_held: bool) {
+    let now = Instant::now();
+    let mut hold = TargetHold::new(1);
+    hold.presume_cold(now);
+    for _ in 0..100 {
+        hold.count_send(now + at);
+    }
+    let limit = ColdLimit {
+        time: published,
+        ..limit(4.0)
+    };
+    assert_eq!(hold.cold_until(now + at, 1, limit) > now + at, is_held);
+}
+
 /// Guards against a tolerance that is stricter or wider than usual and changes nothing, or too much.
 fn tolerance_gives_rate(overage: f64, slack: f64, expected: f64) {
     let rate = ColdTolerance { overage, slack }.usable_rate(10.0);
@@ -112,6 +147,13 @@
     an_older_answer_may_extend_the_cold_time: words_hold_the_target(&[(100, 100, 300), (200, 50, 3_000)], 1_000, true);
     a_target_may_become_cold_again: words_hold_the_target(&[(0, 0, 500), (900, 900, 3_000)], 1_000, true);
     a_time_of_years_ends_with_the_cold_time: words_hold_the_target(&[(0, 0, u64::MAX / 2_000)], 20_000, false);
+    a_word_without_a_published_time_counts: own_word_counts_without_a_published_time(COLD_TIME, COLD_TIME / 2, true);
+    a_word_without_a_published_time_ends: own_word_counts_without_a_published_time(COLD_TIME, COLD_TIME, false);
+    a_word_of_years_without_a_published_time_ends: own_word_counts_without_a_published_time(Duration::from_secs(u64::from(u32::MAX)), Duration::from_secs(3_600), false);
+    a_presumption_lasts_for_the_published_time: presumption_lasts(COLD_TIME, COLD_TIME / 2, true);
+    a_presumption_ends_with_the_published_time: presumption_lasts(COLD_TIME, COLD_TIME, false);
+    a_presumption_needs_a_published_time: presumption_lasts(Duration::ZERO, Duration::from_secs(1), false);
+    a_presumption_of_weeks_ends: presumption_lasts(Duration::from_secs(2_592_000), Duration::from_secs(3_600), false);
     the_usual_tolerance_gives_the_whole_rate: tolerance_gives_rate(1.5, 5.0, 10.0);
     a_wide_tolerance_gives_the_whole_rate: tolerance_gives_rate(9.0, 50.0, 10.0);
     a_strict_tolerance_gives_a_part: tolerance_gives_rate(1.0, 0.0, 5.0);
