relay: log targets whose entries say that they are cold

Cause: the change of a target's hold was dropped if the entry of the target told it. Event 633 and the metric `targets.cold` missed it, and event 634 appeared alone.

Change: the change is passed on as for answers. A target that is presumed cold after an evacuation has no line, neither at the beginning nor at the end. The entry of the stand-in target carries the cold time that it reports.

A target that is listed before the routes are known still has no line 633.

--- a/core/src/relay/cold_targets.rs
+++ b/core/src/relay/cold_targets.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::action::{RelayAction, RelayDecision};
 use super::target_hold::{ColdLimit, HoldChange};
 use super::{RelayEngine, TargetKey};
 
@@ -59,9 +60,23 @@
     }
 
     /// Records the remaining cold time that a target's entry gives.
-    pub(super) fn record_listed_cold(&mut self, now: Instant, key: TargetKey, cold_left: Duration) {
-        if let Some(target) = self.targets.get_mut(key) {
-            target.hold.record_listed_cold(now, cold_left);
+    pub(super) fn record_listed_cold(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        cold_left: Duration,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        let Some(change) = target.hold.record_listed_cold(now, cold_left) else {
+            return;
+        };
+        let (target, service) = (target.record.name.clone(), target.record.service.clone());
+        if self.has_effect(change, &service) {
+            let decision = RelayDecision::HoldChanged { target, change };
+            actions.push(RelayAction::Decided(decision));
         }
     }
 
--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -57,7 +57,7 @@
             &self.options.host,
         ));
         self.presume_added_cold(key);
-        self.record_listed_cold(now, key, cold_left);
+        self.record_listed_cold(now, key, cold_left, actions);
         self.dispatch_parked(now, &service, actions);
     }
 
@@ -88,7 +88,7 @@
                 }
             }
         }
-        self.record_listed_cold(now, key, record.cold_left);
+        self.record_listed_cold(now, key, record.cold_left, actions);
         if let Some(target) = self.targets.get_mut(key) {
             target.record = record;
         }
--- a/core/tests/relay/cold_targets.rs
+++ b/core/tests/relay/cold_targets.rs
@@ -220,6 +220,17 @@
     assert_eq!(changes.collect::<Vec<_>>(), expected);
 }
 
+fn list_as_cold(harness: &mut RelayHarness) {
+    harness.feed(RelayEvent::TargetListed(cold_record()));
+}
+
+fn list_restarted_as_cold(harness: &mut RelayHarness) {
+    harness.feed(RelayEvent::TargetListed(TargetRecord {
+        started_ms: Some(2),
+        ..cold_record()
+    }));
+}
+
 /// Guards against a limit that applies where it is not called for, or for too long.
 fn target_is_not_limited(is_in_force: bool, prepare: impl Fn(&mut RelayHarness)) {
     let mut harness = relay_with(is_in_force, cold_record());
@@ -288,6 +299,8 @@
     an_entry_does_not_shorten_a_known_cold_time: cold_target_is_spared(cold_record(), list_as_nearly_warm);
     a_divided_fleet_keeps_the_rate: divided_fleet_keeps_the_rate();
     a_count_of_more_than_a_minute_ago_is_forgotten: former_count_is_forgotten();
+    an_entry_of_a_cold_target_is_logged: cold_targets_are_logged(list_as_cold, &[HoldChange::Cold(COLD_TIME), HoldChange::Warm]);
+    an_entry_of_a_restarted_cold_target_is_logged: cold_targets_are_logged(list_restarted_as_cold, &[HoldChange::Cold(COLD_TIME), HoldChange::Warm]);
     a_presumed_cold_target_is_not_logged: cold_targets_are_logged(evacuate_and_return, &[]);
     a_target_whose_entry_says_cold_is_spared: cold_target_is_spared(cold_record(), |_harness| {});
     a_target_whose_answer_says_cold_is_spared: cold_target_is_spared(target("a", "s0"), become_cold);
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -216,7 +216,7 @@
     631 WARN "evacuation_started" EvacuationStarted { data_centre: &'a str }
     #[doc = "The evacuation of a data centre ended; its targets are used again."]
     632 INFO "evacuation_ended" EvacuationEnded { data_centre: &'a str }
-    #[doc = "A target says that it is cold for `left_ms`; meanwhile it gets only this daemon's part of the published rate."]
+    #[doc = "A target says, in its entry or an answer, that it is cold for `left_ms`; meanwhile it gets only this daemon's part of the published rate."]
     633 INFO "target_cold" TargetCold { target: &'a str, left_ms: u64 }
     #[doc = "A target says that it is no longer cold."]
     634 INFO "target_warm" TargetWarm { target: &'a str }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -156,7 +156,7 @@
     EvacuationRefused "evacuation.refused" Counter "requests"
     #[doc = "Services missing from answers or refused requests, since all their targets are evacuated."]
     EvacuationMissed "evacuation.missed" Counter "services"
-    #[doc = "Times that a target began to say that it is cold."]
+    #[doc = "Times that a target began to say, in its entry or an answer, that it is cold."]
     TargetsCold "targets.cold" Counter "targets"
     #[doc = "Requests refused since the rate of the cold targets of a service is used up."]
     TargetsColdRefused "targets.cold_refused" Counter "requests"
