relay: ignore load reports of targets that can't be chosen

Cause: a target is drawn from those with scores close to the best if any candidate reports its load, also one of a worse tier, such as a leaving one. The choice among targets that report nothing then changed.

Change: only candidates of the best tier count.

`reported_load::a_report_of_a_leaving_target_is_ignored` fails before and passes now.

--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -62,7 +62,6 @@
         let cold_limit = self.cold_limit(&service.name);
         let cold_daemons = self.cold_daemons(now);
         let mut candidates: Vec<Candidate<'_>> = Vec::with_capacity(service.targets.len());
-        let mut uses_reports = false;
         let mut any_ready_full = false;
         let mut retry_at: Option<Instant> = None;
         for key in &service.targets {
@@ -98,10 +97,9 @@
                 continue;
             }
             let score = target.score(now, self.resumed_at, at_most_once);
-            uses_reports |= target.load.extra_load(now).is_some();
             candidates.push((tier, score, target));
         }
-        let best = if uses_reports {
+        let best = if uses_reports(now, &candidates) {
             better_of_two(&candidates, self.requests.last_attempt())
         } else {
             best_of(&candidates)
@@ -137,6 +135,14 @@
     }
 }
 
+/// Returns whether a target that may be chosen reports its load: one of the best tier.
+fn uses_reports(now: Instant, candidates: &[Candidate<'_>]) -> bool {
+    let best_tier = candidates.iter().map(|(tier, ..)| *tier).min();
+    candidates
+        .iter()
+        .any(|(tier, _, target)| Some(*tier) == best_tier && target.load.extra_load(now).is_some())
+}
+
 /// Returns the best candidate.
 fn best_of<'a>(candidates: &[Candidate<'a>]) -> Option<Candidate<'a>> {
     let mut best = None;
--- a/core/tests/relay/reported_load.rs
+++ b/core/tests/relay/reported_load.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
-use yuccalift_core::relay::{RepeatKind, ReportedLoad, SelfReport, TargetRecord};
+use yuccalift_core::relay::{
+    RelayEvent, RepeatKind, ReportedLoad, SelfReport, TargetPhase, TargetRecord,
+};
 use yuccalift_testkit::cases;
 
 use crate::load::{LoadReporting, LoadSimulation};
@@ -36,6 +38,46 @@
     order.name
 }
 
+/// Guards against a report of a target that can't be chosen, since it is leaving, and that changes
+/// the choice among the others: they take turns as without reports.
+fn report_of_a_leaving_target_is_ignored() {
+    let names = ["a", "b", "c", "d"];
+    let targets = names.map(|name| target(name, "orders")).to_vec();
+    let route = forward_route("orders", RepeatKind::Idempotent, 2);
+    let mut harness = RelayHarness::new(vec![route], targets);
+    let report = SelfReport {
+        load: Some(FULL),
+        ..SelfReport::default()
+    };
+    // Requests at the same time, so that all targets get some.
+    for _ in 0..5 {
+        let from = harness.sends.len();
+        for _ in names {
+            harness.submit("to-orders", TIMEOUT);
+        }
+        harness.advance(ms(5));
+        let sent = harness.sends[from..].iter();
+        let orders: Vec<_> = sent.map(|(_, order)| order.clone()).collect();
+        for order in orders {
+            let said = Some(report).filter(|_| order.name.as_ref() == "d");
+            harness.end_with_report(order.attempt, success(b"0123456789abcdef"), said);
+        }
+    }
+    harness.feed(RelayEvent::TargetListed(TargetRecord {
+        phase: TargetPhase::Draining,
+        ..target("d", "orders")
+    }));
+    let served: Vec<Box<str>> = (0..30)
+        .map(|_| answer_one(&mut harness, SelfReport::default()))
+        .collect();
+    for turn in served.windows(3) {
+        assert!(
+            turn[0] != turn[1] && turn[1] != turn[2] && turn[0] != turn[2],
+            "{served:?}"
+        );
+    }
+}
+
 /// Guards against reports that keep their influence after a target has ceased to report: from a
 /// second later, the choice is the same as that of a daemon that got no reports.
 fn choice_after_reports_end() {
@@ -216,6 +258,7 @@
 }
 
 cases! {
+    a_report_of_a_leaving_target_is_ignored: report_of_a_leaving_target_is_ignored();
     true_loads_do_no_harm: check_no_harm(1, SlowTargets::None, TARGETS, LoadReporting::Delayed(ms(0)));
     loads_of_100_ms_ago_do_no_harm: check_no_harm(1, SlowTargets::None, TARGETS, LoadReporting::Delayed(ms(100)));
     loads_of_500_ms_ago_do_no_harm: check_no_harm(1, SlowTargets::None, TARGETS, LoadReporting::Delayed(ms(500)));
