relay: explain targets that are evacuated or held since they are cold

Cause: `/explain` and `yuccalift where` showed such targets as free, although nothing was sent to them.

Change: `held_by` is `evacuated`, without a time since the end can't be foreseen, or `cold`, with the time until the next request may be sent. What a target said of itself is named before `cold` if it holds the target.

Result: `cold_targets::an_explanation_tells_the_cold_target` and `evacuations::an_explanation_tells_the_evacuation` fail before and pass now.

--- a/core/src/relay/cold_targets.rs
+++ b/core/src/relay/cold_targets.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::action::{RelayAction, RelayDecision};
+use super::target::RelayTarget;
 use super::target_hold::{ColdLimit, HoldChange};
 use super::{RelayEngine, TargetKey};
 
@@ -102,18 +103,23 @@
 
     /// Returns whether a service has targets that get nothing now since they are cold.
     pub(super) fn is_held_cold(&self, now: Instant, service: &str) -> bool {
-        let (Some(limit), Some(service)) = (self.cold_limit(service), self.services.get(service))
-        else {
+        let Some(service) = self.services.get(service) else {
             return false;
         };
-        let daemons = self.cold_daemons(now);
         let mut targets = service
             .targets
             .iter()
             .filter_map(|key| self.targets.get(*key));
-        targets.any(|target| {
-            !self.is_evacuated(target) && target.hold.cold_until(now, daemons, limit) > now
-        })
+        targets
+            .any(|target| !self.is_evacuated(target) && self.held_cold_until(now, target).is_some())
+    }
+
+    /// Returns the earliest time at which a target may get a request, if it gets none now since it
+    /// is cold.
+    pub(super) fn held_cold_until(&self, now: Instant, target: &RelayTarget) -> Option<Instant> {
+        let limit = self.cold_limit(&target.record.service)?;
+        let until = target.hold.cold_until(now, self.cold_daemons(now), limit);
+        (until > now).then_some(until)
     }
 
     /// Returns whether a change of a target's hold has an effect and is logged.
--- a/core/src/relay/explanation.rs
+++ b/core/src/relay/explanation.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::RelayEngine;
+use super::action::RefusalCause;
 use super::choice::TargetChoice;
 use super::request::{RequestLeg, RequestState};
 use super::route::{RouteEntry, ServiceName};
@@ -98,7 +99,7 @@
     pub is_reachable: bool,
     /// Time until the end of its suspension.
     pub suspended_ms: Option<u64>,
-    /// Why the target is held, by what it said of itself.
+    /// Why the target is held: by what it said of itself, or since its data centre is evacuated.
     pub held_by: Option<Box<str>>,
     /// Time until it is no longer held, if that can be foreseen.
     pub held_ms: Option<u64>,
@@ -199,14 +200,7 @@
         target: &RelayTarget,
         at_most_once: bool,
     ) -> TargetExplanation {
-        let verdict = target
-            .hold
-            .verdict(now, self.presumed_daemons(), self.last_resort_time());
-        let held_until = match verdict {
-            SendVerdict::Held { until } => until,
-            SendVerdict::Free | SendVerdict::LastResort => None,
-        };
-        let reason = target.hold.reason(now);
+        let (held_by, held_until) = self.explain_hold(now, target);
         TargetExplanation {
             name: target.record.name.clone(),
             data_centre: target.record.data_centre.clone(),
@@ -215,9 +209,7 @@
             suspended_ms: target
                 .suspended_until()
                 .and_then(|until| millis_until(now, until)),
-            held_by: reason
-                .filter(|_| verdict != SendVerdict::Free)
-                .map(Box::from),
+            held_by: held_by.map(Box::from),
             held_ms: held_until.and_then(|until| millis_until(now, until)),
             in_flight: target.in_flight.len() as u64,
             limit: u64::from(service.in_flight_limit),
@@ -225,6 +217,31 @@
             score: target.score(now, self.resumed_at, at_most_once),
         }
     }
+
+    /// Returns why a target is held now, and the time until which it is if that can be foreseen.
+    fn explain_hold(
+        &self,
+        now: Instant,
+        target: &RelayTarget,
+    ) -> (Option<&'static str>, Option<Instant>) {
+        if self.is_evacuated(target) {
+            return (Some(RefusalCause::Evacuated.as_str()), None);
+        }
+        let verdict = target
+            .hold
+            .verdict(now, self.presumed_daemons(), self.last_resort_time());
+        if let SendVerdict::Held { until } = verdict {
+            return (target.hold.reason(now), until);
+        }
+        let cold_until = self.held_cold_until(now, target);
+        if cold_until.is_some() {
+            return (Some(RefusalCause::Cold.as_str()), cold_until);
+        }
+        match verdict {
+            SendVerdict::LastResort => (target.hold.reason(now), None),
+            SendVerdict::Free | SendVerdict::Held { .. } => (None, None),
+        }
+    }
 }
 
 /// Returns the state of a request that arrives now with all the time that its route permits.
--- a/core/tests/relay/cold_targets.rs
+++ b/core/tests/relay/cold_targets.rs
@@ -279,7 +279,26 @@
     assert!(retry_after > Duration::ZERO && retry_after <= TIMEOUT / 4);
 }
 
+/// Guards against an explanation that does not tell why a cold target gets nothing now, or until when.
+fn explanation_tells_the_cold_target() {
+    let mut harness = relay_with(true, cold_record());
+    let explain = |harness: &RelayHarness| {
+        let explanation = harness.engine.explain(harness.now, "shop.example", "/s0/1");
+        explanation.services[0].targets[0].clone()
+    };
+    assert_eq!(explain(&harness).held_by, None);
+    for _ in 0..20 {
+        harness.submit("to-s0", TIMEOUT);
+    }
+    let held = explain(&harness);
+    assert_eq!(held.held_by.as_deref(), Some("cold"));
+    assert!(held.held_ms.is_some_and(|left| (1..=8_000).contains(&left)));
+    harness.advance(COLD_TIME);
+    assert_eq!(explain(&harness).held_by, None);
+}
+
 cases! {
+    an_explanation_tells_the_cold_target: explanation_tells_the_cold_target();
     a_target_restarted_after_an_evacuation_is_spared: cold_target_is_spared(target("a", "s0"), |harness| {
         evacuate_and_return(harness);
         restart(harness);
--- a/core/tests/relay/evacuations.rs
+++ b/core/tests/relay/evacuations.rs
@@ -233,6 +233,18 @@
     assert!(matches!(end.result, Ok(RelayAnswer::Forwarded(_))));
 }
 
+/// Guards against an explanation that does not tell why an evacuated target gets nothing.
+fn explanation_tells_the_evacuation() {
+    let mut harness = relay_with(&["here", "south"], RepeatKind::Idempotent);
+    evacuate(&mut harness, "here", true);
+    let explanation = harness.engine.explain(harness.now, "shop.example", "/s0/1");
+    let targets = explanation.services[0].targets.iter();
+    let held: Vec<_> = targets
+        .map(|target| (target.name.as_ref(), target.held_by.as_deref()))
+        .collect();
+    assert_eq!(held, [("s0-here", Some("evacuated")), ("s0-south", None)]);
+}
+
 /// Guards against a change that is announced twice, for example by the store and then by a peer.
 fn repeated_changes_are_ignored() {
     let mut harness = relay_with(&["here"], RepeatKind::Idempotent);
@@ -265,5 +277,6 @@
     a_merged_request_does_without_an_evacuated_service: merged_requests_do_without_the_service();
     an_unreachable_target_is_probed_when_it_ends: probes_wait_for_the_end();
     a_lost_request_is_retried_elsewhere: lost_requests_are_retried_without_a_probe();
+    an_explanation_tells_the_evacuation: explanation_tells_the_evacuation();
     a_repeated_change_is_ignored: repeated_changes_are_ignored();
 }
