relay: tell the same refusal cause before and after a request is sent

Cause: a request that lacked several services was refused with the cause of the first one before it was sent, and with `evacuated` before `cold` afterwards.

Change: one function chooses the cause for both, in a fixed order.

--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -148,6 +148,15 @@
             Self::Quarantined => "quarantined",
         }
     }
+
+    /// Returns the cause that a caller is told if the services of its request are missing for
+    /// several, and none if it is told another one. The order is fixed, so that a request is told
+    /// the same cause before and after it is sent.
+    pub(super) fn of_missing(is_present: impl Fn(Self) -> bool) -> Option<Self> {
+        [Self::Evacuated, Self::Cold]
+            .into_iter()
+            .find(|cause| is_present(*cause))
+    }
 }
 
 /// The reason for which an attempt was sent.
--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -85,8 +85,7 @@
     fn failure_refusal(&self, now: Instant, state: &RequestState) -> RelayRefusal {
         if state.legs.iter().all(|leg| !leg.may_have_run()) {
             let was_sent = state.legs.iter().any(|leg| !leg.tried.is_empty());
-            let causes = [RefusalCause::Evacuated, RefusalCause::Cold];
-            let named = causes.into_iter().find(|cause| {
+            let named = RefusalCause::of_missing(|cause| {
                 state.legs.iter().any(
                     |leg| matches!(leg.stage, LegStage::Missing(reason) if reason == cause.as_str()),
                 )
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -113,12 +113,13 @@
             let choice = self.choose_target(now, &leg.service, &[], state.is_at_most_once());
             !matches!(choice, TargetChoice::Unavailable { .. })
         });
-        let mut causes = unavailable
-            .iter()
-            .map(|leg| self.unavailable_cause(now, &leg.service));
         (servable.len() < state.min_answered_legs()).then(|| {
-            let named = causes.find(|cause| *cause != RefusalCause::NoTarget);
-            named.unwrap_or(RefusalCause::NoTarget)
+            let causes: Vec<RefusalCause> = unavailable
+                .iter()
+                .map(|leg| self.unavailable_cause(now, &leg.service))
+                .collect();
+            RefusalCause::of_missing(|cause| causes.contains(&cause))
+                .unwrap_or(RefusalCause::NoTarget)
         })
     }
 
--- a/core/tests/relay/cold_targets.rs
+++ b/core/tests/relay/cold_targets.rs
@@ -10,7 +10,9 @@
 };
 use yuccalift_testkit::cases;
 
-use crate::support::{RelayHarness, TIMEOUT, forward_route, ms, success, target, tuning};
+use crate::support::{
+    RelayHarness, TIMEOUT, forward_route, gather_route, ms, success, target, tuning,
+};
 
 const COLD_TIME: Duration = Duration::from_secs(8);
 /// Requests a second that a cold target accepts from all daemons.
@@ -297,8 +299,46 @@
     assert_eq!(explain(&harness).held_by, None);
 }
 
+/// Guards against a cause that depends on the order of the services, or on whether the request was
+/// sent already: an evacuation is told rather than a cold target.
+fn evacuation_is_told_rather_than_cold_targets(services: &[&str]) {
+    let mut harness = unconfigured_relay("entry-1");
+    let route = gather_route(services, 1.0);
+    let entries = services.iter().map(|name| ServiceEntry {
+        name: (*name).into(),
+        connections: 80,
+        cold_rate: COLD_RATE,
+        cold_time: COLD_TIME,
+    });
+    let table = RouteTable::new(2, vec![route], entries.collect(), CallerLimits::default());
+    harness.set_table(table);
+    set_tolerance(&mut harness, true);
+    harness.feed(RelayEvent::DaemonCountChanged(1));
+    harness.feed(RelayEvent::TargetListed(TargetRecord {
+        data_centre: "south".into(),
+        ..cold_record()
+    }));
+    harness.feed(RelayEvent::TargetListed(target("b", "s1")));
+    let cause = |harness: &mut RelayHarness| {
+        let request = harness.submit("gather", TIMEOUT);
+        harness.ends.iter().find_map(|end| match &end.result {
+            Err(RelayRefusal::NotRun { cause, .. }) if end.request == request => Some(*cause),
+            _ => None,
+        })
+    };
+    let first = (0..20).find_map(|_| cause(&mut harness));
+    assert_eq!(first, Some(RefusalCause::Cold));
+    harness.feed(RelayEvent::EvacuationChanged {
+        data_centre: "here".into(),
+        active: true,
+    });
+    assert_eq!(cause(&mut harness), Some(RefusalCause::Evacuated));
+}
+
 cases! {
     an_explanation_tells_the_cold_target: explanation_tells_the_cold_target();
+    an_evacuated_second_service_is_told: evacuation_is_told_rather_than_cold_targets(&["s0", "s1"]);
+    an_evacuated_first_service_is_told: evacuation_is_told_rather_than_cold_targets(&["s1", "s0"]);
     a_target_restarted_after_an_evacuation_is_spared: cold_target_is_spared(target("a", "s0"), |harness| {
         evacuate_and_return(harness);
         restart(harness);
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -159,14 +159,19 @@
             .collect();
         services.dedup();
         let table = RouteTable::new(1, routes, services, CallerLimits::default());
-        harness.routes.clone_from(&table.routes);
-        harness.feed(RelayEvent::RoutesChanged(Arc::new(table)));
+        harness.set_table(table);
         for target in targets {
             harness.feed(RelayEvent::TargetListed(target));
         }
         harness
     }
 
+    /// Publishes routes and services, on whose routes requests are then submitted.
+    pub fn set_table(&mut self, table: RouteTable) {
+        self.routes.clone_from(&table.routes);
+        self.feed(RelayEvent::RoutesChanged(Arc::new(table)));
+    }
+
     /// Passes an event to the relay and records the resulting actions.
     pub fn feed(&mut self, event: RelayEvent) {
         let mut actions = Vec::new();
