relay: name the earliest send to a cold target as what it is

Cause: `TargetHold::cold_until` returned the time of the next request, not the end of the cold time, and a variable in `probe` named a target as a condition.

No change of behaviour.

--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -85,7 +85,7 @@
                 }
             }
             if let Some(limit) = cold_limit {
-                let until = target.hold.cold_until(now, cold_daemons, limit);
+                let until = target.hold.earliest_cold_send(now, cold_daemons, limit);
                 if until > now {
                     retry_at = retry_at.into_iter().chain(Some(until)).min();
                     continue;
--- a/core/src/relay/cold_targets.rs
+++ b/core/src/relay/cold_targets.rs
@@ -111,14 +111,16 @@
             .iter()
             .filter_map(|key| self.targets.get(*key));
         targets
-            .any(|target| !self.is_evacuated(target) && self.held_cold_until(now, target).is_some())
+            .any(|target| !self.is_evacuated(target) && self.next_cold_send(now, target).is_some())
     }
 
     /// Returns the earliest time at which a target may get a request, if it gets none now since it
     /// is cold.
-    pub(super) fn held_cold_until(&self, now: Instant, target: &RelayTarget) -> Option<Instant> {
+    pub(super) fn next_cold_send(&self, now: Instant, target: &RelayTarget) -> Option<Instant> {
         let limit = self.cold_limit(&target.record.service)?;
-        let until = target.hold.cold_until(now, self.cold_daemons(now), limit);
+        let until = target
+            .hold
+            .earliest_cold_send(now, self.cold_daemons(now), limit);
         (until > now).then_some(until)
     }
 
--- a/core/src/relay/evacuation.rs
+++ b/core/src/relay/evacuation.rs
@@ -63,7 +63,7 @@
 }
 
 impl RelayEngine {
-    /// Returns whether nothing may be sent to a target, since its data centre is evacuated. All
+    /// Returns whether a target's data centre is evacuated, so that nothing may be sent to it. All
     /// senders use this function.
     pub(super) fn is_evacuated(&self, target: &RelayTarget) -> bool {
         self.evacuations.contains(&target.record.data_centre)
--- a/core/src/relay/explanation.rs
+++ b/core/src/relay/explanation.rs
@@ -233,9 +233,9 @@
         if let SendVerdict::Held { until } = verdict {
             return (target.hold.reason(now), until);
         }
-        let cold_until = self.held_cold_until(now, target);
-        if cold_until.is_some() {
-            return (Some(RefusalCause::Cold.as_str()), cold_until);
+        let next_send = self.next_cold_send(now, target);
+        if next_send.is_some() {
+            return (Some(RefusalCause::Cold.as_str()), next_send);
         }
         match verdict {
             SendVerdict::LastResort => (target.hold.reason(now), None),
--- a/core/src/relay/probing.rs
+++ b/core/src/relay/probing.rs
@@ -28,8 +28,8 @@
 impl RelayEngine {
     /// Probes a target, unless a probe is in progress or its data centre is evacuated.
     pub(super) fn probe(&mut self, target: TargetKey, actions: &mut Vec<RelayAction>) {
-        let evacuated = self.targets.get(target);
-        if evacuated.is_some_and(|target| self.is_evacuated(target)) {
+        let known = self.targets.get(target);
+        if known.is_some_and(|known| self.is_evacuated(known)) {
             return;
         }
         let Some(state) = self.targets.get_mut(target) else {
--- a/core/src/relay/target_hold.rs
+++ b/core/src/relay/target_hold.rs
@@ -251,7 +251,7 @@
 
     /// Returns the earliest time, `now` or later, at which the target may get a request although it
     /// is cold.
-    pub fn cold_until(&self, now: Instant, daemons: u32, limit: ColdLimit) -> Instant {
+    pub fn earliest_cold_send(&self, now: Instant, daemons: u32, limit: ColdLimit) -> Instant {
         let Some(cold) = self.cold else {
             return now;
         };
--- a/core/tests/cold_targets.rs
+++ b/core/tests/cold_targets.rs
@@ -48,7 +48,7 @@
         }
         for hold in &mut holds {
             for _ in 0..3 {
-                if hold.cold_until(now, daemons, limit(rate)) > now {
+                if hold.earliest_cold_send(now, daemons, limit(rate)) > now {
                     break;
                 }
                 hold.count_send(now);
@@ -86,7 +86,7 @@
     for _ in 0..100 {
         hold.count_send(now);
     }
-    assert_eq!(hold.cold_until(now, 1, limit(4.0)) > now, is_held);
+    assert_eq!(hold.earliest_cold_send(now, 1, limit(4.0)) > now, is_held);
 }
 
 /// Guards against a cold time that is not published, or can't be read, and switches the limit off,
@@ -103,7 +103,7 @@
         ..limit(4.0)
     };
     assert_eq!(
-        hold.cold_until(now + at, 1, unpublished) > now + at,
+        hold.earliest_cold_send(now + at, 1, unpublished) > now + at,
         is_held
     );
 }
@@ -121,7 +121,10 @@
         time: published,
         ..limit(4.0)
     };
-    assert_eq!(hold.cold_until(now + at, 1, limit) > now + at, is_held);
+    assert_eq!(
+        hold.earliest_cold_send(now + at, 1, limit) > now + at,
+        is_held
+    );
 }
 
 /// Guards against a tolerance that is stricter or wider than usual and changes nothing, or too much.
@@ -187,9 +190,9 @@
             now += Duration::from_millis(gap);
             hold.record_cold(now, now, Duration::from_millis(cold_left));
             hold.count_send(now);
-            prop_assert!(hold.cold_until(now, daemons, limit(rate)) <= now + COLD_TIME);
+            prop_assert!(hold.earliest_cold_send(now, daemons, limit(rate)) <= now + COLD_TIME);
         }
         let later = now + COLD_TIME;
-        prop_assert_eq!(hold.cold_until(later, daemons, limit(rate)), later);
+        prop_assert_eq!(hold.earliest_cold_send(later, daemons, limit(rate)), later);
     }
 }
