exchange: don't close connections for a body that still doesn't fit

Cause: for a large body, idle connections and slow transfers were closed one by one, and only then did it show that the rest of the account belongs to requests that can't be ended. They were closed in vain, since the body was refused.

Change: before the first one is closed, the bytes of all that may be closed for the body are added up, and it is refused at once if they are not enough for what it declares by its content-length (for a chunked body, for what has arrived). A part that is refused is not charged, since nothing is allocated for it.

--- a/exchange/src/connection_state.rs
+++ b/exchange/src/connection_state.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use actix_http::body::BoxBody;
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::{ConnectionType, HttpMessage, Payload, Request, Response};
 
 use crate::held_body::hold_with_body;
@@ -40,7 +41,7 @@
                 chunked: request.chunked().unwrap_or(true),
             },
         };
-        self.holder.begin_request(stage);
+        self.holder.begin_request(stage, declared_body(request));
         RequestGuard {
             state: self.clone(),
             next_stage: HolderStage::Idle,
@@ -48,6 +49,13 @@
     }
 }
 
+/// Returns the size of a request's body as its head tells; 0 if it doesn't.
+fn declared_body(request: &Request) -> usize {
+    let length = request.headers().get(CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.trim().parse().ok());
+    length.unwrap_or(0)
+}
+
 /// A request that has been received and whose answer is not complete.
 #[derive(Debug)]
 pub(crate) struct RequestGuard {
--- a/exchange/src/holder.rs
+++ b/exchange/src/holder.rs
@@ -47,6 +47,8 @@
     input: Cell<usize>,
     /// Bytes for the body of the present request.
     body: Cell<usize>,
+    /// Size of that body as its head tells; 0 if it doesn't.
+    declared_body: Cell<usize>,
     /// Bytes of the buffer of answers that the reader has not taken.
     output: Cell<usize>,
     /// Bytes transferred lately; decays by half in each [`PACE_HALF_LIFE`].
@@ -71,6 +73,7 @@
             stage: Cell::default(),
             input: Cell::new(0),
             body: Cell::new(0),
+            declared_body: Cell::new(0),
             output: Cell::new(0),
             pace: Cell::new(MAX_PACE),
             paced_at: Cell::new(Instant::now()),
@@ -133,9 +136,11 @@
         }
     }
 
-    /// Starts a request, whose head is complete.
-    pub(crate) fn begin_request(&self, stage: HolderStage) {
+    /// Starts a request, whose head is complete and declares a body of `declared_body` bytes; 0 if it
+    /// doesn't tell.
+    pub(crate) fn begin_request(&self, stage: HolderStage, declared_body: usize) {
         self.stage.set(stage);
+        self.declared_body.set(declared_body);
         if let HolderStage::Receiving { .. } = stage {
             self.pace.set(MAX_PACE);
             self.paced_at.set(Instant::now());
@@ -195,10 +200,19 @@
         let old = self.body.replace(bytes);
         let kind = match capacity {
             ..=SMALL_BYTES => ChargeKind::Small,
-            _ => ChargeKind::Body,
+            _ => ChargeKind::Body {
+                rest: self.declared_body.get().saturating_sub(capacity),
+            },
         };
-        let is_closed = self.is_closed.get();
-        is_closed || change_bytes(self, old, bytes, kind) || kind == ChargeKind::Small
+        let is_accepted = self.is_closed.get()
+            || change_bytes(self, old, bytes, kind)
+            || kind == ChargeKind::Small;
+        if !is_accepted {
+            // Nothing is allocated for a refused part.
+            let _fits = change_bytes(self, bytes, old, ChargeKind::Small);
+            self.body.set(old);
+        }
+        is_accepted
     }
 
     fn record_progress(&self, bytes: usize) {
--- a/exchange/src/memory_account.rs
+++ b/exchange/src/memory_account.rs
@@ -8,12 +8,13 @@
 //! of a relay".
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::rc::Rc;
 use std::time::Instant;
 
 use tokio_util::sync::CancellationToken;
 
-use crate::holder::{HolderStage, MemoryHolder};
+use crate::holder::{HolderRank, HolderStage, MemoryHolder};
 
 /// Share of a process's memory limit that the account may fill. The rest is for the program, for
 /// copies that exist for a moment, and for memory that the allocator can't reuse at once.
@@ -139,6 +140,24 @@
         true
     }
 
+    /// Returns whether [`AccountState::make_room`] would succeed for a holder, also for `rest` more
+    /// bytes of it.
+    fn could_make_room(&self, limit: usize, kept: &MemoryHolder, rest: usize) -> bool {
+        let now = Instant::now();
+        let own_rank = kept.memory_rank(now);
+        let is_before_own = |rank: &HolderRank| {
+            let order = own_rank.as_ref().map(|own| rank.total_cmp(own));
+            order.is_none_or(Ordering::is_lt)
+        };
+        let others = self.holders.iter().filter(|holder| holder.id != kept.id);
+        let endable: usize = others
+            .filter(|holder| holder.memory_rank(now).as_ref().is_some_and(is_before_own))
+            .map(|holder| holder.held())
+            .sum();
+        let needed = self.held.saturating_sub(self.ending).saturating_add(rest);
+        needed <= limit + endable
+    }
+
     fn position(&self, id: u64) -> Result<usize, usize> {
         self.holders.binary_search_by_key(&id, |holder| holder.id)
     }
@@ -151,9 +170,9 @@
     Small,
     /// Bytes for which the holder itself may be ended.
     Large,
-    /// Bytes of a large body, which is refused if they don't fit in the part of the account that is
-    /// not reserved for small ones.
-    Body,
+    /// Bytes of a large body, of which at least `rest` more are expected. It is refused if it doesn't
+    /// fit in the part of the account that is not reserved for small ones; no holder is ended then.
+    Body { rest: usize },
 }
 
 /// Changes the bytes of a holder from `old` to `new`. Returns false if they don't fit and no holder
@@ -175,9 +194,17 @@
         let (limit, kept) = match kind {
             ChargeKind::Small => (account.limit, Some(holder.id)),
             ChargeKind::Large => (account.limit, None),
-            ChargeKind::Body => (account.limit - account.limit / RESERVE, Some(holder.id)),
+            ChargeKind::Body { .. } => (account.limit - account.limit / RESERVE, Some(holder.id)),
+        };
+        if new < old || account.held <= limit {
+            return true;
+        }
+        // Otherwise idle callers and slow transfers would be closed, and the body still refused.
+        let is_hopeless = match kind {
+            ChargeKind::Body { rest } => !account.could_make_room(limit, holder, rest),
+            ChargeKind::Small | ChargeKind::Large => false,
         };
-        new < old || account.held <= limit || account.make_room(limit, kept)
+        !is_hopeless && account.make_room(limit, kept)
     })
 }
 
--- a/exchange/tests/memory_account.rs
+++ b/exchange/tests/memory_account.rs
@@ -148,9 +148,12 @@
 }
 
 /// Requests that have been passed on fill the account: none is closed for a newcomer, which is told
-/// that it has not run.
+/// that it has not run. Guards also against closing an idle connection in vain, since its bytes are
+/// not enough for the newcomer's body.
 fn newcomer_is_refused_if_none_can_be_ended() {
     let server = start_server(usize::MAX, LIMIT);
+    let mut idle = connect(server);
+    assert_eq!(get(&mut idle), "HTTP/1.1 200");
     let mut busy: Vec<TcpStream> = (0..2).map(|_| connect(server)).collect();
     for stream in &mut busy {
         send_body(stream, "/hang", 0);
@@ -177,6 +180,7 @@
         }
     }
     assert_eq!(status, "HTTP/1.1 503", "the newcomer has not run");
+    assert!(is_open(&mut idle), "the idle connection stays open");
     // A part of the account is reserved for small requests.
     let mut small = connect(server);
     assert_eq!(get(&mut small), "HTTP/1.1 200");
