exchange: keep a request's body on the account as long as its bytes

Cause: the bytes of a body belonged to the connection. An attempt may need them after its caller has disconnected (an order that must run at most once is finished, and so is a surplus attempt), so that a caller that sends a complete body and disconnects, again and again, was held to no limit.

Change: a complete body passes from the account of its connection to a lease of its own, which is dropped with the last reference to the bytes.

--- a/daemon/src/relay/request_body.rs
+++ b/daemon/src/relay/request_body.rs
@@ -80,8 +80,7 @@
             body.reserve(capacity - body.len());
             body.extend_from_slice(&chunk);
         }
-        self.lease.complete();
-        Ok(body.freeze())
+        Ok(self.lease.complete(body))
     }
 
     /// Returns the answer to the request, which holds the unread rest of its body.
--- a/exchange/src/holder.rs
+++ b/exchange/src/holder.rs
@@ -6,7 +6,9 @@
 
 use tokio_util::sync::CancellationToken;
 
-use crate::memory_account::{CONNECTION_BYTES, ChargeKind, change_bytes, next_idle_order};
+use crate::memory_account::{
+    CONNECTION_BYTES, ChargeKind, HeldLease, change_bytes, next_idle_order,
+};
 use crate::socket::RECEIVE_BUFFER_BYTES;
 
 /// Time in which the pace of a holder falls to half if it makes no progress.
@@ -192,11 +194,7 @@
     /// Records progress of the body; see [`crate::BodyLease::extend`].
     pub(crate) fn extend_body(&self, received: usize, capacity: usize) -> bool {
         self.record_progress(received);
-        let queue = match self.stage.get() {
-            HolderStage::Receiving { chunked: true } => CHUNK_QUEUE_BYTES,
-            _ => 0,
-        };
-        let bytes = capacity + queue;
+        let bytes = capacity + self.queue_bytes();
         let old = self.body.replace(bytes);
         let kind = match capacity {
             ..=SMALL_BYTES => ChargeKind::Small,
@@ -215,6 +213,22 @@
         is_accepted
     }
 
+    /// Returns the bytes of the library's queue for the body that is arriving.
+    fn queue_bytes(&self) -> usize {
+        match self.stage.get() {
+            HolderStage::Receiving { chunked: true } => CHUNK_QUEUE_BYTES,
+            _ => 0,
+        }
+    }
+
+    /// Ends the body, which is complete; its bytes pass from the connection to the returned lease.
+    pub(crate) fn complete_body(&self) -> HeldLease {
+        let bytes = self.body.get().saturating_sub(self.queue_bytes());
+        self.set_stage(HolderStage::Busy);
+        self.set_part(&self.body, 0);
+        HeldLease::take_over(bytes)
+    }
+
     fn record_progress(&self, bytes: usize) {
         let now = Instant::now();
         self.pace.set((self.pace(now) + bytes as f64).min(MAX_PACE));
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -12,6 +12,7 @@
 mod error;
 mod held_body;
 mod holder;
+mod leased_bytes;
 mod link;
 mod memory_account;
 mod metered_stream;
--- a/exchange/src/link.rs
+++ b/exchange/src/link.rs
@@ -17,7 +17,7 @@
 use crate::answer::ExchangeAnswer;
 use crate::answer_buffer::AnswerBuffer;
 use crate::error::{ConnectionFailedSnafu, ExchangeError, GarbledSnafu, UnexpectedEndSnafu};
-use crate::memory_account::CopyLease;
+use crate::memory_account::{FREE_BYTES, HeldLease};
 use crate::metered_stream::MeteredStream;
 use crate::socket::LinkOptions;
 use crate::transfer_progress::TransferProgress;
@@ -179,7 +179,9 @@
     };
     let headers = (!request.headers.is_empty()).then_some(request.headers);
     let head = RequestHeadType::Rc(request.head, headers);
-    let _copy = CopyLease::new(request.body.as_ref().map_or(0, Bytes::len));
+    let body_bytes = request.body.as_ref().map_or(0, Bytes::len);
+    // Small copies exist for a moment only, and are not counted.
+    let _copy = HeldLease::charge(body_bytes.saturating_sub(FREE_BYTES));
     let mut bytes = BytesMut::with_capacity(HEAD_BYTES);
     let sent = async {
         codec.encode(Message::Item((head, size)), &mut bytes)?;
--- a/exchange/src/memory_account.rs
+++ b/exchange/src/memory_account.rs
@@ -12,9 +12,11 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use bytes::{Bytes, BytesMut};
 use tokio_util::sync::CancellationToken;
 
-use crate::holder::{HolderRank, HolderStage, MemoryHolder};
+use crate::holder::{HolderRank, MemoryHolder};
+use crate::leased_bytes::leased_bytes;
 
 /// Share of a process's memory limit that the account may fill. The rest is for the program, for
 /// copies that exist for a moment, and for memory that the allocator can't reuse at once.
@@ -335,18 +337,17 @@
     }
 }
 
-/// The copy of a request that is being sent; on the account until dropped. It is never refused, since
-/// the request has been accepted: others are ended for it.
-#[derive(Debug)]
-pub(crate) struct CopyLease {
+/// Bytes that belong to no connection: the copy of a request that is being sent, or a complete body;
+/// on the account until dropped. They are never refused, since the request has been accepted: others
+/// are ended for them.
+#[derive(Debug, Default)]
+pub(crate) struct HeldLease {
     bytes: usize,
 }
 
-impl CopyLease {
-    /// Puts a copy of `size` bytes on the account. Small ones exist for a moment only, and are not
-    /// counted.
-    pub(crate) fn new(size: usize) -> Self {
-        let bytes = size.saturating_sub(FREE_BYTES);
+impl HeldLease {
+    /// Puts bytes on the account.
+    pub(crate) fn charge(bytes: usize) -> Self {
         if bytes > 0 {
             ACCOUNT.with_borrow_mut(|account| {
                 account.held += bytes;
@@ -355,9 +356,15 @@
         }
         Self { bytes }
     }
+
+    /// Takes over bytes that have just left the account of a connection; none is ended for them.
+    pub(crate) fn take_over(bytes: usize) -> Self {
+        ACCOUNT.with_borrow_mut(|account| account.held += bytes);
+        Self { bytes }
+    }
 }
 
-impl Drop for CopyLease {
+impl Drop for HeldLease {
     fn drop(&mut self) {
         if self.bytes > 0 {
             ACCOUNT.with_borrow_mut(|account| {
@@ -367,7 +374,8 @@
     }
 }
 
-/// The lease of a request's body that is being read, on the account of its connection.
+/// The lease of a request's body: on the account of its connection while it is read, and of its own
+/// once it is complete.
 #[derive(Debug, Default)]
 pub struct BodyLease {
     holder: Option<Rc<MemoryHolder>>,
@@ -390,10 +398,10 @@
             .is_none_or(|holder| holder.extend_body(received, capacity))
     }
 
-    /// Records that the body is complete. Its bytes stay on the account until the answer.
-    pub fn complete(&self) {
-        if let Some(holder) = &self.holder {
-            holder.set_stage(HolderStage::Busy);
-        }
+    /// Records that the body is complete. Its bytes stay on the account until the last reference to
+    /// them is dropped: an attempt may need them after the connection has ended.
+    pub fn complete(&self, body: BytesMut) -> Bytes {
+        let lease = self.holder.as_ref().map(|holder| holder.complete_body());
+        leased_bytes(body, lease)
     }
 }
