deploy: leave out the limits of a host that publishes none

Cause: memory_limit and descriptor_limit are optional, but the template always had their lines. Where the platform has no limits.memory_mb or limits.max_fds, a line without a value remained, and the relay did not start.

Change: each line is a section of its own, as the other optional values are, and the check of a template renders it with and without them.

--- a/settings/tests/relay.rs
+++ b/settings/tests/relay.rs
@@ -21,8 +21,6 @@
     ("bounds.retry_budget_ratio", "0.2"),
     ("bounds.budget_window_s", "10"),
     ("bounds.grace_s", "6"),
-    ("limits.memory_mb", "160"),
-    ("limits.max_fds", "4100"),
 ];
 
 /// The setting of admission control in the template.
@@ -33,6 +31,8 @@
     ("bounds.evacuate_ms", "5000"),
     ("bounds.cold_slack", "5"),
     ("bounds.cold_overage", "1.5"),
+    ("limits.memory_mb", "160"),
+    ("limits.max_fds", "4100"),
 ];
 
 /// Renders the section of the optional value `present`, and leaves out the other sections.
@@ -94,6 +94,10 @@
     an_unknown_admission_is_refused: check_admission("overload:\n  admission: on\n", None);
     a_whole_stop_time_is_accepted:
         is_accepted("bounds.grace_s", "7", |settings| settings.stop_timeout == ms(7000));
+    a_host_without_published_limits_has_the_defaults:
+        is_accepted("bounds.grace_s", "6", |settings| {
+            (settings.memory_limit_mb, settings.descriptor_limit) == (512, 8192)
+        });
     a_fractional_memory_limit_is_accepted:
         is_accepted("limits.memory_mb", "160.5", |settings| settings.memory_limit_mb == 160);
     a_small_memory_limit_is_accepted:
