relay: keep answers on the account until they have been passed on

Cause: the lease of an answer ended when its last byte had been received. The parts of a merged answer then waited for the slowest one without being counted, and each body was copied up to twice on its way to the caller.

--- a/core/benches/relay.rs
+++ b/core/benches/relay.rs
@@ -8,8 +8,8 @@
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry};
 use yuccalift_core::relay::{
     AdmissionMode, AttemptKey, MergeRule, RelayAction, RelayEngine, RelayEvent, RelayOptions,
-    RelayRequest, RelayTuning, RepeatKind, RequestKey, RouteDestination, RouteEntry, RouteTable,
-    SelfReport, TargetOutcome, TargetPhase, TargetRecord, TargetReply,
+    RelayRequest, RelayTuning, RepeatKind, ReplyBody, RequestKey, RouteDestination, RouteEntry,
+    RouteTable, SelfReport, TargetOutcome, TargetPhase, TargetRecord, TargetReply,
 };
 
 /// Number of targets of each service.
@@ -147,7 +147,7 @@
         status: 200,
         signature: Some("signed".into()),
         headers: Vec::new(),
-        body: vec![7; 160].into(),
+        body: ReplyBody::new(vec![7; 160]),
     }
 }
 
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use super::reply_body::ReplyBody;
 use super::route::{RouteEntry, RouteTable};
 use super::self_report::SelfReport;
 use super::target_record::{TargetName, TargetRecord};
@@ -148,7 +149,7 @@
     /// Headers that are forwarded to the caller, in the order received.
     pub headers: Vec<(Box<str>, Box<[u8]>)>,
     /// Body of the answer, unchanged.
-    pub body: Box<[u8]>,
+    pub body: ReplyBody,
 }
 
 impl TargetReply {
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -8,8 +8,8 @@
 use yuccalift_core::relay::{
     AdmissionMode, AttemptKey, AttemptOrder, MergeRule, ProbeOrder, RelayAction, RelayAnswer,
     RelayDecision, RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RelayTuning,
-    RepeatKind, RequestKey, RouteDestination, RouteEntry, RouteTable, SelfReport, TargetOutcome,
-    TargetPhase, TargetRecord, TargetReply,
+    RepeatKind, ReplyBody, RequestKey, RouteDestination, RouteEntry, RouteTable, SelfReport,
+    TargetOutcome, TargetPhase, TargetRecord, TargetReply,
 };
 
 pub const LATENCY_AIM: Duration = Duration::from_millis(100);
@@ -96,7 +96,7 @@
         status,
         signature: Some("signed".into()),
         headers: Vec::new(),
-        body: Box::default(),
+        body: ReplyBody::default(),
     })
 }
 
--- a/exchange/src/answer_buffer.rs
+++ b/exchange/src/answer_buffer.rs
@@ -2,7 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-use crate::memory_account::BufferLease;
+use crate::leased_bytes::leased_bytes;
+use crate::memory_account::{BufferLease, FREE_BYTES, HeldLease};
 
 /// Maximum size of an answer's body, in bytes. It is far above the size of real answers and bounds
 /// the memory that a faulty peer can take.
@@ -52,8 +53,10 @@
         &mut self.bytes
     }
 
-    /// Returns the complete body.
+    /// Returns the complete body, which is on the account until its last reference is dropped, now
+    /// with all of its bytes: the parts of a merged answer wait for the slowest one.
     pub(crate) fn into_bytes(self) -> Bytes {
-        self.bytes.freeze()
+        let first = HeldLease::charge(self.bytes.capacity().min(FREE_BYTES));
+        leased_bytes(self.bytes, (first, self.lease))
     }
 }
--- a/exchange/src/memory_account.rs
+++ b/exchange/src/memory_account.rs
@@ -292,7 +292,7 @@
     });
 }
 
-/// The leased part of an answer that is being received; returned when dropped.
+/// The leased part of an answer that is being received or waits for others; returned when dropped.
 ///
 /// A faulty peer may send bytes without end, on every connection at once. Each answer may therefore
 /// grow to [`FREE_BYTES`] freely, and beyond that only while all larger answers of the thread stay
