--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -120,7 +120,7 @@
     RelayRefused "relay.refused" Counter "requests"
     #[doc = "Requests that a relay refused before sending anything, since targets were under pressure; counted as refused as well."]
     RelayShed "relay.shed" Counter "requests"
-    #[doc = "Requests that a relay did not answer with success and that may have run."]
+    #[doc = "Requests that a relay did not answer with success and that may have run, and those with 400, 404, 408, 413 or 431 of the relay, which have not run."]
     RelayFailed "relay.failed" Counter "requests"
     #[doc = "Time from a request's arrival at a relay to its end."]
     RelayTime "relay.time" Timer "milliseconds"
