relay: count refusals by route, service and reason

Nothing told which kind was refused, or for which service.

Change: the engine's refusal names the service that it is due to; its decisions and the order of its actions are the same. The daemon counts each refusal once, where it counts `relay.refused`, as `relay.refusals` with the labels route, service and reason. Labels are names of the configuration in effect only; the counts of former names are added to the labels `other`, and there are at most 1,000 series with names.

--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -5,6 +5,7 @@
 
 use super::event::TargetReply;
 use super::load_estimate::LoadTrustChange;
+use super::route::ServiceName;
 use super::target_hold::HoldChange;
 use super::target_record::TargetName;
 use super::{AttemptKey, RequestKey, TargetKey};
@@ -35,6 +36,9 @@
         request: RequestKey,
         /// The reason, from which the HTTP status is derived.
         refusal: RelayRefusal,
+        /// The service that the refusal is counted for; the first one if several have the same
+        /// fault, empty if it is not due to a service.
+        service: ServiceName,
     },
     /// Opens a probe connection to a target; the result is reported by
     /// [`RelayEvent::Probed`](super::RelayEvent::Probed).
--- a/core/src/relay/admission.rs
+++ b/core/src/relay/admission.rs
@@ -15,7 +15,7 @@
 use super::choice::TargetChoice;
 use super::request::{RequestState, min_count};
 use super::response_estimate::ResponseEstimate;
-use super::route::{RouteDestination, RouteEntry, RouteTable};
+use super::route::{RouteDestination, RouteEntry, RouteTable, ServiceName};
 use super::service::ServiceState;
 use super::submit::{golden_ratio_fraction, response_due};
 use super::target::RelayTarget;
@@ -209,19 +209,19 @@
 }
 
 impl RelayEngine {
-    /// Returns the refusal of a request that is not admitted.
+    /// Returns the refusal of a request that is not admitted, and the service that it is due to.
     pub(super) fn shed(
         &mut self,
         now: Instant,
         state: &RequestState,
         actions: &mut Vec<RelayAction>,
-    ) -> Option<RelayRefusal> {
+    ) -> Option<(RelayRefusal, ServiceName)> {
         match self.options.tuning.admission {
             AdmissionMode::Off => return None,
             AdmissionMode::Adaptive => {}
         }
         let pressure = self.pressure(now, state);
-        let service: Box<str> = pressure.service.unwrap_or_default().into();
+        let service: ServiceName = pressure.service.unwrap_or_default().into();
         let share = admitted_share(pressure.value, pressure.is_saturated);
         let pressure = pressure.value;
         let (route, host) = (&state.route, &self.options.host);
@@ -231,17 +231,18 @@
         if let Some(requests) = self.admission.report_shed(now, route) {
             actions.push(RelayAction::Decided(RelayDecision::Shed {
                 route: route.name.clone(),
-                service,
+                service: service.clone(),
                 requests,
                 pressure,
             }));
         }
         let part = golden_ratio_fraction(self.admission.shed);
         let part = MIN_RETRY_PART + (1.0 - MIN_RETRY_PART) * part;
-        Some(RelayRefusal::NotRun {
+        let refusal = RelayRefusal::NotRun {
             retry_after: self.retry_after(now, state).mul_f64(part),
             cause: RefusalCause::Overload,
-        })
+        };
+        Some((refusal, service))
     }
 
     /// Returns the pressure that decides about a request: the greatest of its own and those of the
--- a/core/src/relay/explanation.rs
+++ b/core/src/relay/explanation.rs
@@ -141,7 +141,7 @@
 
     fn explain_outcome(&self, now: Instant, state: &RequestState) -> ExplainedOutcome {
         let retry_after_ms = millis(self.retry_after(now, state));
-        if let Some(cause) = self.refusal_cause(now, state) {
+        if let Some((cause, _)) = self.refusal_cause(now, state) {
             return ExplainedOutcome::Refused {
                 cause: cause.as_str().into(),
                 retry_after_ms,
--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -6,7 +6,7 @@
 use super::event::TargetReply;
 use super::merge::greatest_records;
 use super::request::{AttemptDisposition, LegStage, RequestState};
-use super::route::RouteDestination;
+use super::route::{RouteDestination, ServiceName};
 use super::{RelayEngine, RequestKey};
 
 /// HTTP statuses that tell the caller that its request has not run.
@@ -78,32 +78,38 @@
             self.answer(now, request, answer, actions);
             return;
         }
-        let refusal = self.failure_refusal(now, state);
-        self.refuse(now, request, refusal, actions);
+        let (refusal, service) = self.failure_refusal(now, state);
+        self.refuse(now, request, refusal, service, actions);
     }
 
-    fn failure_refusal(&self, now: Instant, state: &RequestState) -> RelayRefusal {
+    /// Returns the refusal of a request without enough replies, and the service that it is due to.
+    fn failure_refusal(&self, now: Instant, state: &RequestState) -> (RelayRefusal, ServiceName) {
         if state.legs.iter().all(|leg| !leg.may_have_run()) {
-            let was_sent = state.legs.iter().any(|leg| !leg.tried.is_empty());
-            let named = RefusalCause::of_missing(|cause| {
-                state.legs.iter().any(
+            let sent = state.legs.iter().find(|leg| !leg.tried.is_empty());
+            let missing = |cause: RefusalCause| {
+                state.legs.iter().find(
                     |leg| matches!(leg.stage, LegStage::Missing(reason) if reason == cause.as_str()),
                 )
-            });
-            let cause = if let Some(cause) = named {
-                cause
-            } else if was_sent {
-                RefusalCause::Rejected
+            };
+            let named = RefusalCause::of_missing(|cause| missing(cause).is_some());
+            let named = named.and_then(|cause| Some((cause, missing(cause)?)));
+            let (cause, leg) = if let Some((cause, leg)) = named {
+                (cause, Some(leg))
+            } else if sent.is_some() {
+                (RefusalCause::Rejected, sent)
             } else {
-                RefusalCause::NoTarget
+                let mut legs = state.legs.iter();
+                let missing = legs.find(|leg| matches!(leg.stage, LegStage::Missing(_)));
+                (RefusalCause::NoTarget, missing.or(state.legs.first()))
             };
             let retry_after = self.retry_after(now, state);
-            return RelayRefusal::NotRun { retry_after, cause };
+            let service = leg.map(|leg| leg.service.clone()).unwrap_or_default();
+            return (RelayRefusal::NotRun { retry_after, cause }, service);
         }
         if now >= state.deadline {
-            return RelayRefusal::TimedOut;
+            return (RelayRefusal::TimedOut, ServiceName::default());
         }
-        RelayRefusal::Failed
+        (RelayRefusal::Failed, ServiceName::default())
     }
 
     /// Refuses a request and cancels its attempts in flight.
@@ -112,10 +118,15 @@
         now: Instant,
         request: RequestKey,
         refusal: RelayRefusal,
+        service: ServiceName,
         actions: &mut Vec<RelayAction>,
     ) {
         if self.remove_request(now, request, AttemptDisposition::Cancelled, actions) {
-            actions.push(RelayAction::Refuse { request, refusal });
+            actions.push(RelayAction::Refuse {
+                request,
+                refusal,
+                service,
+            });
         }
     }
 
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -44,19 +44,21 @@
             accepts_partial: false,
             route,
         };
-        if let Some(cause) = self.refusal_cause(now, &state) {
+        if let Some((cause, service)) = self.refusal_cause(now, &state) {
             let retry_after = self.retry_after(now, &state);
             let refusal = RelayRefusal::NotRun { retry_after, cause };
             actions.push(RelayAction::Refuse {
                 request: key,
                 refusal,
+                service: service.into(),
             });
             return;
         }
-        if let Some(refusal) = self.shed(now, &state, actions) {
+        if let Some((refusal, service)) = self.shed(now, &state, actions) {
             actions.push(RelayAction::Refuse {
                 request: key,
                 refusal,
+                service,
             });
             return;
         }
@@ -101,25 +103,36 @@
         }
     }
 
-    /// Returns the reason to refuse a request before anything is sent, if there is one.
-    pub(super) fn refusal_cause(&self, now: Instant, state: &RequestState) -> Option<RefusalCause> {
+    /// Returns the reason to refuse a request before anything is sent, if there is one, and the name
+    /// of the service that it is due to, which may be empty.
+    pub(super) fn refusal_cause<'a>(
+        &self,
+        now: Instant,
+        state: &'a RequestState,
+    ) -> Option<(RefusalCause, &'a str)> {
         if state.deadline <= now {
-            return Some(RefusalCause::NoTime);
+            return Some((RefusalCause::NoTime, ""));
         }
         if self.is_quarantined(now, state.fingerprint) {
-            return Some(RefusalCause::Quarantined);
+            return Some((RefusalCause::Quarantined, ""));
         }
         let (servable, unavailable): (Vec<_>, Vec<_>) = state.legs.iter().partition(|leg| {
             let choice = self.choose_target(now, &leg.service, &[], state.is_at_most_once());
             !matches!(choice, TargetChoice::Unavailable { .. })
         });
         (servable.len() < state.min_answered_legs()).then(|| {
-            let causes: Vec<RefusalCause> = unavailable
+            let causes: Vec<(RefusalCause, &str)> = unavailable
                 .iter()
-                .map(|leg| self.unavailable_cause(now, &leg.service))
+                .map(|leg| {
+                    let service: &str = &leg.service;
+                    (self.unavailable_cause(now, service), service)
+                })
                 .collect();
-            RefusalCause::of_missing(|cause| causes.contains(&cause))
-                .unwrap_or(RefusalCause::NoTarget)
+            let missing = |cause| causes.iter().find(|(other, _)| *other == cause).copied();
+            let first = unavailable.first().map_or("", |leg| leg.service.as_ref());
+            RefusalCause::of_missing(|cause| missing(cause).is_some())
+                .and_then(missing)
+                .unwrap_or((RefusalCause::NoTarget, first))
         })
     }
 
@@ -178,12 +191,9 @@
         }
         let retry_after = self.retry_after(now, state);
         let cause = RefusalCause::NoCapacity;
-        self.refuse(
-            now,
-            request,
-            RelayRefusal::NotRun { retry_after, cause },
-            actions,
-        );
+        let service = state.legs.first().map(|leg| leg.service.clone());
+        let refusal = RelayRefusal::NotRun { retry_after, cause };
+        self.refuse(now, request, refusal, service.unwrap_or_default(), actions);
     }
 }
 
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -20,6 +20,7 @@
 mod pauses;
 mod pressure;
 mod random_runs;
+mod refused_services;
 mod reported_load;
 mod routes;
 mod support;
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use yuccalift_core::quarantine::QuarantineNotice;
-use yuccalift_core::relay::route::{CallerLimits, ServiceEntry, WeightedService};
+use yuccalift_core::relay::route::{CallerLimits, ServiceEntry, ServiceName, WeightedService};
 use yuccalift_core::relay::{
     AdmissionMode, AttemptKey, AttemptOrder, MergeRule, ProbeOrder, RelayAction, RelayAnswer,
     RelayDecision, RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RelayTuning,
@@ -116,6 +116,8 @@
     pub cancels: Vec<AttemptKey>,
     pub ends: Vec<RequestEnd>,
     pub decisions: Vec<RelayDecision>,
+    /// The refused requests, and the service that each refusal is counted for.
+    pub refused_for: Vec<(RequestKey, ServiceName)>,
     /// Fingerprint of the next requests; if `None`, each request has its own.
     pub fingerprint: Option<u64>,
     pub notices: Vec<QuarantineNotice>,
@@ -143,6 +145,7 @@
             cancels: Vec::new(),
             ends: Vec::new(),
             decisions: Vec::new(),
+            refused_for: Vec::new(),
             fingerprint: None,
             notices: Vec::new(),
             probes: Vec::new(),
@@ -191,11 +194,18 @@
                 at,
                 result: Ok(answer),
             }),
-            RelayAction::Refuse { request, refusal } => self.ends.push(RequestEnd {
+            RelayAction::Refuse {
                 request,
-                at,
-                result: Err(refusal),
-            }),
+                refusal,
+                service,
+            } => {
+                self.refused_for.push((request, service));
+                self.ends.push(RequestEnd {
+                    request,
+                    at,
+                    result: Err(refusal),
+                });
+            }
             RelayAction::ForgetTarget { .. } => {}
             RelayAction::Probe(probe) => self.probes.push(probe),
             RelayAction::NotifyPeers(notice) => self.notices.push(notice),
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -46,6 +46,8 @@
     pub kind: MetricKind,
     /// Unit, in the plural.
     pub unit: &'static str,
+    /// Names of the labels of the metric's series, if it has several.
+    pub labels: &'static [&'static str],
     /// Description for operators, in one sentence.
     pub meaning: &'static str,
 }
@@ -53,7 +55,7 @@
 macro_rules! metrics {
     ($(
         #[doc = $meaning:literal]
-        $variant:ident $name:literal $kind:ident $unit:literal
+        $variant:ident $name:literal $kind:ident $unit:literal $([$($label:literal),+])?
     )+) => {
         /// A metric of the catalogue.
         #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +72,7 @@
                 name: $name,
                 kind: MetricKind::$kind,
                 unit: $unit,
+                labels: &[$($($label),+)?],
                 meaning: $meaning,
             },)+
         ];
@@ -81,6 +84,13 @@
                     $(Self::$variant => $name,)+
                 }
             }
+
+            /// Returns the names of the labels of the metric's series.
+            fn labels(self) -> &'static [&'static str] {
+                match self {
+                    $(Self::$variant => &[$($($label),+)?],)+
+                }
+            }
         }
     };
 }
@@ -118,6 +128,8 @@
     RelayPartial "relay.partial" Counter "requests"
     #[doc = "Requests that a relay refused; they did not run."]
     RelayRefused "relay.refused" Counter "requests"
+    #[doc = "Requests that a relay refused, by `route`, `service` and `reason`; the sum is that of `relay.refused`."]
+    RelayRefusals "relay.refusals" Counter "requests" ["route", "service", "reason"]
     #[doc = "Requests that a relay refused before sending anything, since targets were under pressure; counted as refused as well."]
     RelayShed "relay.shed" Counter "requests"
     #[doc = "Requests that a relay did not answer with success and that may have run, and those with 400, 404, 408, 413 or 431 of the relay, which have not run."]
@@ -226,6 +238,28 @@
         }
     }
 
+    /// Adds `amount` to the series of a counter that has these values of its labels, in their order.
+    pub fn count_labelled(&self, metric: DaemonMetric, values: &[&str], amount: u64) {
+        if let Some(text) = &self.text {
+            text.count_labelled(metric, values, amount);
+        }
+        if let Some(statsd) = &self.statsd {
+            let mut counter = statsd.count_with_tags(metric.name(), amount);
+            for (label, value) in metric.labels().iter().zip(values) {
+                counter = counter.with_tag(label, value);
+            }
+            let _dropped = counter.try_send();
+        }
+    }
+
+    /// Adds the count of a labelled series to another one and removes it from the text export.
+    /// A `StatsD` server keeps its own series.
+    pub fn merge_series(&self, metric: DaemonMetric, from: &[&str], into: &[&str]) {
+        if let Some(text) = &self.text {
+            text.merge_series(metric, from, into);
+        }
+    }
+
     /// Sets a gauge.
     pub fn gauge(&self, metric: DaemonMetric, value: u64) {
         if let Some(text) = &self.text {
--- a/daemon/src/relay/caller_listener.rs
+++ b/daemon/src/relay/caller_listener.rs
@@ -8,12 +8,13 @@
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, Request, Response, StatusCode};
 use actix_web::web::Bytes;
+use yuccalift_core::relay::route::ServiceName;
 use yuccalift_core::relay::{RelayAnswer, RelayRefusal, RelayRequest, RequestKey, RouteEntry};
 use yuccalift_platform::caller::{self, CallerHead};
 use yuccalift_platform::target::forwarded_head;
 
 use super::attempt::CallerMessage;
-use super::engine_driver::{EngineDriver, RelayResult};
+use super::engine_driver::{EngineDriver, RefusedRequest, RelayResult};
 use super::readiness::RelayReadiness;
 use super::report::RequestEnd;
 use super::request_body::RequestBody;
@@ -112,7 +113,11 @@
             key,
             is_waiting: true,
         };
-        let result = receiver.await.unwrap_or(Err(RelayRefusal::Failed));
+        let lost = RefusedRequest {
+            refusal: RelayRefusal::Failed,
+            service: ServiceName::default(),
+        };
+        let result = receiver.await.unwrap_or(Err(lost));
         guard.is_waiting = false;
         result
     }
@@ -168,15 +173,24 @@
             end.missing = missing;
             caller::merged_answer(&caller.request, &signatures, missing, body)
         }
-        Err(RelayRefusal::NotRun { retry_after, cause }) => {
+        Err(RefusedRequest { refusal, service }) => {
+            end.service = service;
+            refused_answer(refusal, end)
+        }
+    }
+}
+
+fn refused_answer(refusal: RelayRefusal, end: &mut RequestEnd) -> Response<BoxBody> {
+    match refusal {
+        RelayRefusal::NotRun { retry_after, cause } => {
             end.cause = cause.as_str();
             caller::empty_answer(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after))
         }
-        Err(RelayRefusal::Failed) => {
+        RelayRefusal::Failed => {
             end.cause = "failed";
             caller::empty_answer(StatusCode::BAD_GATEWAY, None)
         }
-        Err(RelayRefusal::TimedOut) => {
+        RelayRefusal::TimedOut => {
             end.cause = "timed_out";
             caller::empty_answer(StatusCode::GATEWAY_TIMEOUT, None)
         }
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -323,6 +323,7 @@
     fn set_routes(&self, table: RouteTable, version: ConfigVersion) {
         RelayReport::log_routes(&table, version);
         self.driver.feed(RelayEvent::RoutesChanged(Arc::new(table)));
+        self.driver.report.set_routes(&self.driver.routes());
         self.readiness.configured.set(true);
     }
 
--- a/daemon/src/relay/engine_driver.rs
+++ b/daemon/src/relay/engine_driver.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::quarantine::QuarantineNotice;
+use yuccalift_core::relay::route::ServiceName;
 use yuccalift_core::relay::{
     AttemptKey, AttemptOrder, ProbeOrder, RelayAction, RelayAnswer, RelayEngine, RelayEvent,
     RelayRefusal, RelayRequest, RequestExplanation, RequestKey, RouteTable, TargetOutcome,
@@ -21,8 +22,17 @@
 /// Minimum delay of a timer that indicates a pause of the process.
 const MIN_PAUSE: Duration = Duration::from_millis(250);
 
+/// A request that is not answered.
+#[derive(Debug)]
+pub(super) struct RefusedRequest {
+    /// The reason, from which the HTTP status is derived.
+    pub(super) refusal: RelayRefusal,
+    /// The service that the refusal is due to; empty if there is none.
+    pub(super) service: ServiceName,
+}
+
 /// Result of a request: an answer or a refusal.
-pub(super) type RelayResult = Result<RelayAnswer, RelayRefusal>;
+pub(super) type RelayResult = Result<RelayAnswer, RefusedRequest>;
 
 /// A caller whose request is in the engine.
 struct WaitingCaller {
@@ -179,7 +189,11 @@
             RelayAction::Send(order) => self.send(order),
             RelayAction::Cancel { attempt } => self.cancel(attempt),
             RelayAction::Answer { request, answer } => self.reply(request, Ok(answer)),
-            RelayAction::Refuse { request, refusal } => self.reply(request, Err(refusal)),
+            RelayAction::Refuse {
+                request,
+                refusal,
+                service,
+            } => self.reply(request, Err(RefusedRequest { refusal, service })),
             RelayAction::Probe(probe) => self.probe(probe),
             RelayAction::NotifyPeers(notice) => self.notify_peers(notice),
             RelayAction::ForgetTarget { target } => self.pool.close_idle(target),
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -12,7 +12,8 @@
 //! - `peer_call`: sends a message of the control plane to a peer.
 //! - `control`: the control plane of [`yuccalift_core::control`], its exchanges with peers, and the
 //!   application of its values; `store_reader` reads the platform's store for it.
-//! - `report`: log lines and metrics; [`target_change_log`] coalesces lines about targets.
+//! - `report`: log lines and metrics; [`target_change_log`] coalesces lines about targets,
+//!   [`refusal_counts`] counts refused requests by route, service and reason.
 //! - `metrics_listener`: the listener for metrics, which also explains where requests would be sent.
 //! - `settings_watch`: settings that change while the relay runs.
 //!
@@ -28,6 +29,7 @@
 mod pool;
 pub mod process;
 mod readiness;
+pub mod refusal_counts;
 mod report;
 mod request_body;
 pub(crate) mod settings_watch;
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
+use yuccalift_core::relay::route::ServiceName;
 use yuccalift_core::relay::target_record::TargetName;
 use yuccalift_core::relay::{
     HoldChange, LoadTrustChange, RefusalCause, RelayDecision, RequestKey, RouteTable,
@@ -13,6 +14,7 @@
 use yuccalift_platform::DecodeError;
 use yuccalift_platform::store::StoreError;
 
+use super::refusal_counts::RefusalCounts;
 use super::target_change_log::{ChangeLine, TargetChangeLog};
 use crate::decision_log::millis;
 use crate::events::LogEvent;
@@ -40,6 +42,8 @@
     pub(super) status: u16,
     /// Reason for the outcome, as logged.
     pub(super) cause: &'static str,
+    /// Name of the service that a refusal is due to; empty if there is none.
+    pub(super) service: ServiceName,
     /// Number of parts in a merged answer.
     pub(super) parts: u32,
     /// Number of parts missing from a merged answer.
@@ -58,6 +62,7 @@
             latency_aim: Duration::ZERO,
             status: 0,
             cause: "",
+            service: ServiceName::default(),
             parts: 0,
             missing: 0,
             took: Duration::ZERO,
@@ -73,6 +78,7 @@
 #[derive(Debug)]
 pub(super) struct RelayReport {
     metrics: MetricsClient,
+    refusals: RefCell<RefusalCounts>,
     rate_limit: RefCell<RateLimit>,
     dropped: Cell<u64>,
     last_drop_report: Cell<Instant>,
@@ -85,6 +91,7 @@
     /// Creates a report that has logged nothing yet.
     pub(super) fn new(now: Instant, metrics: MetricsClient) -> Self {
         Self {
+            refusals: RefCell::new(RefusalCounts::new(metrics.clone())),
             metrics,
             rate_limit: RefCell::new(RateLimit::new(now, MAX_LINES_PER_SECOND)),
             dropped: Cell::new(0),
@@ -148,6 +155,10 @@
             _ => DaemonMetric::RelayFailed,
         };
         metrics.count(kind, 1);
+        if kind == DaemonMetric::RelayRefused {
+            let mut refusals = self.refusals.borrow_mut();
+            refusals.count(&end.route, &end.service, end.cause);
+        }
         if end.cause == RefusalCause::Cold.as_str() {
             metrics.count(DaemonMetric::TargetsColdRefused, 1);
         }
@@ -319,6 +330,11 @@
         .emit();
     }
 
+    /// Counts refused requests by the names of these routes from now on.
+    pub(super) fn set_routes(&self, table: &RouteTable) {
+        self.refusals.borrow_mut().set_routes(table);
+    }
+
     /// Logs that a version of the routes has taken effect.
     pub(super) fn log_routes(table: &RouteTable, revision: u64) {
         LogEvent::RoutesInForce {
--- a/daemon/src/text_metrics.rs
+++ b/daemon/src/text_metrics.rs
@@ -1,12 +1,14 @@
 //! Text export of the metrics: [`TextMetrics`].
 //!
-//! Each metric of the catalogue is exactly one series, so that the export does not grow with the
-//! number of queries or targets.
+//! Each metric of the catalogue without labels is exactly one series, so that the export does not
+//! grow with the number of queries or targets. Whoever counts by labels bounds their values.
 
 use std::time::Duration;
 
 use prometheus::core::Collector;
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntGauge, Registry, TextEncoder};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 use crate::metrics::{DaemonMetric, METRIC_PREFIX, METRICS, MetricKind, MetricSpec};
 
@@ -16,10 +18,15 @@
     1.0, 2.5, 5.0, 10.0, 25.0, 50.0, 75.0, 100.0, 150.0, 250.0, 500.0, 1_000.0, 3_000.0, 15_000.0,
 ];
 
+/// Value of all labels of the first series of a labelled metric, which stays at zero: a metric
+/// without series would not be exported, so that its name would be unknown until the first count.
+const NO_LABEL: &str = "";
+
 /// Time series of one metric.
 #[derive(Debug)]
 enum MetricSeries {
     Counter(IntCounter),
+    Labelled(IntCounterVec),
     Gauge(IntGauge),
     Timer(Histogram),
 }
@@ -50,6 +57,25 @@
         }
     }
 
+    /// Adds `amount` to the series of a counter that has these values of its labels.
+    pub(crate) fn count_labelled(&self, metric: DaemonMetric, values: &[&str], amount: u64) {
+        if let Some(MetricSeries::Labelled(counters)) = self.find_series(metric)
+            && let Ok(counter) = counters.get_metric_with_label_values(values)
+        {
+            counter.inc_by(amount);
+        }
+    }
+
+    /// Adds the count of a series to another one, and removes it.
+    pub(crate) fn merge_series(&self, metric: DaemonMetric, from: &[&str], into: &[&str]) {
+        if let Some(MetricSeries::Labelled(counters)) = self.find_series(metric)
+            && let Ok(former) = counters.get_metric_with_label_values(from)
+        {
+            self.count_labelled(metric, into, former.get());
+            let _removed = counters.remove_label_values(from);
+        }
+    }
+
     /// Sets a gauge.
     pub(crate) fn gauge(&self, metric: DaemonMetric, value: u64) {
         if let Some(MetricSeries::Gauge(gauge)) = self.find_series(metric) {
@@ -84,6 +110,12 @@
     let name = format!("{METRIC_PREFIX}_{}", spec.name.replace('.', "_"));
     let help = format!("{} In {}.", spec.meaning, spec.unit);
     match spec.kind {
+        MetricKind::Counter if !spec.labels.is_empty() => {
+            let counters = IntCounterVec::new(Opts::new(name, help), spec.labels).ok()?;
+            let first = vec![NO_LABEL; spec.labels.len()];
+            counters.get_metric_with_label_values(&first).ok()?;
+            try_register(registry, &counters).then_some(MetricSeries::Labelled(counters))
+        }
         MetricKind::Counter => {
             let counter = IntCounter::new(name, help).ok()?;
             try_register(registry, &counter).then_some(MetricSeries::Counter(counter))
