relay: test the share of each kind under overload, and goodput with 300 daemons

Cause: no test checked that the share of a kind's requests that is served is at least a quarter of the share of all, nor that overload control holds with the number of daemons that is expected.

Change: tests of the share for both mixes at 1.5, 3 and 5 times the capacity, answers counted also if late; and two runs of 300 daemons over the same targets at 3 times, ignored by default for their length, whose warm-up is longer in proportion so that each daemon sees as many requests as with 40.

--- a/core/tests/relay/goodput.rs
+++ b/core/tests/relay/goodput.rs
@@ -17,13 +17,13 @@
 use crate::load::LoadSimulation;
 use crate::support::{gather_route, ms, target, tuning};
 
-const DAEMONS: usize = 40;
+pub const DAEMONS: usize = 40;
 const SERVICES: usize = 12;
 const SLOTS: usize = 4;
 const QUEUE_LIMIT: usize = 24;
 /// Factor on the work of an attempt at a slow target.
 const SLOWDOWN: f64 = 5.0;
-/// Time during which the relays learn the usual latencies, at a low load.
+/// Time during which [`DAEMONS`] relays learn the usual latencies, at a low load.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 const WARM_UP_LOAD: f64 = 0.5;
 /// Time during which the load that is tested is applied.
@@ -32,8 +32,8 @@
 const RETRY_SHARE: f64 = 1.0 / 3.0;
 
 /// A kind of request.
-struct RequestKind {
-    route: &'static str,
+pub struct RequestKind {
+    pub route: &'static str,
     work_ms: u64,
     aim: Duration,
     deadline: Duration,
@@ -44,7 +44,7 @@
 }
 
 /// Two kinds of which the more urgent one has more work.
-const SEARCH_MIX: [RequestKind; 2] = [
+pub const SEARCH_MIX: [RequestKind; 2] = [
     RequestKind {
         route: "ranked",
         work_ms: 11,
@@ -66,7 +66,7 @@
 ];
 
 /// Two kinds of which the more urgent one has less work and a shorter latency aim.
-const URGENT_MIX: [RequestKind; 2] = [
+pub const URGENT_MIX: [RequestKind; 2] = [
     RequestKind {
         route: "heavy",
         work_ms: 15,
@@ -106,11 +106,11 @@
 
 /// Results by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct KindResult {
-    requests: usize,
+pub struct KindResult {
+    pub requests: usize,
     /// Answers within the latency aim.
-    in_aim: usize,
-    late: usize,
+    pub in_aim: usize,
+    pub late: usize,
     /// Refusals as not run.
     refused: usize,
     failed: usize,
@@ -118,8 +118,8 @@
 
 /// The results of a run.
 #[derive(Debug)]
-struct RunResult {
-    kinds: [KindResult; 2],
+pub struct RunResult {
+    pub kinds: [KindResult; 2],
     /// Attempts that targets rejected while the load was applied.
     rejections: usize,
     /// Attempts that each daemon sent, with the names of their targets.
@@ -128,13 +128,13 @@
 
 impl RunResult {
     /// Returns the number of answers within the latency aim per second.
-    fn goodput(&self) -> f64 {
+    pub fn goodput(&self) -> f64 {
         let in_aim: usize = self.kinds.iter().map(|kind| kind.in_aim).sum();
         in_aim as f64 / LOADED.as_secs_f64()
     }
 
     /// Returns the row of the run in the table of `docs/MEASUREMENTS.md`.
-    fn table_row(&self, load: f64) -> String {
+    pub fn table_row(&self, load: f64) -> String {
         let kinds = self.kinds.map(|kind| {
             let ended = (
                 kind.requests,
@@ -158,14 +158,16 @@
 
 /// Which targets are slow while the load is applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SlowTargets {
+pub enum SlowTargets {
     None,
     /// Half of the targets, drawn at random.
     Half,
 }
 
-struct GoodputRun {
+pub struct GoodputRun {
     mix: &'static [RequestKind; 2],
+    daemons: usize,
+    warm_up: Duration,
     load: LoadSimulation,
     rng: ChaCha8Rng,
     open: Vec<OpenRequest>,
@@ -175,7 +177,7 @@
 }
 
 impl GoodputRun {
-    fn new(mix: &'static [RequestKind; 2], admission: AdmissionMode) -> Self {
+    fn new(mix: &'static [RequestKind; 2], admission: AdmissionMode, daemons: usize) -> Self {
         let names: Vec<String> = (0..SERVICES).map(|number| format!("s{number}")).collect();
         let services: Vec<&str> = names.iter().map(String::as_str).collect();
         let targets = services.iter().flat_map(|service| {
@@ -190,7 +192,7 @@
             ..gather_route(&services, kind.coverage)
         });
         let targets: Vec<_> = targets.collect();
-        let hosts: Vec<String> = (0..DAEMONS)
+        let hosts: Vec<String> = (0..daemons)
             .map(|number| format!("entry-{number}"))
             .collect();
         let hosts: Vec<&str> = hosts.iter().map(String::as_str).collect();
@@ -198,11 +200,15 @@
         for target in &mut load.targets {
             target.queue_limit = QUEUE_LIMIT;
         }
-        load.feed_all(&RelayEvent::DaemonCountChanged(DAEMONS as u32));
+        load.feed_all(&RelayEvent::DaemonCountChanged(daemons as u32));
         load.feed_all(&RelayEvent::TuningChanged(tuning(admission)));
-        let counted_from = load.now() + WARM_UP;
+        // Each daemon sees as many requests meanwhile, whatever their number is.
+        let warm_up = WARM_UP.mul_f64(daemons as f64 / DAEMONS as f64);
+        let counted_from = load.now() + warm_up;
         Self {
             mix,
+            daemons,
+            warm_up,
             load,
             rng: ChaCha8Rng::seed_from_u64(5),
             open: Vec::new(),
@@ -214,7 +220,7 @@
 
     fn submit(&mut self, kind_index: usize, deadline: Instant, is_repeat: bool) {
         let kind = &self.mix[kind_index];
-        let daemon = self.rng.random_range(0..DAEMONS);
+        let daemon = self.rng.random_range(0..self.daemons);
         let now = self.load.now();
         let work = work_range(kind.work_ms);
         let key = self.load.submit(daemon, kind.route, deadline - now, work);
@@ -296,14 +302,24 @@
         }
     }
 
-    fn run(
+    pub fn run(
+        mix: &'static [RequestKind; 2],
+        load: f64,
+        slow: SlowTargets,
+        admission: AdmissionMode,
+    ) -> RunResult {
+        Self::run_with_daemons(DAEMONS, mix, load, slow, admission)
+    }
+
+    pub fn run_with_daemons(
+        daemons: usize,
         mix: &'static [RequestKind; 2],
         load: f64,
         slow: SlowTargets,
         admission: AdmissionMode,
     ) -> RunResult {
-        let mut run = Self::new(mix, admission);
-        run.apply(WARM_UP_LOAD, WARM_UP);
+        let mut run = Self::new(mix, admission, daemons);
+        run.apply(WARM_UP_LOAD, run.warm_up);
         if slow == SlowTargets::Half {
             let count = run.load.targets.len();
             for index in rand::seq::index::sample(&mut run.rng, count, count / 2) {
@@ -351,9 +367,9 @@
 }
 
 /// Loads at which goodput is compared with the best.
-const GOODPUT_LOADS: [f64; 5] = [1.0, 1.5, 2.0, 3.0, 5.0];
+pub const GOODPUT_LOADS: [f64; 5] = [1.0, 1.5, 2.0, 3.0, 5.0];
 /// Least goodput at any of these loads, as a share of the best.
-const MIN_GOODPUT_SHARE: f64 = 0.9;
+pub const MIN_GOODPUT_SHARE: f64 = 0.9;
 /// Least share of an urgent kind's requests that is answered within its aim.
 const MIN_URGENT_SHARE: f64 = 0.95;
 
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod forwarding;
 mod gathering;
 mod goodput;
+mod goodput_shares;
 mod hedging;
 mod holds;
 mod idle_links;
