--- a/cli/src/soak.rs
+++ b/cli/src/soak.rs
@@ -6,7 +6,7 @@
 use lexopt::prelude::{Long, Short, ValueExt};
 use yuccalift_platform_standins::site::sibling_program;
 use yuccalift_platform_standins::soak::{
-    FaultPlan, GuaranteeViolation, check_guarantees, request_log_lines, run_soak,
+    FaultPlan, GuaranteeViolation, check_guarantees, request_log_lines, run_soak, shed_requests,
 };
 
 use crate::error::CommandError;
@@ -68,7 +68,13 @@
         .calls
         .iter()
         .filter(|call| call.result.status == Some(200));
-    println!("{} calls, {} served", record.calls.len(), served.count());
+    let shed = shed_requests(&site);
+    println!(
+        "{} calls, {} served, at least {} shed: {shed:?}",
+        record.calls.len(),
+        served.count(),
+        shed.values().sum::<u64>()
+    );
     if violations.is_empty() {
         println!("no guarantee was violated");
         return Ok(());
