exchange: accept waiting connections without a turn of all others each

Cause: the server gave all open connections a turn after each connection that it accepted. A caller therefore waited for as many turns as there were others ahead of it in the backlog, and each turn is long where the open connections send tiny chunks.

Change: up to 32 connections are accepted before the others get a turn. There is still a turn after each one while a connection that was told to end is open, or when the next one would take the place of another. A connection is on the account from its acceptance, not from the first turn of its task, so that the limits hold within a batch.

--- a/exchange/src/memory_account.rs
+++ b/exchange/src/memory_account.rs
@@ -276,6 +276,21 @@
     })
 }
 
+/// Returns whether other connections must get a turn before a listener that has `limit` of them
+/// accepts the next one: some were told to end and still have their descriptors, or the next one
+/// takes the place of another, whose request may have arrived and not been read.
+pub(crate) fn needs_turn(listener: u64, limit: usize) -> bool {
+    ACCOUNT.with_borrow(|account| {
+        let own = account
+            .holders
+            .iter()
+            .filter(|holder| holder.listener == listener && !holder.is_ending());
+        account.ending > 0
+            || account.held + CONNECTION_BYTES > account.limit
+            || own.count() >= limit
+    })
+}
+
 /// Ends the connections of a listener for which `is_stalled` holds.
 pub(crate) fn end_stalled(listener: u64, is_stalled: impl Fn(&MemoryHolder) -> bool) {
     ACCOUNT.with_borrow_mut(|account| {
--- a/exchange/src/server.rs
+++ b/exchange/src/server.rs
@@ -15,7 +15,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::connection_state::ConnectionState;
-use crate::memory_account::{HolderEntry, end_stalled, make_place};
+use crate::memory_account::{HolderEntry, end_stalled, make_place, needs_turn};
 use crate::served_stream::ServedStream;
 use crate::socket::LinkOptions;
 use crate::turn_stream::TurnStream;
@@ -24,6 +24,8 @@
 /// other connections close.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Maximum number of connections that are accepted before other tasks of the thread get a turn.
+const ACCEPTS_PER_TURN: u32 = 32;
 /// Interval at which connections are checked for heads and answers without progress.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which an answer of which the reader has taken nothing ends. A slow but proper reader
@@ -86,6 +88,7 @@
         return;
     };
     let number = NEXT_LISTENER.with(|next| next.replace(next.get() + 1));
+    let mut accepted_in_turn = 0;
     let mut stall_checks = tokio::time::interval(STALL_CHECK_INTERVAL);
     loop {
         let accepted = tokio::select! {
@@ -116,8 +119,9 @@
         let _best_effort = current_options.link.enable_keepalive(&stream);
         let (service, stop) = (Rc::clone(&service), stop.clone());
         let max_head_bytes = current_options.max_head_bytes;
+        // The connection counts from now on, before its task runs.
+        let entry = HolderEntry::open(number);
         tasks.spawn_local(async move {
-            let entry = HolderEntry::open(number);
             let state = ConnectionState::new(Rc::clone(&entry.holder));
             let stream = ServedStream::new(TurnStream::new(stream), state.clone(), max_head_bytes);
             // When the connection ends, its requests have been dropped, so the result is not
@@ -126,8 +130,15 @@
             run_connection(connection, &state, &stop).await;
             drop(entry);
         });
-        // Connections that were told to end close their descriptors before the next is accepted.
-        tokio::task::yield_now().await;
+        // With a turn of all connections after each accept, a caller waits for as many turns as
+        // there are others ahead of it, which takes long if the open ones send tiny chunks.
+        accepted_in_turn += 1;
+        if accepted_in_turn >= ACCEPTS_PER_TURN
+            || needs_turn(number, current_options.max_connections)
+        {
+            accepted_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
     }
     drop(listener);
     tasks.close();
