exchange: a busy connection looks for other connections' events each turn

Cause: a connection that ended its turn woke its own task. The scheduler runs up to 61 such turns before it looks for events of other connections and timers, so that one sender of tiny chunks had 18,170 of them decoded in between, at about 5 microseconds each in a debug build. Each step of another request, of which there are several, waited that long.

Change: the task continues after the thread has looked for events once.

--- a/exchange/src/served_stream.rs
+++ b/exchange/src/served_stream.rs
@@ -8,7 +8,7 @@
 
 use crate::connection_state::ConnectionState;
 use crate::holder::HolderStage;
-use crate::turn_stream::TurnStream;
+use crate::turn_stream::{TurnStream, end_turn};
 
 /// Bytes handed to the server library before it decodes them, of what may be tiny chunks. The
 /// library queues each chunk by itself, with 32 bytes: 16 KiB may contain 2,700 of them.
@@ -50,7 +50,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if std::mem::take(&mut self.must_decode) {
-            cx.waker().wake_by_ref();
+            end_turn(cx);
             return Poll::Pending;
         }
         // Without bytes to read, the part need not be initialized.
--- a/exchange/src/turn_stream.rs
+++ b/exchange/src/turn_stream.rs
@@ -1,7 +1,7 @@
 //! TCP connection that yields to other tasks of its thread: [`TurnStream`].
 
 use std::io;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -11,6 +11,12 @@
 /// parts, each of which takes time to decode.
 const TURN_BYTES: usize = 16 * 1024;
 
+/// Lets the task continue once the other tasks have had a turn and the thread has looked for events of
+/// all connections. A task that woke itself would run up to 61 times in between.
+pub(crate) fn end_turn(cx: &mut Context<'_>) {
+    let _continues_later = pin!(tokio::task::yield_now()).poll(cx);
+}
+
 /// TCP connection whose reads pause after each turn, also if more bytes have arrived.
 #[derive(Debug)]
 pub(crate) struct TurnStream {
@@ -64,7 +70,7 @@
     ) -> Poll<io::Result<()>> {
         if self.turn_bytes >= TURN_BYTES {
             self.turn_bytes = 0;
-            cx.waker().wake_by_ref();
+            end_turn(cx);
             return Poll::Pending;
         }
         let before = buf.filled().len();
