relay: shed only behind a delay, and count only targets that requests may go to

Cause: (1) the pressure compared the usual latency with the aim, so that a route whose usual time is near its aim, or was learned during an overload, was shed in calm and went on being shed. (2) One rejection moved a route to the range of saturated targets although its answers came without delay; targets that reject a share of their requests for another reason than a full queue had the same effect. (3) Targets that get nothing, such as those of an evacuated data centre, counted as the fastest ones. (5) With reported load, targets were drawn among those with similar scores, and scores followed a pace that changes faster than reports arrive.

--- a/core/src/relay/admission.rs
+++ b/core/src/relay/admission.rs
@@ -32,8 +32,14 @@
     full: 0.9,
     remainder: 1.2,
 };
-/// Share of requests that is always admitted, so that recovery is noticed.
+/// Share of requests that is admitted at the end of a range; it falls further beyond.
 const REMAINDER_SHARE: f64 = 0.11;
+/// Share of requests that is admitted at any pressure, so that recovery is noticed.
+const MIN_SHARE: f64 = 0.01;
+/// Delay, as a share of the usual time, up to which nothing is shed and rejections don't count.
+/// Without a delay there is no queue that fewer requests would shorten: the usual time may be near
+/// the aim, and a target may reject a share of its requests for another reason than a full queue.
+const MIN_DELAY_SHARE: f64 = 0.5;
 /// Increase of the pressure of a more urgent route, for each rank, when it decides about a less
 /// urgent request.
 const PRIORITY_STEP: f64 = 0.3;
@@ -86,7 +92,7 @@
     pub(super) delay: f64,
     pub(super) rejected_share: f64,
     /// Whether a usable target of the service is saturated.
-    is_saturated: bool,
+    pub(super) is_saturated: bool,
 }
 
 /// How far the expected time of a request uses up its latency aim, or its expected rejections use
@@ -180,6 +186,10 @@
             }
         };
         let counts = &mut self.routes[index];
+        // The routes may have changed since the counts were created.
+        if !Arc::ptr_eq(&counts.route, route) {
+            counts.route = Arc::clone(route);
+        }
         counts.offered += 1.0;
         counts.credit += share.max(min_share).min(1.0);
         if counts.credit < 1.0 {
@@ -311,11 +321,13 @@
         let unavailable = services.len() - outlooks.len();
         let may_omit = omittable_legs(route).saturating_sub(unavailable);
         let slowest = outlooks.get(may_omit);
-        let expected = usual + slowest.map_or(0.0, |(_, outlook)| outlook.delay);
+        let delay = slowest.map_or(0.0, |(_, outlook)| outlook.delay);
+        let expected = usual + delay;
+        let is_delayed = delay > MIN_DELAY_SHARE * usual;
         let due = response_due(now, route.latency_aim).saturating_duration_since(now);
         let due = due.min(left).max(MIN_TIME_LEFT).as_secs_f64();
         let saturated = outlooks.iter().filter(|(_, outlook)| outlook.is_saturated);
-        let is_saturated = saturated.count() > may_omit;
+        let is_saturated = is_delayed && saturated.count() > may_omit;
         // A rejected leg is sent to a second target, which may reject it as well.
         let rejected: f64 = outlooks
             .iter()
@@ -325,7 +337,7 @@
         let fullest = outlooks
             .iter()
             .max_by(|(_, left), (_, right)| left.rejected_share.total_cmp(&right.rejected_share));
-        let by_time = expected / due;
+        let by_time = if is_delayed { expected / due } else { 0.0 };
         let cause = if by_time >= rejected {
             slowest
         } else {
@@ -354,7 +366,8 @@
             TargetChoice::Send(key) => {
                 let target = self.targets.get(key)?;
                 let chosen = self.target_outlook(now, target, usual);
-                let best = self.best_outlook(now, self.services.get(service)?, usual)?;
+                let best = self.best_outlook(now, self.services.get(service)?, usual);
+                let best = best.unwrap_or(chosen);
                 // A leg that is slow at its first target is hedged to a clearly faster one.
                 let expected = if best.delay < HEDGED_RATIO * chosen.delay {
                     best
@@ -398,7 +411,7 @@
         })
     }
 
-    /// Iterates over the outlooks of a service's targets that are not suspended.
+    /// Iterates over the outlooks of a service's targets that requests may be sent to.
     pub(super) fn usable_outlooks(
         &self,
         now: Instant,
@@ -409,7 +422,7 @@
             .targets
             .iter()
             .filter_map(|key| self.targets.get(*key));
-        let usable = targets.filter(move |target| !target.is_suspended(now));
+        let usable = targets.filter(move |target| self.is_open(now, service, target));
         usable.map(move |target| self.target_outlook(now, target, usual))
     }
 
@@ -421,9 +434,17 @@
         };
         let (overdue, typical) = target.overdue_time(now, self.resumed_at);
         let overdue = overdue.as_secs_f64() * (usual / typical.as_secs_f64().max(1e-6)).min(1.0);
+        let reported = target.load.expected_wait(now, target.in_flight.len());
+        let reported = reported.unwrap_or(0.0) * usual;
+        let delay = estimate.delay(now, usual).max(overdue).max(reported);
+        let rejected_share = if delay > MIN_DELAY_SHARE * usual {
+            estimate.rejected_share(now)
+        } else {
+            0.0
+        };
         LegOutlook {
-            delay: estimate.delay(now, usual).max(overdue),
-            rejected_share: estimate.rejected_share(now),
+            delay,
+            rejected_share,
             is_saturated: estimate.is_saturated(now),
         }
     }
@@ -460,7 +481,7 @@
     };
     if pressure > range.remainder {
         let ratio = range.remainder / pressure;
-        return REMAINDER_SHARE * ratio * ratio;
+        return (REMAINDER_SHARE * ratio * ratio).max(MIN_SHARE);
     }
     let excess = (pressure - range.full) / (range.remainder - range.full);
     let excess = excess.clamp(0.0, 1.0);
--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -7,18 +7,13 @@
 
 use std::time::Instant;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
+use super::service::ServiceState;
 use super::target::{ListingState, RelayTarget};
 use super::target_hold::SendVerdict;
-use super::{AttemptKey, RelayEngine, TargetKey};
+use super::{RelayEngine, TargetKey};
 
 /// Scores whose ratio is at least this are considered equal; targets with equal scores take turns.
 const SIMILAR_SCORE_RATIO: f64 = 0.9;
-/// Scores whose ratio to the best one is at least this are drawn from where targets report their
-/// load. An idle target of another data centre is not that close to an idle one of the same.
-const CLOSE_SCORE_RATIO: f64 = 0.8;
-
 /// The result of selecting a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TargetChoice {
@@ -99,12 +94,7 @@
             let score = target.score(now, self.resumed_at, at_most_once);
             candidates.push((tier, score, target));
         }
-        let best = if uses_reports(now, &candidates) {
-            better_of_two(&candidates, self.requests.last_attempt())
-        } else {
-            best_of(&candidates)
-        };
-        match best {
+        match best_of(&candidates) {
             Some((CandidateTier::Suspended | CandidateTier::Leaving, ..)) if any_ready_full => {
                 TargetChoice::Wait
             }
@@ -113,6 +103,31 @@
             None => TargetChoice::Unavailable { retry_at },
         }
     }
+
+    /// Returns whether a request may be sent to a target of the service now, apart from the limit of
+    /// requests in flight and from pauses after slow answers.
+    pub(super) fn is_open(
+        &self,
+        now: Instant,
+        service: &ServiceState,
+        target: &RelayTarget,
+    ) -> bool {
+        let is_listed = match target.listing {
+            ListingState::Listed | ListingState::Unlisted { .. } => true,
+            ListingState::Leaving { .. } | ListingState::Replaced => false,
+        };
+        let daemons = self.presumed_daemons();
+        let verdict = target.hold.verdict(now, daemons, self.last_resort_time());
+        let cold_limit = self.cold_limit(&service.name);
+        is_listed
+            && !target.is_suspended(now)
+            && !self.is_evacuated(target)
+            && verdict == SendVerdict::Free
+            && cold_limit.is_none_or(|limit| {
+                let daemons = self.cold_daemons(now);
+                target.hold.earliest_cold_send(now, daemons, limit) <= now
+            })
+    }
 }
 
 fn candidate_tier(
@@ -135,14 +150,6 @@
     }
 }
 
-/// Returns whether a target that may be chosen reports its load: one of the best tier.
-fn uses_reports(now: Instant, candidates: &[Candidate<'_>]) -> bool {
-    let best_tier = candidates.iter().map(|(tier, ..)| *tier).min();
-    candidates
-        .iter()
-        .any(|(tier, _, target)| Some(*tier) == best_tier && target.load.extra_load(now).is_some())
-}
-
 /// Returns the best candidate.
 fn best_of<'a>(candidates: &[Candidate<'a>]) -> Option<Candidate<'a>> {
     let mut best = None;
@@ -154,32 +161,6 @@
     best
 }
 
-/// Returns the better of two candidates that are drawn from those with scores close to the best.
-///
-/// Many daemons receive the same reports. If each chose the best target, all would choose the same
-/// one until its next reports arrive. The draw differs between daemons and between attempts.
-fn better_of_two<'a>(
-    candidates: &[Candidate<'a>],
-    last_attempt: AttemptKey,
-) -> Option<Candidate<'a>> {
-    let tier = candidates.iter().map(|(tier, ..)| *tier).min()?;
-    let in_tier = candidates.iter().filter(|candidate| candidate.0 == tier);
-    let lowest = in_tier
-        .clone()
-        .map(|(_, score, _)| *score)
-        .reduce(f64::min)?;
-    let close: Vec<Candidate<'a>> = in_tier
-        .filter(|(_, score, _)| score * CLOSE_SCORE_RATIO <= lowest)
-        .copied()
-        .collect();
-    let (_, _, first) = close.first()?;
-    let drawn = xxh3_64_with_seed(&last_attempt.to_le_bytes(), first.tie_order);
-    let count = close.len();
-    let index = (drawn as u32) as usize % count;
-    let offset = 1 + (drawn >> 32) as usize % (count - 1).max(1);
-    best_of(&[close[index], close[(index + offset) % count]])
-}
-
 fn is_better(left: Candidate<'_>, right: Candidate<'_>) -> bool {
     if left.0 != right.0 {
         return left.0 < right.0;
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -249,11 +249,6 @@
         self.last_attempt
     }
 
-    /// Returns the latest key of an attempt.
-    pub(super) fn last_attempt(&self) -> AttemptKey {
-        self.last_attempt
-    }
-
     pub(super) fn add_attempt(&mut self, attempt: LiveAttempt) {
         self.attempts.push(attempt);
     }
--- a/core/src/relay/response_estimate.rs
+++ b/core/src/relay/response_estimate.rs
@@ -84,7 +84,8 @@
         }
     }
 
-    /// Records a rejection, which means that the target's queue is full.
+    /// Records a rejection, which means that the target's queue is full unless the target answers
+    /// others without delay.
     pub(super) fn record_rejection(&mut self, now: Instant) {
         self.advance(now);
         self.rejected_share += SAMPLE_WEIGHT * (1.0 - self.rejected_share);
--- a/core/tests/relay/admission.rs
+++ b/core/tests/relay/admission.rs
@@ -7,6 +7,7 @@
 use yuccalift_core::relay::admission::admitted_share;
 use yuccalift_core::relay::{
     AdmissionMode, AttemptKey, RefusalCause, RelayDecision, RelayEvent, RelayRefusal, RepeatKind,
+    TargetOutcome,
 };
 use yuccalift_testkit::cases;
 
@@ -155,6 +156,40 @@
     harness
 }
 
+/// Creates a relay whose targets usually take this long, one of which has rejected an attempt.
+fn usually_slow_harness(usual: Duration) -> RelayHarness {
+    let targets = ["a", "b", "c"].map(|name| target(name, "orders"));
+    let route = forward_route("orders", RepeatKind::Idempotent, 2);
+    let mut harness = RelayHarness::new(vec![route], targets.to_vec());
+    harness.feed(RelayEvent::TuningChanged(tuning(AdmissionMode::Adaptive)));
+    harness.warm_up("to-orders", 100, usual);
+    harness.submit("to-orders", TIMEOUT);
+    let rejected = harness.last_send().attempt;
+    harness.end(rejected, TargetOutcome::Rejected);
+    harness.advance(usual);
+    let repeated = harness.last_send().attempt;
+    harness.end(repeated, success(b"0123456789abcdef"));
+    harness
+}
+
+/// Guards against a target of an evacuated data centre that counts as fast, since it gets nothing:
+/// the others are slow, and requests would be admitted as if they were sent to it.
+fn evacuated_target_relieves_nothing() {
+    let mut targets = ["a", "b", "c"].map(|name| target(name, "orders"));
+    targets[2].data_centre = "south".into();
+    let route = forward_route("orders", RepeatKind::Idempotent, 2);
+    let mut harness = RelayHarness::new(vec![route], targets.to_vec());
+    harness.feed(RelayEvent::TuningChanged(tuning(AdmissionMode::Adaptive)));
+    harness.warm_up("to-orders", 100, USUAL);
+    harness.feed(RelayEvent::EvacuationChanged {
+        data_centre: "south".into(),
+        active: true,
+    });
+    answer_slowly(&mut harness, 12, &["a", "b"]);
+    let shed = shed_of(&mut harness, 40);
+    assert!(shed.len() >= 30, "{} are refused", shed.len());
+}
+
 /// Guards against a log that grows with the number of refused requests.
 fn refusals_are_logged_once_a_second() {
     let mut harness = pressed_harness(AdmissionMode::Adaptive);
@@ -245,6 +280,10 @@
     nothing_is_shed_for_one_slow_target: check_nothing_is_shed(harness_with_one_slow_target());
     nothing_is_shed_after_a_pause: check_nothing_is_shed(paused_harness());
     nothing_is_shed_after_a_start: check_nothing_is_shed(started_harness());
+    nothing_is_shed_for_a_rejection: check_nothing_is_shed(usually_slow_harness(ms(40)));
+    nothing_is_shed_near_the_latency_aim: check_nothing_is_shed(usually_slow_harness(ms(80)));
+    nothing_is_shed_above_the_latency_aim: check_nothing_is_shed(usually_slow_harness(SLOW));
+    evacuated_targets_relieve_nothing: evacuated_target_relieves_nothing();
     refusals_are_logged_at_a_bounded_rate: refusals_are_logged_once_a_second();
     remaining_legs_are_cancelled: legs_are_cancelled_below_the_coverage();
     a_leg_that_is_in_time_goes_first: check_parked_order(AdmissionMode::Adaptive, false);
