relay: hold back hedges at slow targets again, whether or not one is saturated

Cause: with hedges sent to services that are only slow, the extra load made the simulation refuse an urgent request at a tenth of the capacity, where nothing may be refused.

--- a/core/src/relay/pacing.rs
+++ b/core/src/relay/pacing.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::RelayEngine;
-use super::admission::{AdmissionMode, LegOutlook, MIN_TIME_LEFT};
+use super::admission::{AdmissionMode, MIN_TIME_LEFT};
 use super::event::TargetOutcome;
 use super::request::LiveAttempt;
 use super::response_estimate::DelaySample;
@@ -122,8 +122,8 @@
         in_time.copied().or(first)
     }
 
-    /// Returns whether all usable targets of a service are slow or full and one is saturated, so that a
-    /// hedge would only add to their load.
+    /// Returns whether all usable targets of a service are slow or full, so that a hedge would only
+    /// add to their load.
     pub(super) fn is_pressed(&self, now: Instant, route: &RouteEntry, service: &str) -> bool {
         match self.options.tuning.admission {
             AdmissionMode::Off => return false,
@@ -134,11 +134,10 @@
         };
         let usual = self.latencies.typical(route).as_secs_f64();
         let slow = SLOW_DELAY * usual;
-        let outlooks: Vec<LegOutlook> = self.usable_outlooks(now, service, usual).collect();
-        // Slow service alone is not shortened by sending less.
-        outlooks.iter().any(|outlook| outlook.is_saturated)
-            && outlooks
-                .iter()
-                .all(|outlook| outlook.delay > slow || outlook.rejected_share > FULL_REJECTED_SHARE)
+        let mut outlooks = self.usable_outlooks(now, service, usual).peekable();
+        outlooks.peek().is_some()
+            && outlooks.all(|outlook| {
+                outlook.delay > slow || outlook.rejected_share > FULL_REJECTED_SHARE
+            })
     }
 }
