--- a/core/src/relay/pacing.rs
+++ b/core/src/relay/pacing.rs
@@ -136,8 +136,7 @@
         let slow = SLOW_DELAY * usual;
         let mut outlooks = self.usable_outlooks(now, service, usual).peekable();
         outlooks.peek().is_some()
-            && outlooks.all(|outlook| {
-                outlook.delay > slow || outlook.rejected_share > FULL_REJECTED_SHARE
-            })
+            && outlooks
+                .all(|outlook| outlook.delay > slow || outlook.rejected_share > FULL_REJECTED_SHARE)
     }
 }
