--- a/core/src/relay/choice.rs
+++ b/core/src/relay/choice.rs
@@ -87,11 +87,7 @@
                 }
             }
             let is_paced = target.paced_until.is_some_and(|until| now < until);
-            let is_awaited = cold_limit.is_some_and(|limit| {
-                target.hold.cold_end(now, limit).is_none() && target.is_awaited(now)
-            });
-            if is_paced || is_awaited || target.in_flight.len() >= service.in_flight_limit as usize
-            {
+            if is_paced || target.in_flight.len() >= service.in_flight_limit as usize {
                 any_ready_full |= tier == CandidateTier::Ready;
                 continue;
             }
--- a/core/src/relay/replies.rs
+++ b/core/src/relay/replies.rs
@@ -78,14 +78,6 @@
             return;
         };
         target.end_attempt(attempt.attempt);
-        match outcome {
-            TargetOutcome::Replied(_) | TargetOutcome::Rejected => target.record_answer(now),
-            TargetOutcome::Abandoned { .. }
-            | TargetOutcome::Misdirected
-            | TargetOutcome::NotSent
-            | TargetOutcome::Lost
-            | TargetOutcome::Garbled => {}
-        }
         if !paused {
             self.record_response(now, attempt, outcome, took);
         }
--- a/core/src/relay/target.rs
+++ b/core/src/relay/target.rs
@@ -57,10 +57,6 @@
     Replaced,
 }
 
-/// Time for which an answer shows that a target is not cold. It bounds what is sent to one that has
-/// become cold and answers slowly.
-const ANSWER_MEMORY: Duration = Duration::from_secs(1);
-
 /// An attempt in flight at a target.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct InFlightAttempt {
@@ -92,8 +88,6 @@
     relative_latency: LatencyAverage,
     /// Recent response times and rejections, for admission control.
     pub(super) response: ResponseEstimate,
-    /// Time of the latest answer.
-    answered_at: Option<Instant>,
     /// Time until which no further attempt is sent, since the target is slow or full.
     pub(super) paced_until: Option<Instant>,
     failure_rate: f64,
@@ -133,7 +127,6 @@
             idle_links: IdleLinks::default(),
             relative_latency: LatencyAverage::default(),
             response: ResponseEstimate::default(),
-            answered_at: None,
             paced_until: None,
             failure_rate: 0.0,
             failure_updated_at: None,
@@ -150,20 +143,6 @@
         !self.reachable || self.suspended_until.is_some_and(|until| now < until)
     }
 
-    /// Records that the target has answered an attempt, whatever the answer.
-    pub(super) fn record_answer(&mut self, now: Instant) {
-        self.answered_at = Some(now);
-    }
-
-    /// Returns whether the target has an attempt in flight and has not answered any lately. It may
-    /// have become cold since, which only an answer tells.
-    pub(super) fn is_awaited(&self, now: Instant) -> bool {
-        let is_recent = self
-            .answered_at
-            .is_some_and(|at| now.saturating_duration_since(at) < ANSWER_MEMORY);
-        !self.in_flight.is_empty() && !is_recent
-    }
-
     /// Returns whether the last connection attempt succeeded.
     pub(super) fn is_reachable(&self) -> bool {
         self.reachable
--- a/core/src/relay/target_hold.rs
+++ b/core/src/relay/target_hold.rs
@@ -249,23 +249,20 @@
         })
     }
 
-    /// Returns the end of the time in which the target is known or presumed to be cold, unless it has
-    /// passed.
-    pub fn cold_end(&self, now: Instant, limit: ColdLimit) -> Option<Instant> {
-        let cold = self.cold?;
+    /// Returns the earliest time, `now` or later, at which the target may get a request although it
+    /// is cold.
+    pub fn earliest_cold_send(&self, now: Instant, daemons: u32, limit: ColdLimit) -> Instant {
+        let Some(cold) = self.cold else {
+            return now;
+        };
         let word_until = cold
             .word
             .map(|word| word.until.min(word.since + limit.word_time()));
         let presumed_until = cold
             .presumed_since
             .map(|since| since + limit.time.min(MAX_COLD_TIME));
-        word_until.max(presumed_until).filter(|until| *until > now)
-    }
-
-    /// Returns the earliest time, `now` or later, at which the target may get a request although it
-    /// is cold.
-    pub fn earliest_cold_send(&self, now: Instant, daemons: u32, limit: ColdLimit) -> Instant {
-        let Some((cold, until)) = self.cold.zip(self.cold_end(now, limit)) else {
+        let until = word_until.max(presumed_until);
+        let Some(until) = until.filter(|until| *until > now) else {
             return now;
         };
         let rate = RateHold {
