relay: count the reported pace of a target again

Change: the pace counts, as load_estimate slow_service_counts requires. Result: that test fails before.

--- a/core/src/relay/load_estimate.rs
+++ b/core/src/relay/load_estimate.rs
@@ -110,11 +110,12 @@
 
     /// Returns the load to add to this daemon's own, from 0 to a quarter, as a multiple of the
     /// target's slots; `None` without a recent report. It falls with the report's age and with the
-    /// trust. The pace is left out: it changes faster than reports arrive.
+    /// trust.
     pub fn extra_load(&self, now: Instant) -> Option<f64> {
         let (latest, weight) = self.recent(now)?;
         let load = latest.load;
-        let extra = latest.others / f64::from(load.slots.max(1));
+        let pace = (load.pace - 1.0).max(0.0);
+        let extra = latest.others / f64::from(load.slots.max(1)) + pace;
         Some(weight * LOAD_WEIGHT * extra.min(MAX_COUNTED_LOAD))
     }
 
