Show that stale daemons ignore a change after large foreign entries

A watch returns all changes since the last one. An answer beyond 16 MiB is refused, and the reader repeats the same watch until the store forgets its history.

--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -16,6 +16,8 @@
 
 pub const HOST: &str = "leno12.example";
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Time for which the store keeps its changes, `history_s`.
+pub const HISTORY: Duration = Duration::from_secs(20);
 
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -182,9 +184,20 @@
 #[derive(Default)]
 struct StoreState {
     revision: u64,
-    items: BTreeMap<String, (u64, u64, Vec<u8>)>,
-    /// Revision, key and value (`None` for a removal) of each change.
-    changes: Vec<(u64, String, Option<Vec<u8>>)>,
+    /// Revision of the creation and the text of each item.
+    items: BTreeMap<String, (u64, Arc<str>)>,
+    /// Each change of the last [`HISTORY`].
+    changes: VecDeque<StoreChange>,
+    /// Revision up to which changes have been dropped.
+    dropped: u64,
+}
+
+struct StoreChange {
+    revision: u64,
+    key: String,
+    /// The event that watches get.
+    event: Arc<str>,
+    made_at: Instant,
 }
 
 /// The platform's store: linearizable reads, watches, nothing lost.
@@ -216,20 +229,32 @@
 
     /// Writes a value, or removes it; returns the revision.
     pub fn put(&self, key: &str, value: Option<&str>) -> u64 {
+        let encoded = value.map(|text| base64(text.as_bytes()));
         let mut state = lock(&self.state);
         state.revision += 1;
         let revision = state.revision;
-        let bytes = value.map(|text| text.as_bytes().to_vec());
-        match &bytes {
-            Some(bytes) => {
-                let created = state.items.get(key).map_or(revision, |item| item.1);
-                state.items.insert(key.to_owned(), (revision, created, bytes.clone()));
+        let event: Arc<str> = match encoded {
+            Some(encoded) => {
+                let created = state.items.get(key).map_or(revision, |item| item.0);
+                let text: Arc<str> = format!(
+                    "{{\"key\":\"{key}\",\"value\":\"{encoded}\",\"revision\":{revision},\"created\":{created},\"lease\":0}}"
+                )
+                .into();
+                state.items.insert(key.to_owned(), (created, Arc::clone(&text)));
+                text
             }
             None => {
                 state.items.remove(key);
+                format!("{{\"key\":\"{key}\",\"revision\":{revision},\"deleted\":true}}").into()
+            }
+        };
+        let made_at = Instant::now();
+        state.changes.push_back(StoreChange { revision, key: key.to_owned(), event, made_at });
+        while state.changes.front().is_some_and(|first| first.made_at.elapsed() > HISTORY) {
+            if let Some(first) = state.changes.pop_front() {
+                state.dropped = first.revision;
             }
         }
-        state.changes.push((revision, key.to_owned(), bytes));
         self.changed.notify_all();
         revision
     }
@@ -279,9 +304,8 @@
     fn read_key(&self, key: &str) -> (u16, String) {
         let state = lock(&self.state);
         match state.items.get(key) {
-            Some(item) => {
-                let mut text = item_text(key, item);
-                text.pop();
+            Some((_, text)) => {
+                let text = text.trim_end_matches('}');
                 (200, format!("{text},\"as_of\":{}}}", state.revision))
             }
             None => (404, String::from("{}")),
@@ -290,19 +314,28 @@
 
     fn read_range(&self, prefix: &str, after: &str) -> (u16, String) {
         const PAGE: usize = 500;
+        const PAGE_BYTES: usize = 1_000_000;
         let state = lock(&self.state);
-        let found: Vec<_> = state
-            .items
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
-            .collect();
-        let items: Vec<String> = found.iter().take(PAGE).map(|(key, item)| item_text(key, item)).collect();
-        let text = format!(
-            "{{\"items\":[{}],\"has_more\":{},\"as_of\":{}}}",
-            items.join(","),
-            found.len() > PAGE,
-            state.revision
-        );
+        let mut items = Vec::new();
+        let mut bytes = 0;
+        let mut has_more = false;
+        for (key, (_, text)) in state.items.range(prefix.to_owned()..) {
+            if !key.starts_with(prefix) {
+                break;
+            }
+            if key.as_str() <= after {
+                continue;
+            }
+            if items.len() >= PAGE || bytes >= PAGE_BYTES {
+                has_more = true;
+                break;
+            }
+            bytes += text.len();
+            items.push(Arc::clone(text));
+        }
+        let revision = state.revision;
+        drop(state);
+        let text = format!("{{\"items\":[{}],\"has_more\":{has_more},\"as_of\":{revision}}}", items.join(","));
         (200, text)
     }
 
@@ -310,19 +343,20 @@
         let deadline = Instant::now() + wait;
         let mut state = lock(&self.state);
         loop {
-            let events: Vec<String> = state
+            if after < state.dropped {
+                return (410, String::from("{}"));
+            }
+            let events: Vec<Arc<str>> = state
                 .changes
                 .iter()
-                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
-                .map(|(revision, key, value)| match value {
-                    Some(value) => item_text(key, &(*revision, *revision, value.clone())),
-                    None => format!("{{\"key\":\"{key}\",\"revision\":{revision},\"deleted\":true}}"),
-                })
+                .filter(|change| change.revision > after && change.key.starts_with(prefix))
+                .map(|change| Arc::clone(&change.event))
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let text = format!("{{\"events\":[{}],\"as_of\":{}}}", events.join(","), state.revision);
-                return (200, text);
+                let revision = state.revision;
+                drop(state);
+                return (200, format!("{{\"events\":[{}],\"as_of\":{revision}}}", events.join(",")));
             }
             state = self
                 .changed
@@ -333,13 +367,6 @@
     }
 }
 
-fn item_text(key: &str, (revision, created, value): &(u64, u64, Vec<u8>)) -> String {
-    format!(
-        "{{\"key\":\"{key}\",\"value\":\"{}\",\"revision\":{revision},\"created\":{created},\"lease\":0}}",
-        base64(value)
-    )
-}
-
 /// What a server does with a request.
 pub enum Reply {
     /// Answers it; the headers follow the usual ones.
@@ -403,9 +430,14 @@
     }
 
     pub fn register(&self) {
+        self.put_state("ready");
+    }
+
+    /// Writes the server's entry with a state.
+    pub fn put_state(&self, state: &str) {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let entry = format!(
-            "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+            "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"cold_left_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
             self.service,
             self.address,
             self.zone,
