--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -230,6 +230,11 @@
     /// Writes a value, or removes it; returns the revision.
     pub fn put(&self, key: &str, value: Option<&str>) -> u64 {
         let encoded = value.map(|text| base64(text.as_bytes()));
+        self.put_encoded(key, encoded.as_deref())
+    }
+
+    /// Writes a value that is encoded already, or removes it; returns the revision.
+    pub fn put_encoded(&self, key: &str, encoded: Option<&str>) -> u64 {
         let mut state = lock(&self.state);
         state.revision += 1;
         let revision = state.revision;
