relay: log and count the eras of the store

Cause: the log can't tell a store that was restored from an older copy from a stale one: both show as platform_stale. Change: the store client decodes the era of each answer; event 625 and the gauges store.era and store.revision show it. No decision uses it yet.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -212,6 +212,8 @@
     623 INFO "target_paused" TargetPaused { target: &'a str, pause_ms: u64 }
     #[doc = "A target says in an answer that it is leaving; it gets no requests soon, listed or not."]
     624 INFO "target_leaving" TargetLeaving { target: &'a str }
+    #[doc = "The store answers in another era: it was restored from an older copy, and assigns revisions again from `revision` on."]
+    625 WARN "store_restored" StoreRestored { era: u64, former_era: u64, revision: u64 }
     #[doc = "A data centre is evacuated; nothing is sent to its targets until event 632."]
     631 WARN "evacuation_started" EvacuationStarted { data_centre: &'a str }
     #[doc = "The evacuation of a data centre ended; its targets are used again."]
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -144,6 +144,10 @@
     RelayRetries "relay.retries" Counter "requests"
     #[doc = "Bytes that a relay holds for its connections and for answers that it receives."]
     MemoryHeld "memory.held" Gauge "bytes"
+    #[doc = "Era in the store's latest answer to this relay: how often it was restored from an older copy."]
+    StoreEra "store.era" Gauge "restorations"
+    #[doc = "Revision in the store's latest answer to this relay, which counts within its era."]
+    StoreRevision "store.revision" Gauge "revisions"
     #[doc = "Connections that the listeners of a relay have open."]
     ConnectionsOpen "connections.open" Gauge "connections"
     #[doc = "Connections that a relay closed to stay within its memory limit."]
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -12,7 +12,7 @@
     HoldChange, LoadTrustChange, RefusalCause, RelayDecision, RequestKey, RouteTable,
 };
 use yuccalift_platform::DecodeError;
-use yuccalift_platform::store::StoreError;
+use yuccalift_platform::store::{StoreEra, StoreError, StoreRevision};
 
 use super::refusal_counts::RefusalCounts;
 use super::target_change_log::{ChangeLine, TargetChangeLog};
@@ -84,6 +84,8 @@
     last_drop_report: Cell<Instant>,
     good_requests: Cell<u64>,
     store_lost_at: Cell<Option<Instant>>,
+    /// Era of the store's latest answer; `None` before the first one.
+    store_era: Cell<Option<StoreEra>>,
     target_changes: RefCell<TargetChangeLog>,
 }
 
@@ -98,6 +100,7 @@
             last_drop_report: Cell::new(now),
             good_requests: Cell::new(0),
             store_lost_at: Cell::new(None),
+            store_era: Cell::new(None),
             target_changes: RefCell::default(),
         }
     }
@@ -426,8 +429,20 @@
         }
     }
 
-    /// Logs that the store can be read again after failed reads.
-    pub(super) fn record_store_answer(&self) {
+    /// Logs that the store can be read again after failed reads, and that it was restored from an
+    /// older copy.
+    pub(super) fn record_store_answer(&self, era: StoreEra, revision: StoreRevision) {
+        self.metrics.gauge(DaemonMetric::StoreEra, era);
+        self.metrics.gauge(DaemonMetric::StoreRevision, revision);
+        let former_era = self.store_era.replace(Some(era));
+        if let Some(former_era) = former_era.filter(|former| *former != era) {
+            LogEvent::StoreRestored {
+                era,
+                former_era,
+                revision,
+            }
+            .emit();
+        }
         if let Some(lost_at) = self.store_lost_at.take() {
             let outage_ms = millis(lost_at.elapsed());
             LogEvent::StoreRegained { outage_ms }.emit();
--- a/daemon/src/relay/store_reader.rs
+++ b/daemon/src/relay/store_reader.rs
@@ -10,7 +10,7 @@
 use yuccalift_core::control::ConfigValue;
 use yuccalift_core::ids::ConfigVersion;
 use yuccalift_exchange::{LinkOptions, TransferLimit, TransferProgress};
-use yuccalift_platform::store::{StoreClient, StoreEntry, StoreError, StorePage};
+use yuccalift_platform::store::{StoreClient, StoreEntry, StoreEra, StoreError, StorePage};
 
 /// Time that a call may take beyond its requested wait without making progress; a slow store takes a
 /// quarter of a second.
@@ -27,6 +27,8 @@
 /// What the store answered to a read.
 #[derive(Debug)]
 pub(super) struct StoreChanges {
+    /// The store's era.
+    pub(super) era: StoreEra,
     /// The store's version.
     pub(super) version: ConfigVersion,
     /// The requested changes up to that version.
@@ -83,6 +85,7 @@
         let watch = self.client.watch(after, wait);
         match limit_call(&progress, wait, watch).await {
             Ok(page) => Ok(StoreChanges {
+                era: page.era,
                 version: page.revision,
                 values: page.entries.into_iter().map(config_value).collect(),
                 is_listing: false,
@@ -111,6 +114,7 @@
             values = evacuations;
         }
         Ok(StoreChanges {
+            era: self.client.era(),
             version,
             values,
             is_listing: true,
