--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -228,7 +228,10 @@
             let reply = control.reader.lock().await.read(after, wait).await;
             match reply {
                 Ok(changes) => {
-                    control.driver.report.record_store_answer(changes.era, changes.version);
+                    control
+                        .driver
+                        .report
+                        .record_store_answer(changes.era, changes.version);
                     control.feed(ControlEvent::Published {
                         version: changes.version,
                         values: changes.values,
