control: order changes by the era of the store, then by version

What callers saw: after the store came back from an older copy, requests were handled by routes older than the acknowledged ones, for ever, and a route that had been added got 404. Cause: a version was taken for an age. A restored store assigns versions again; a lower one was ignored as stale, and one that had been assigned before counted as known, by readers and between daemons. Change: positions are (era, version). A reader lists everything when the era changes; a later era begins with all values, replaces those of the earlier one, and ends patches, digests and deltas of it. Messages between daemons carry the era.

--- a/core/src/control/config_delta.rs
+++ b/core/src/control/config_delta.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::packed_value::PackedValue;
-use crate::ids::{ConfigVersion, ValueKey};
+use crate::ids::{ConfigVersion, StoreEra, ValueKey};
 
 /// Maximum size of a value that the platform stores, in bytes; a larger one is refused.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
@@ -134,12 +134,15 @@
     }
 }
 
-/// All changes after the version `base` up to and including the version `through`.
+/// All changes after the version `base` up to and including the version `through`, both of the same
+/// era.
 ///
 /// Fields that an older daemon does not send have their default value.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ConfigDelta {
+    /// Era of all versions in the delta.
+    pub era: StoreEra,
     /// Version that the receiver must have reached.
     pub base: ConfigVersion,
     /// Version that the receiver reaches by applying the delta.
--- a/core/src/control/config_store.rs
+++ b/core/src/control/config_store.rs
@@ -1,9 +1,13 @@
 //! The configuration known to one daemon, and the values of it that are in effect.
 //!
 //! The platform's versions are ordered over all keys, so one number describes the progress of a
-//! store: [`ConfigStore::version`] is the version up to which the store has every change. Neither
-//! this version nor that of any key ever decreases, even when a platform replica or a peer is
-//! stale; this is asserted in release builds too. See `docs/DESIGN.md`, "Configuration".
+//! store within an era: [`ConfigStore::position`] is the position up to which the store has every
+//! change. Neither this position nor, within an era, the version of any key ever decreases, even
+//! when a platform replica or a peer is stale; this is asserted in release builds too. See
+//! `docs/DESIGN.md`, "Configuration".
+//!
+//! A later era begins with all values of the platform that was restored. Until they are known,
+//! those of the earlier era stay in effect, under version 0.
 //!
 //! A store that began with a listing of the platform never learned which keys had been removed
 //! before. It tells a peer that has older keys by the list of the keys that exist, so that the peer
@@ -14,8 +18,9 @@
 use super::config_delta::{
     ConfigDelta, ConfigValue, DeltaContent, DeltaEntry, DeltaFormat, MAX_VALUE_BYTES, ValuePatch,
 };
+use super::store_position::StorePosition;
 use super::stored_entry::StoredEntry;
-use crate::ids::{ConfigVersion, ValueKey};
+use crate::ids::{ConfigVersion, StoreEra, ValueKey};
 
 /// Validates the value of a key before it takes effect; the error describes the problem.
 pub type ValueCheck = fn(key: &str, value: &str) -> Result<(), Box<str>>;
@@ -43,11 +48,11 @@
 /// Result of applying changes that the platform or a peer offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpdateOutcome {
-    /// The store reached a newer version.
+    /// The store reached a later position.
     Advanced,
     /// The changes were already known.
     Known,
-    /// The offered version is older than the store's.
+    /// The offered position is earlier than the store's.
     Stale,
     /// The changes start after a version that the store has not reached, or lack removals that it
     /// needs.
@@ -60,6 +65,7 @@
 #[derive(Clone, Debug)]
 pub struct ConfigStore {
     check: ValueCheck,
+    era: StoreEra,
     version: ConfigVersion,
     /// Version after which every removal is known.
     removals_since: ConfigVersion,
@@ -73,6 +79,7 @@
     pub fn new(check: ValueCheck) -> Self {
         Self {
             check,
+            era: 0,
             version: 0,
             removals_since: 0,
             hash: 0,
@@ -81,11 +88,19 @@
         }
     }
 
-    /// Returns the version up to which every change is known; 0 if none is.
+    /// Returns the version within the current era up to which every change is known; 0 if none is.
     pub fn version(&self) -> ConfigVersion {
         self.version
     }
 
+    /// Returns the position up to which every change is known.
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            version: self.version,
+        }
+    }
+
     /// Returns a hash over the newest value of every key, equal for stores with equal content. Keys
     /// that were removed do not count, since not all stores have known them.
     pub fn hash(&self) -> u64 {
@@ -119,18 +134,26 @@
         &self.keys_to_request
     }
 
-    /// Applies the platform's answer: every change after a version that the store had reached, or
-    /// all keys that exist (`is_listing`).
+    /// Applies the platform's answer: every change after a position that the store had reached, or
+    /// all keys that exist (`is_listing`). A later era begins with all keys.
     pub fn apply_published(
         &mut self,
-        version: ConfigVersion,
+        position: impl Into<StorePosition>,
         published: &[ConfigValue],
         is_listing: bool,
         changes: &mut Vec<StoreChange>,
     ) -> UpdateOutcome {
-        if version < self.version {
+        let position = position.into();
+        let version = position.version;
+        if position < self.position() {
             return UpdateOutcome::Stale;
         }
+        if position.era > self.era {
+            if !is_listing {
+                return UpdateOutcome::Gap;
+            }
+            self.begin_era(position.era);
+        }
         if is_listing {
             let mut listed: Vec<ValueKey> =
                 published.iter().map(|value| value.key.clone()).collect();
@@ -154,7 +177,16 @@
         delta: &ConfigDelta,
         changes: &mut Vec<StoreChange>,
     ) -> UpdateOutcome {
-        if delta.base > self.version || self.lacks_removals(delta) {
+        if delta.era < self.era {
+            return UpdateOutcome::Stale;
+        }
+        if delta.era > self.era {
+            let tells_removals = delta.live_keys.is_some() || !self.position().is_known();
+            if delta.base > 0 || delta.through == 0 || !tells_removals {
+                return UpdateOutcome::Gap;
+            }
+            self.begin_era(delta.era);
+        } else if delta.base > self.version || self.lacks_removals(delta) {
             return UpdateOutcome::Gap;
         }
         if delta.through >= self.version {
@@ -179,6 +211,21 @@
         self.advance_version(delta.through)
     }
 
+    /// Begins a later era. What is in effect stays so until the values of the new era are known.
+    fn begin_era(&mut self, era: StoreEra) {
+        assert!(
+            era > self.era,
+            "invariant: the era of the configuration never decreases ({} to {era})",
+            self.era
+        );
+        self.era = era;
+        self.version = 0;
+        self.removals_since = 0;
+        self.hash = 0;
+        self.keys_to_request.clear();
+        self.entries.retain_mut(StoredEntry::begin_era);
+    }
+
     /// Returns whether a delta leads to a version by which keys of this store may have been removed
     /// without the delta telling so. It was made for an empty store, and this one has been filled
     /// since.
@@ -213,7 +260,7 @@
         }
     }
 
-    /// Returns the changes after `base`, with at most `limit` bytes of text unless a single value
+    /// Returns the changes after a peer's position, with at most `limit` bytes of text unless a single value
     /// is larger.
     ///
     /// Keys in `whole` are sent as whole values, even if the peer already knows their version. A
@@ -221,13 +268,16 @@
     /// that it has not received yet.
     pub fn delta_since(
         &self,
-        base: ConfigVersion,
+        position: impl Into<StorePosition>,
         whole: &[ValueKey],
         format: DeltaFormat,
         limit: usize,
     ) -> ConfigDelta {
+        let position = position.into();
+        let base = position.version_in(self.era);
         if self.version < self.removals_since {
             return ConfigDelta {
+                era: self.era,
                 base,
                 through: base,
                 ..ConfigDelta::default()
@@ -263,8 +313,10 @@
         } else {
             entries.last().map_or(base, |entry| entry.version.max(base))
         };
-        let misses_removals = base > 0 && base < self.removals_since;
+        let is_of_earlier_era = position.is_known() && position.era < self.era;
+        let misses_removals = is_of_earlier_era || (base > 0 && base < self.removals_since);
         ConfigDelta {
+            era: self.era,
             base,
             through,
             entries,
@@ -340,8 +392,7 @@
         match check_value(check, &entry.newest, oversize) {
             Ok(()) => {
                 entry.rejection = None;
-                let newest = entry.newest.clone();
-                entry.apply(newest, changes);
+                entry.apply_newest(changes);
             }
             Err(reason) => {
                 entry.rejection = Some(reason);
--- a/core/src/control/event.rs
+++ b/core/src/control/event.rs
@@ -9,6 +9,7 @@
 use super::exchange::ExchangeMessage;
 use super::fleet_bounds::FleetBounds;
 use super::knowledge_age::KnowledgeChange;
+use super::store_position::StorePosition;
 use crate::ids::{ConfigVersion, DataCentreName, HostName};
 
 /// Number of an exchange that this daemon started.
@@ -44,8 +45,8 @@
     },
     /// The platform answered a read of values with every change after the requested version.
     Published {
-        /// The platform's current version.
-        version: ConfigVersion,
+        /// The platform's current position.
+        position: StorePosition,
         /// Changed values.
         values: Vec<ConfigValue>,
         /// Whether the values are all that exist, instead of the changes after a version.
@@ -84,8 +85,9 @@
     },
     /// Read the values that changed on the platform after a version.
     ReadValues {
-        /// Version after which changes are wanted.
-        after: ConfigVersion,
+        /// Position after which changes are wanted; everything is wanted if the platform is in
+        /// another era.
+        after: StorePosition,
         /// Maximum time for the platform to hold the call until there is a change.
         wait: Duration,
     },
@@ -114,10 +116,10 @@
 /// A control-plane event that is written to the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlNotice {
-    /// The configuration advanced to a newer version.
+    /// The configuration advanced to a later position.
     ConfigAdvanced {
-        /// Version that was reached.
-        version: ConfigVersion,
+        /// Position that was reached.
+        position: StorePosition,
         /// Peer that sent the changes; `None` if they came from the platform.
         peer: Option<HostName>,
         /// Bytes of text in the changes, as transferred.
@@ -125,12 +127,19 @@
     },
     /// A value was refused; the last valid one stays in effect.
     ValueRefused(RefusedValue),
-    /// The platform answered with an older version than the known one.
+    /// The platform answered with an earlier position than the known one.
     PlatformStale {
-        /// Version in the platform's answer.
-        offered: ConfigVersion,
-        /// Version that this daemon knows.
-        known: ConfigVersion,
+        /// Position in the platform's answer.
+        offered: StorePosition,
+        /// Position that this daemon knows.
+        known: StorePosition,
+    },
+    /// The platform was restored from an older copy of its contents.
+    PlatformRestored {
+        /// Position in the new era.
+        position: StorePosition,
+        /// Position that this daemon had reached before.
+        former: StorePosition,
     },
     /// Two daemons hold different values at the same version.
     ConfigDiverged {
--- a/core/src/control/exchange.rs
+++ b/core/src/control/exchange.rs
@@ -8,7 +8,8 @@
 use super::config_delta::{ConfigDelta, DeltaFormat, MAX_VALUE_BYTES};
 use super::member_record::MemberRecord;
 use super::reader_heartbeat::ReaderHeartbeat;
-use crate::ids::{ConfigVersion, ValueKey};
+use super::store_position::StorePosition;
+use crate::ids::{ConfigVersion, StoreEra, ValueKey};
 
 /// Maximum configuration text in one message, in bytes, unless a single value is larger.
 pub const MAX_DELTA_BYTES: usize = 256 * 1024;
@@ -22,6 +23,9 @@
 /// Summary of the sender's configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigDigest {
+    /// Era of the version; older daemons do not say.
+    #[serde(rename = "e", default)]
+    pub era: StoreEra,
     /// Version up to which the sender knows every change.
     #[serde(rename = "v")]
     pub version: ConfigVersion,
@@ -30,6 +34,16 @@
     pub hash: u64,
 }
 
+impl ConfigDigest {
+    /// Returns the position up to which the sender knows every change.
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            version: self.version,
+        }
+    }
+}
+
 /// Data that the sender requests from the receiver.
 ///
 /// Fields that an older daemon does not send have their default value.
--- a/core/src/control/mod.rs
+++ b/core/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! connection shares.
 //!
 //! - [`config_delta`], [`config_store`]: published configuration and how daemons pass it on.
+//! - [`store_position`]: the order of changes, also after the platform was restored.
 //! - [`member_record`], [`member_table`], [`contact_table`]: the other daemons.
 //! - [`announcements`]: information that spreads by gossip and expires.
 //! - [`fleet_bounds`], [`connection_share`]: how many connections this daemon may hold.
@@ -30,6 +31,7 @@
 pub mod packed_value;
 pub mod reader_election;
 pub mod reader_heartbeat;
+pub mod store_position;
 mod stored_entry;
 
 pub use announcements::{AnnouncementKind, AnnouncementRecord, AnnouncementTable};
@@ -49,3 +51,4 @@
 pub use node::{ControlNode, ControlSettings, HostConflictPolicy, ReadSettings};
 pub use packed_value::PackedValue;
 pub use reader_heartbeat::{HeartbeatTable, ReaderHeartbeat};
+pub use store_position::StorePosition;
--- a/core/src/control/node/exchanges.rs
+++ b/core/src/control/node/exchanges.rs
@@ -11,7 +11,8 @@
 use crate::control::event::{ControlAction, ExchangeId};
 use crate::control::exchange::ExchangeMessage;
 use crate::control::member_record::{MemberRecord, MemberState};
-use crate::ids::{ConfigVersion, HostName, Incarnation};
+use crate::control::store_position::StorePosition;
+use crate::ids::{HostName, Incarnation};
 
 /// Interval of exchanges with a member of the local data centre.
 pub const EXCHANGE_PERIOD: Duration = Duration::from_secs(1);
@@ -40,8 +41,8 @@
     pub(super) next_full_table: Instant,
     probe_order: Vec<HostName>,
     joined: bool,
-    /// Version after which changes are pushed; `ConfigVersion::MAX` to push no configuration.
-    push_after: Option<ConfigVersion>,
+    /// Position after which changes are pushed; `StorePosition::MAX` to push no configuration.
+    push_after: Option<StorePosition>,
     next_push: Instant,
     pub(super) delta_granted_until: Option<Instant>,
     next_exchange: ExchangeId,
@@ -54,7 +55,7 @@
     pub(super) address: SocketAddr,
     pub(super) peer: Option<(HostName, Incarnation)>,
     pub(super) round: u32,
-    pub(super) delta_sent_after: Option<ConfigVersion>,
+    pub(super) delta_sent_after: Option<StorePosition>,
 }
 
 impl ExchangeSchedule {
@@ -92,15 +93,15 @@
         self.delta_granted_until = None;
     }
 
-    /// Schedules a push of the configuration changes after a version.
-    pub(super) fn schedule_push_after(&mut self, base: ConfigVersion) {
+    /// Schedules a push of the configuration changes after a position.
+    pub(super) fn schedule_push_after(&mut self, base: StorePosition) {
         let earlier = self.push_after.unwrap_or(base);
         self.push_after = Some(earlier.min(base));
     }
 
     /// Schedules a push of announcements or member records.
     pub(super) fn schedule_push(&mut self) {
-        self.schedule_push_after(ConfigVersion::MAX);
+        self.schedule_push_after(StorePosition::MAX);
     }
 }
 
@@ -149,7 +150,7 @@
         address: SocketAddr,
         peer: Option<(HostName, Incarnation)>,
         round: u32,
-        delta_sent_after: Option<ConfigVersion>,
+        delta_sent_after: Option<StorePosition>,
         message: ExchangeMessage,
         actions: &mut Vec<ControlAction>,
     ) {
@@ -239,7 +240,7 @@
             .cloned()
             .choose_multiple(&mut self.rng, PUSH_FANOUT);
         let remote = self.contacts.choose(&mut self.rng).cloned();
-        let delta = (base < self.store.version())
+        let delta = (base < self.store.position())
             .then(|| {
                 self.store
                     .delta_since(base, &[], DeltaFormat::Plain, MAX_PUSH_BYTES)
--- a/core/src/control/node/messages.rs
+++ b/core/src/control/node/messages.rs
@@ -50,6 +50,7 @@
     ) {
         self.handle_member_record(now, &message.from, actions);
         let version = message.config.version;
+        let position = message.config.position();
         self.contacts.record_reply(&message.from.host, version);
         self.members.record_version(&message.from.host, version);
         for record in &message.rumors {
@@ -65,7 +66,7 @@
         }
         self.handle_config(message, actions);
         self.readiness.has_peer_reply = true;
-        self.readiness.newest_peer_version = self.readiness.newest_peer_version.max(version);
+        self.readiness.newest_peer_position = self.readiness.newest_peer_position.max(position);
     }
 
     /// Builds the reply to a message that has already been handled.
@@ -74,16 +75,19 @@
         now: Instant,
         message: &ExchangeMessage,
     ) -> ExchangeMessage {
-        let version = self.store.version();
-        let wants_delta = message.config.version > version && self.grant_delta(now);
+        let position = self.store.position();
+        let theirs = message.config.position();
+        let wants_delta = theirs > position && self.grant_delta(now);
         let mut reply = self.new_message(now, wants_delta);
-        let is_behind = message.config.version < version || !message.wants.whole.is_empty();
-        if message.wants.delta && is_behind {
-            let base = message.config.version;
+        let lacks_values = theirs.era == position.era && !message.wants.whole.is_empty();
+        if message.wants.delta && (theirs < position || lacks_values) {
             let whole = &message.wants.whole;
             let format = message.wants.format;
-            let delta = self.store.delta_since(base, whole, format, MAX_DELTA_BYTES);
-            reply.delta = (!delta.entries.is_empty() || delta.through > base).then_some(delta);
+            let delta = self
+                .store
+                .delta_since(theirs, whole, format, MAX_DELTA_BYTES);
+            let is_useful = !delta.entries.is_empty() || delta.through > delta.base;
+            reply.delta = is_useful.then_some(delta);
         }
         self.add_members(now, message, &mut reply);
         reply
@@ -119,7 +123,7 @@
     fn handle_config(&mut self, message: &ExchangeMessage, actions: &mut Vec<ControlAction>) {
         let peer = &message.from.host;
         if let Some(delta) = &message.delta {
-            let before = self.store.version();
+            let before = self.store.position();
             let mut changes = Vec::new();
             let outcome = self.store.apply_delta(delta, &mut changes);
             if matches!(outcome, UpdateOutcome::Advanced | UpdateOutcome::Mismatch) {
@@ -127,9 +131,10 @@
             }
             self.apply_changes(before, Some(peer), delta.bytes(), changes, actions);
         }
-        let version = self.store.version();
-        if message.config.version == version && message.config.hash != self.store.hash() {
+        let position = self.store.position();
+        if message.config.position() == position && message.config.hash != self.store.hash() {
             let peer = peer.clone();
+            let version = position.version;
             let notice = ControlNotice::ConfigDiverged { peer, version };
             actions.push(ControlAction::Notice(notice));
         }
@@ -139,6 +144,7 @@
         ExchangeMessage {
             from: self.members.own().clone(),
             config: ConfigDigest {
+                era: self.store.position().era,
                 version: self.store.version(),
                 hash: self.store.hash(),
             },
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -32,7 +32,8 @@
 use super::member_record::MemberRecord;
 use super::member_table::MemberTable;
 use super::reader_heartbeat::{HeartbeatTable, ReaderHeartbeat};
-use crate::ids::{ConfigVersion, HostName};
+use super::store_position::StorePosition;
+use crate::ids::HostName;
 
 /// Maximum delay of a tick. After a longer one the process is considered to have been paused.
 pub const MAX_TICK_DELAY: Duration = Duration::from_secs(2);
@@ -73,7 +74,7 @@
 struct ReadinessState {
     since: Instant,
     has_peer_reply: bool,
-    newest_peer_version: ConfigVersion,
+    newest_peer_position: StorePosition,
     confirmed: bool,
     is_signalled: bool,
 }
@@ -178,7 +179,7 @@
 
     /// Returns whether the daemon knows all changes that the peers it has heard from know.
     pub fn is_caught_up(&self) -> bool {
-        self.store.version() >= self.readiness.newest_peer_version
+        self.store.position() >= self.readiness.newest_peer_position
     }
 
     /// Returns the time since the platform last answered a reader, as far as this daemon knows.
@@ -201,10 +202,10 @@
             }
             ControlEvent::Unanswered { exchange } => self.handle_unanswered(now, exchange, actions),
             ControlEvent::Published {
-                version,
+                position,
                 values,
                 is_listing,
-            } => self.apply_published(now, version, &values, is_listing, actions),
+            } => self.apply_published(now, position, &values, is_listing, actions),
             ControlEvent::Listed(listed_hosts) => self.handle_host_list(now, listed_hosts, actions),
             ControlEvent::ReadFailed => self.handle_read_failure(now),
             ControlEvent::BoundsChanged(bounds) => self.bounds = bounds,
@@ -334,15 +335,23 @@
         }
     }
 
-    /// Converts changes of the store into actions, and schedules a push if the version advanced.
+    /// Converts changes of the store into actions, and schedules a push if its position advanced.
     fn apply_changes(
         &mut self,
-        before: ConfigVersion,
+        before: StorePosition,
         peer: Option<&HostName>,
         bytes: usize,
         changes: Vec<StoreChange>,
         actions: &mut Vec<ControlAction>,
     ) {
+        let position = self.store.position();
+        if position.era > before.era && before.is_known() {
+            let former = before;
+            let notice = ControlNotice::PlatformRestored { position, former };
+            actions.push(ControlAction::Notice(notice));
+            // What is missing from the copy is written again, as after an outage.
+            actions.push(ControlAction::PlatformRecovered);
+        }
         for change in changes {
             actions.push(match change {
                 StoreChange::Applied(value) => ControlAction::ApplyValue(value),
@@ -351,12 +360,11 @@
                 }
             });
         }
-        let version = self.store.version();
-        if version > before {
+        if position > before {
             self.exchange_schedule.schedule_push_after(before);
             let peer = peer.cloned();
             let notice = ControlNotice::ConfigAdvanced {
-                version,
+                position,
                 peer,
                 bytes,
             };
@@ -367,7 +375,7 @@
     /// Updates whether the daemon may accept requests. It needs a configuration, and confirmation
     /// by a peer that it is the newest, knowledge that there are no peers, or a time-out.
     fn update_readiness(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
-        let has_config = self.store.version() > 0;
+        let has_config = self.store.position().is_known();
         if !has_config {
             self.readiness.since = now;
         }
@@ -399,7 +407,7 @@
         Self {
             since: now,
             has_peer_reply: false,
-            newest_peer_version: 0,
+            newest_peer_position: StorePosition::default(),
             confirmed: false,
             is_signalled: false,
         }
--- a/core/src/control/node/platform_reads.rs
+++ b/core/src/control/node/platform_reads.rs
@@ -13,7 +13,7 @@
 use crate::control::knowledge_age::KnowledgeChange;
 use crate::control::reader_election::{poll_interval, reader_count, reader_rank};
 use crate::control::reader_heartbeat::{HeartbeatUpdate, ReaderHeartbeat};
-use crate::ids::ConfigVersion;
+use crate::control::store_position::StorePosition;
 
 /// Maximum time for which the platform holds a reader's watch until there is a change.
 pub const WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -164,7 +164,7 @@
         let is_leaving = self.is_leaving();
         let platform_calls = self.read_schedule.settings.platform_calls;
         let readers = reader_count(view, &self.bounds, platform_calls);
-        let may_read = self.store.version() > 0 || now >= self.read_schedule.first_read_at;
+        let may_read = self.store.position().is_known() || now >= self.read_schedule.first_read_at;
         let is_reader = !is_leaving && may_read && rank < readers;
         self.set_reader(now, is_reader, actions);
         if is_reader {
@@ -182,7 +182,7 @@
     pub(super) fn apply_published(
         &mut self,
         now: Instant,
-        version: ConfigVersion,
+        position: StorePosition,
         values: &[ConfigValue],
         is_listing: bool,
         actions: &mut Vec<ControlAction>,
@@ -192,18 +192,18 @@
         schedule.failures = 0;
         schedule.next_read = now + schedule.settings.watch_gap;
         self.advance_heartbeat(now, actions);
-        let before = self.store.version();
+        let before = self.store.position();
         let mut changes = Vec::new();
         let outcome = self
             .store
-            .apply_published(version, values, is_listing, &mut changes);
+            .apply_published(position, values, is_listing, &mut changes);
         let texts = values.iter().filter_map(|value| value.value.as_deref());
         let bytes = texts.map(str::len).sum();
         self.apply_changes(before, None, bytes, changes, actions);
         if outcome == UpdateOutcome::Stale {
             let notice = ControlNotice::PlatformStale {
-                offered: version,
-                known: self.store.version(),
+                offered: position,
+                known: self.store.position(),
             };
             actions.push(ControlAction::Notice(notice));
         }
@@ -258,10 +258,10 @@
         let schedule = &mut self.read_schedule;
         if !schedule.in_flight && now >= schedule.next_read && schedule.budget.take(now) {
             schedule.in_flight = true;
-            let after = self.store.version();
+            let after = self.store.position();
             // After a failure use calls that return at once, since they show soonest that the
             // platform is back. A watch sent just before that would hang on a dead connection.
-            let wait = if after == 0 || schedule.failures > 0 {
+            let wait = if !after.is_known() || schedule.failures > 0 {
                 Duration::ZERO
             } else {
                 schedule.settings.watch_wait
@@ -289,7 +289,7 @@
             return;
         }
         self.read_schedule.early_read_at = None;
-        if view > 1 && rank == 0 && self.store.version() == 0 {
+        if view > 1 && rank == 0 && !self.store.position().is_known() {
             self.read_schedule.next_poll = now;
         }
     }
@@ -318,7 +318,7 @@
         self.read_schedule.next_poll = now + interval;
         if !self.read_schedule.in_flight && self.read_schedule.budget.take(now) {
             self.read_schedule.in_flight = true;
-            let after = self.store.version();
+            let after = self.store.position();
             let wait = Duration::ZERO;
             actions.push(ControlAction::ReadValues { after, wait });
         }
--- a/core/src/control/node/replies.rs
+++ b/core/src/control/node/replies.rs
@@ -25,17 +25,17 @@
         let Some(pending) = self.remove_pending(exchange) else {
             return;
         };
-        let before = self.store.version();
+        let before = self.store.position();
         self.handle_message(now, message, actions);
         if pending.round >= MAX_ROUNDS {
             return;
         }
-        let version = self.store.version();
-        let theirs = message.config.version;
+        let position = self.store.position();
+        let theirs = message.config.position();
         let has_sent = pending.delta_sent_after.is_some_and(|sent| theirs <= sent);
-        if message.wants.delta && theirs < version && !has_sent {
+        if message.wants.delta && theirs < position && !has_sent {
             self.send_changes(now, &pending, message, actions);
-        } else if theirs > version && version > before {
+        } else if theirs > position && position > before {
             self.send_follow_up(now, &pending, false, actions);
         } else if self.needs_full_table(now, message) {
             self.exchange_schedule.next_full_table = now + FULL_TABLE_PERIOD;
@@ -72,7 +72,7 @@
         message: &ExchangeMessage,
         actions: &mut Vec<ControlAction>,
     ) {
-        let base = message.config.version;
+        let base = message.config.position();
         let whole = &message.wants.whole;
         let mut next = self.new_message(now, false);
         let format = message.wants.format;
--- a/core/src/control/stored_entry.rs
+++ b/core/src/control/stored_entry.rs
@@ -42,6 +42,29 @@
         }
     }
 
+    /// Turns the value in effect into one of an earlier era, with version 0. Returns false if there
+    /// is none, so that the entry is of no use.
+    pub(super) fn begin_era(&mut self) -> bool {
+        self.oversize = false;
+        self.rejection = None;
+        self.patches.clear();
+        let Some(in_effect) = self
+            .in_effect
+            .as_mut()
+            .filter(|value| value.value.is_some())
+        else {
+            return false;
+        };
+        in_effect.version = 0;
+        self.newest = in_effect.clone();
+        true
+    }
+
+    /// Returns whether nothing is known of the key in the current era.
+    fn is_of_earlier_era(&self) -> bool {
+        self.newest.version == 0
+    }
+
     /// Replaces the newest change.
     pub(super) fn replace(&mut self, value: ConfigValue, oversize: bool) {
         assert!(
@@ -59,8 +82,13 @@
         }
     }
 
-    /// Retains the patch to a new value if it is much smaller than the value.
+    /// Retains the patch to a new value if it is much smaller than the value. A value of an earlier
+    /// era is no base for a patch, since peers may have another one.
     fn record_patch(&mut self, value: &ConfigValue) {
+        if self.is_of_earlier_era() {
+            self.patches.clear();
+            return;
+        }
         let (Some(old), Some(new)) = (&self.newest.value, &value.value) else {
             self.patches.clear();
             return;
@@ -75,6 +103,15 @@
         self.patches.drain(..surplus);
     }
 
+    /// Makes the newest value take effect, unless an equal one of an earlier era is in effect.
+    pub(super) fn apply_newest(&mut self, changes: &mut Vec<StoreChange>) {
+        let newest = self.newest.clone();
+        match &mut self.in_effect {
+            Some(known) if known.version == 0 && known.value == newest.value => *known = newest,
+            Some(_) | None => self.apply(newest, changes),
+        }
+    }
+
     /// Makes a validated value take effect.
     pub(super) fn apply(&mut self, value: ConfigValue, changes: &mut Vec<StoreChange>) {
         let before = self.in_effect.as_ref().map_or(0, |known| known.version);
@@ -145,9 +182,10 @@
         self.newest.value.is_some() || self.oversize
     }
 
-    /// Returns the key's contribution to the hash of the store; 0 if the key has no value.
+    /// Returns the key's contribution to the hash of the store; 0 if the key has no value in the
+    /// current era.
     pub(super) fn hash(&self) -> u64 {
-        if !self.exists() {
+        if !self.exists() || self.is_of_earlier_era() {
             return 0;
         }
         let value = self.newest.value.as_deref().unwrap_or("");
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -16,6 +16,8 @@
 pub type IndexVersion = u64;
 /// Platform's version of the whole configuration; increases with each accepted change.
 pub type ConfigVersion = u64;
+/// Number of times that the platform was restored from an older copy of its contents.
+pub type StoreEra = u64;
 /// Identifies a daemon process on its host; greater for each later process.
 pub type Incarnation = u64;
 /// Hash of the content of a request; the same when the request is resent.
--- a/core/tests/config_transfer.rs
+++ b/core/tests/config_transfer.rs
@@ -102,7 +102,7 @@
                 value: Some(Arc::clone(text)),
             }];
             let event = ControlEvent::Published {
-                version,
+                position: version.into(),
                 values,
                 is_listing: version == 1,
             };
--- a/core/tests/control_messages.rs
+++ b/core/tests/control_messages.rs
@@ -151,12 +151,13 @@
     let keys = prop::collection::vec(prop_oneof!["accounts", "[a-z]{0,3}"], 0..3);
     let keys = keys.prop_map(|keys| keys.into_iter().map(Box::from).collect());
     (
-        (number(), number(), number()),
+        (number(), number(), number(), number()),
         prop::collection::vec(entry, 0..3),
         prop::option::of(keys),
     )
         .prop_map(
-            |((base, through, removals_since), entries, live_keys)| ConfigDelta {
+            |((era, base, through, removals_since), entries, live_keys)| ConfigDelta {
+                era,
                 base,
                 through,
                 entries,
@@ -173,7 +174,7 @@
 fn message() -> impl Strategy<Value = ExchangeMessage> {
     (
         member(),
-        (number(), number(), number()),
+        (number(), number(), number(), number()),
         prop::collection::vec(heartbeat(), 0..3),
         prop::collection::vec(member(), 0..4),
         prop::collection::vec(announcement(), 0..3),
@@ -181,10 +182,18 @@
         (any::<bool>(), any::<bool>(), format()),
     )
         .prop_map(
-            |(from, (version, hash, digest), heartbeats, rumors, announcements, delta, wants)| {
+            |(
+                from,
+                (era, version, hash, digest),
+                heartbeats,
+                rumors,
+                announcements,
+                delta,
+                wants,
+            )| {
                 ExchangeMessage {
                     from,
-                    config: ConfigDigest { version, hash },
+                    config: ConfigDigest { era, version, hash },
                     digest,
                     heartbeats,
                     rumors,
--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -64,7 +64,7 @@
         value: Some(Arc::from(format!("value {version}"))),
     };
     ControlEvent::Published {
-        version,
+        position: version.into(),
         values: vec![value],
         is_listing: false,
     }
--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -191,7 +191,9 @@
                 address,
                 message,
             } => self.exchange(exchange, address, message, context),
-            ControlAction::ReadValues { after, wait } => self.read_values(after, wait, context),
+            ControlAction::ReadValues { after, wait } => {
+                self.read_values(after.version, wait, context)
+            }
             ControlAction::ReadHosts => self.read_hosts(context),
             // Shard maps list the targets, and none of them expires during an outage.
             ControlAction::PlatformRecovered => {}
@@ -247,7 +249,7 @@
             let event = match result {
                 // The answer to a first read includes what was removed before.
                 Ok((version, values)) => ControlEvent::Published {
-                    version,
+                    position: version.into(),
                     values,
                     is_listing: false,
                 },
--- a/daemon/src/control/notice_log.rs
+++ b/daemon/src/control/notice_log.rs
@@ -20,14 +20,15 @@
     metrics: &MetricsClient,
 ) {
     match notice {
-        ControlNotice::ConfigAdvanced { version, .. } => {
-            shared_status.set_config_version(*version);
-            metrics.gauge(DaemonMetric::ConfigVersion, *version);
+        ControlNotice::ConfigAdvanced { position, .. } => {
+            shared_status.set_config_version(position.version);
+            metrics.gauge(DaemonMetric::ConfigVersion, position.version);
         }
         ControlNotice::ValueRefused(refused) => {
             shared_status.record_refused(&refused.key, &refused.reason);
         }
         ControlNotice::PlatformStale { .. }
+        | ControlNotice::PlatformRestored { .. }
         | ControlNotice::ConfigDiverged { .. }
         | ControlNotice::PeerSuspected(_)
         | ControlNotice::PeerGone(_)
@@ -52,11 +53,12 @@
 pub(crate) fn log_notice(host: &str, notice: &ControlNotice) {
     match notice {
         ControlNotice::ConfigAdvanced {
-            version,
+            position,
             peer,
             bytes,
         } => LogEvent::ConfigurationInForce {
-            version: *version,
+            era: position.era,
+            version: position.version,
             source: peer.as_deref().unwrap_or(PLATFORM_SOURCE),
             bytes: *bytes as u64,
         }
@@ -68,8 +70,17 @@
         }
         .emit(),
         ControlNotice::PlatformStale { offered, known } => LogEvent::PlatformStale {
-            offered: *offered,
-            known: *known,
+            offered: offered.version,
+            offered_era: offered.era,
+            known: known.version,
+            known_era: known.era,
+        }
+        .emit(),
+        ControlNotice::PlatformRestored { position, former } => LogEvent::HistoryRestarted {
+            era: position.era,
+            version: position.version,
+            former_era: former.era,
+            former_version: former.version,
         }
         .emit(),
         ControlNotice::ConfigDiverged { peer, version } => LogEvent::ConfigurationDiverged {
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -85,14 +85,14 @@
     104 WARN "process_paused" ProcessPaused { pause_ms: u64 }
     #[doc = "The data-path thread was not scheduled for a while; old observations of targets are dropped."]
     105 WARN "lane_paused" LanePaused { gap_ms: u64 }
-    #[doc = "A configuration version took effect; `source` is the platform or the peer that it came from, `bytes` the text that was transferred."]
-    201 INFO "configuration_in_force" ConfigurationInForce { version: u64, source: &'a str, bytes: u64 }
+    #[doc = "A configuration version took effect; `era` counts the restorations of the platform, within which versions increase, `source` is the platform or the peer that it came from, `bytes` the text that was transferred."]
+    201 INFO "configuration_in_force" ConfigurationInForce { era: u64, version: u64, source: &'a str, bytes: u64 }
     #[doc = "A published value was refused; the last valid one stays in effect."]
     202 WARN "value_refused" ValueRefused { key: &'a str, version: u64, fault: &'a str }
     #[doc = "The platform could not be read; the current configuration stays in effect."]
     203 WARN "platform_unread" PlatformUnread { fault: &'a str }
-    #[doc = "The platform offered an older version than the known one; it was ignored."]
-    204 WARN "platform_stale" PlatformStale { offered: u64, known: u64 }
+    #[doc = "The platform offered an earlier era, or an older version of the same era, than the known one; it was ignored."]
+    204 WARN "platform_stale" PlatformStale { offered: u64, offered_era: u64, known: u64, known_era: u64 }
     #[doc = "A peer has different values at the same version; each keeps its own until the key changes."]
     205 WARN "configuration_diverged" ConfigurationDiverged { peer: &'a str, version: u64 }
     #[doc = "This daemon started or stopped reading the platform for its data centre."]
@@ -101,6 +101,8 @@
     207 WARN "knowledge_stale" KnowledgeStale { age_ms: u64 }
     #[doc = "A reader's answer from the platform became known again, after `age_ms`."]
     208 INFO "knowledge_fresh" KnowledgeFresh { age_ms: u64 }
+    #[doc = "The platform was restored from an older copy; its values replace those that were known up to `former_version`, whose numbers it assigns again."]
+    209 WARN "history_restarted" HistoryRestarted { era: u64, version: u64, former_era: u64, former_version: u64 }
     #[doc = "A peer did not answer and is suspected."]
     301 INFO "peer_suspected" PeerSuspected { peer: &'a str }
     #[doc = "A suspected peer stayed silent and is considered gone."]
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -19,6 +19,7 @@
 use yuccalift_core::control::{
     AnnouncementKind, ConfigValue, ControlAction, ControlEvent, ControlNode, ControlSettings,
     ExchangeMessage, FleetBounds, HostConflictPolicy, MemberRecord, MemberState, ReadSettings,
+    StorePosition,
 };
 use yuccalift_core::ids::{ConfigVersion, HostName};
 use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
@@ -221,19 +222,16 @@
         }
     }
 
-    fn read_store(self: &Rc<Self>, after: ConfigVersion, wait: Duration) {
+    fn read_store(self: &Rc<Self>, after: StorePosition, wait: Duration) {
         let control = Rc::clone(self);
         self.driver.report.count_store_call();
         actix_rt::spawn(async move {
             let reply = control.reader.lock().await.read(after, wait).await;
             match reply {
                 Ok(changes) => {
-                    control
-                        .driver
-                        .report
-                        .record_store_answer(changes.era, changes.version);
+                    control.driver.report.record_store_answer(changes.position);
                     control.feed(ControlEvent::Published {
-                        version: changes.version,
+                        position: changes.position,
                         values: changes.values,
                         is_listing: changes.is_listing,
                     });
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -6,13 +6,15 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
+use yuccalift_core::control::StorePosition;
+use yuccalift_core::ids::StoreEra;
 use yuccalift_core::relay::route::ServiceName;
 use yuccalift_core::relay::target_record::TargetName;
 use yuccalift_core::relay::{
     HoldChange, LoadTrustChange, RefusalCause, RelayDecision, RequestKey, RouteTable,
 };
 use yuccalift_platform::DecodeError;
-use yuccalift_platform::store::{StoreEra, StoreError, StoreRevision};
+use yuccalift_platform::store::StoreError;
 
 use super::refusal_counts::RefusalCounts;
 use super::target_change_log::{ChangeLine, TargetChangeLog};
@@ -431,15 +433,16 @@
 
     /// Logs that the store can be read again after failed reads, and that it was restored from an
     /// older copy.
-    pub(super) fn record_store_answer(&self, era: StoreEra, revision: StoreRevision) {
+    pub(super) fn record_store_answer(&self, position: StorePosition) {
+        let StorePosition { era, version } = position;
         self.metrics.gauge(DaemonMetric::StoreEra, era);
-        self.metrics.gauge(DaemonMetric::StoreRevision, revision);
+        self.metrics.gauge(DaemonMetric::StoreRevision, version);
         let former_era = self.store_era.replace(Some(era));
         if let Some(former_era) = former_era.filter(|former| *former != era) {
             LogEvent::StoreRestored {
                 era,
                 former_era,
-                revision,
+                revision: version,
             }
             .emit();
         }
--- a/daemon/src/relay/store_reader.rs
+++ b/daemon/src/relay/store_reader.rs
@@ -7,10 +7,9 @@
 use std::time::Duration;
 
 use actix_http::ServiceConfig;
-use yuccalift_core::control::ConfigValue;
-use yuccalift_core::ids::ConfigVersion;
+use yuccalift_core::control::{ConfigValue, StorePosition};
 use yuccalift_exchange::{LinkOptions, TransferLimit, TransferProgress};
-use yuccalift_platform::store::{StoreClient, StoreEntry, StoreEra, StoreError, StorePage};
+use yuccalift_platform::store::{StoreClient, StoreEntry, StoreError, StorePage};
 
 /// Time that a call may take beyond its requested wait without making progress; a slow store takes a
 /// quarter of a second.
@@ -27,13 +26,11 @@
 /// What the store answered to a read.
 #[derive(Debug)]
 pub(super) struct StoreChanges {
-    /// The store's era.
-    pub(super) era: StoreEra,
-    /// The store's version.
-    pub(super) version: ConfigVersion,
-    /// The requested changes up to that version.
+    /// The store's position.
+    pub(super) position: StorePosition,
+    /// The requested changes up to that position.
     pub(super) values: Vec<ConfigValue>,
-    /// Whether everything was read, instead of the changes after a version.
+    /// Whether everything was read, instead of the changes after a position.
     pub(super) is_listing: bool,
 }
 
@@ -54,8 +51,9 @@
         }
     }
 
-    /// Reads the changes after a version, waiting up to `wait` for one. Everything is read if
-    /// `after` is 0 or the store no longer has the history since that version.
+    /// Reads the changes after a position, waiting up to `wait` for one. Everything is read if none
+    /// is known, if the store no longer has the history since then, or if it is in another era:
+    /// it has then assigned versions anew, and may have one that is not the known one.
     ///
     /// # Errors
     ///
@@ -63,7 +61,7 @@
     /// decoded.
     pub(super) async fn read(
         &mut self,
-        after: ConfigVersion,
+        after: StorePosition,
         wait: Duration,
     ) -> Result<StoreChanges, StoreError> {
         let result = self.try_read(after, wait).await;
@@ -75,18 +73,18 @@
 
     async fn try_read(
         &mut self,
-        after: ConfigVersion,
+        after: StorePosition,
         wait: Duration,
     ) -> Result<StoreChanges, StoreError> {
-        if after == 0 {
+        if !after.is_known() {
             return self.read_all().await;
         }
         let progress = self.client.progress();
-        let watch = self.client.watch(after, wait);
+        let watch = self.client.watch(after.version, wait);
         match limit_call(&progress, wait, watch).await {
+            Ok(page) if page.era != after.era => self.read_all().await,
             Ok(page) => Ok(StoreChanges {
-                era: page.era,
-                version: page.revision,
+                position: position_of(&page),
                 values: page.entries.into_iter().map(config_value).collect(),
                 is_listing: false,
             }),
@@ -95,47 +93,60 @@
         }
     }
 
-    /// Reads everything. The returned version is that of the first page, so that a later watch
+    /// Reads everything. The returned position is that of the first page, so that a later watch
     /// misses no change.
     async fn read_all(&mut self) -> Result<StoreChanges, StoreError> {
         let progress = self.client.progress();
         let no_wait = Duration::ZERO;
         let mut values = Vec::new();
-        let version = self.read_pages(ListedKeys::Targets, &mut values).await?;
+        let position = self.read_pages(ListedKeys::Targets, &mut values).await?;
         let config = limit_call(&progress, no_wait, self.client.read_config()).await?;
+        self.check_era(position)?;
         values.extend(config.map(config_value));
         if self.reads_evacuations {
             // Evacuations are applied first, so that nothing is sent to a target that is listed with
             // them.
             let mut evacuations = Vec::new();
-            self.read_pages(ListedKeys::Evacuations, &mut evacuations)
-                .await?;
+            let keys = ListedKeys::Evacuations;
+            self.read_pages(keys, &mut evacuations).await?;
+            self.check_era(position)?;
             evacuations.append(&mut values);
             values = evacuations;
         }
         Ok(StoreChanges {
-            era: self.client.era(),
-            version,
+            position,
             values,
             is_listing: true,
         })
     }
 
-    /// Reads all pages of a kind of keys, and returns the version of the first page.
+    /// Fails if the store has been restored since it answered with a position: the listing would mix
+    /// two eras.
+    fn check_era(&self, position: StorePosition) -> Result<(), StoreError> {
+        if self.client.era() == position.era {
+            return Ok(());
+        }
+        Err(StoreError::Restored {
+            address: self.client.address(),
+        })
+    }
+
+    /// Reads all pages of a kind of keys, and returns the position of the first page.
     async fn read_pages(
         &mut self,
         keys: ListedKeys,
         values: &mut Vec<ConfigValue>,
-    ) -> Result<ConfigVersion, StoreError> {
+    ) -> Result<StorePosition, StoreError> {
         let mut page = self.read_page(keys, None).await?;
-        let version = page.revision;
+        let position = position_of(&page);
         loop {
             let last = page.entries.last().map(|entry| entry.key.clone());
             values.extend(page.entries.into_iter().map(config_value));
             let Some(last) = last.filter(|_| page.has_more) else {
-                return Ok(version);
+                return Ok(position);
             };
             page = self.read_page(keys, Some(&last)).await?;
+            self.check_era(position)?;
         }
     }
 
@@ -163,6 +174,13 @@
     Evacuations,
 }
 
+fn position_of(page: &StorePage) -> StorePosition {
+    StorePosition {
+        era: page.era,
+        version: page.revision,
+    }
+}
+
 fn config_value(entry: StoreEntry) -> ConfigValue {
     ConfigValue {
         key: entry.key,
--- a/wire/tests/codec.rs
+++ b/wire/tests/codec.rs
@@ -40,6 +40,7 @@
             state: MemberState::Alive,
         },
         config: ConfigDigest {
+            era: 2,
             version: 7,
             hash: 3,
         },
