control: keep a value that its writer wrote after the restored one

What callers saw: with a store restored from an older copy, a daemon that starts serves by routes older than the confirmed ones, and a target that has left gets requests again, until they are written anew. Cause: a later era was taken for later content. The copy's values are older than those that it replaces where the platform has lost a change. Change: the routes' version, and a target's start and message count, order the values of one writer also across eras. While a value of an earlier era is in effect, one that was written before it is refused; peers pass the former on as the last valid value. Not covered: a key that the copy lacks counts as removed until it is written again, with the grace for targets that an outage has.

--- a/core/src/control/config_store.rs
+++ b/core/src/control/config_store.rs
@@ -7,7 +7,8 @@
 //! `docs/DESIGN.md`, "Configuration".
 //!
 //! A later era begins with all values of the platform that was restored. Until they are known,
-//! those of the earlier era stay in effect, under version 0.
+//! those of the earlier era stay in effect, under version 0. So does one that its writer wrote after
+//! the restored one ([`ValueRank`]), until the writer has written it again.
 //!
 //! A store that began with a listing of the platform never learned which keys had been removed
 //! before. It tells a peer that has older keys by the list of the keys that exist, so that the peer
@@ -25,6 +26,13 @@
 /// Validates the value of a key before it takes effect; the error describes the problem.
 pub type ValueCheck = fn(key: &str, value: &str) -> Result<(), Box<str>>;
 
+/// Returns the order that the writer of a value gave it, or the lowest one if it gave none. Unlike a
+/// version it is part of the value, so that it holds across eras.
+pub type ValueRank = fn(key: &str, value: &str) -> WriterRank;
+
+/// Order that a writer gives its values, such as its start and a count since then.
+pub type WriterRank = (u64, u64);
+
 /// A value that did not pass validation.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RefusedValue {
@@ -65,6 +73,7 @@
 #[derive(Clone, Debug)]
 pub struct ConfigStore {
     check: ValueCheck,
+    rank: ValueRank,
     era: StoreEra,
     version: ConfigVersion,
     /// Version after which every removal is known.
@@ -79,6 +88,7 @@
     pub fn new(check: ValueCheck) -> Self {
         Self {
             check,
+            rank: |_key, _value| WriterRank::default(),
             era: 0,
             version: 0,
             removals_since: 0,
@@ -88,6 +98,13 @@
         }
     }
 
+    /// Sets the order by which a value of an earlier era may stay in effect.
+    #[must_use]
+    pub fn ranked_by(mut self, rank: ValueRank) -> Self {
+        self.rank = rank;
+        self
+    }
+
     /// Returns the version within the current era up to which every change is known; 0 if none is.
     pub fn version(&self) -> ConfigVersion {
         self.version
@@ -362,11 +379,16 @@
         let in_effect = entry.in_effect.as_ref().map_or(0, |value| value.version);
         // A last valid value that claims to be newer than the newest one comes from a faulty peer.
         let is_plausible = good.version > in_effect && good.version <= entry.newest.version;
-        if entry.rejection.is_none() || !is_plausible {
+        let is_later = entry.is_before(good, self.rank);
+        if !is_later && (entry.rejection.is_none() || !is_plausible) {
             return;
         }
         if check_value(self.check, good, false).is_ok() {
-            entry.apply(good.clone(), changes);
+            if is_later {
+                entry.hold(good.clone(), changes);
+            } else {
+                entry.apply(good.clone(), changes);
+            }
         }
         self.keys_to_request.retain(|key| *key != good.key);
     }
@@ -389,7 +411,8 @@
         self.hash ^= entry.hash();
         entry.replace(value, oversize);
         self.hash ^= entry.hash();
-        match check_value(check, &entry.newest, oversize) {
+        let checked = check_value(check, &entry.newest, oversize);
+        match checked.and_then(|()| entry.check_rank(self.rank)) {
             Ok(()) => {
                 entry.rejection = None;
                 entry.apply_newest(changes);
--- a/core/src/control/mod.rs
+++ b/core/src/control/mod.rs
@@ -39,7 +39,7 @@
 pub use config_delta::{
     ConfigDelta, ConfigValue, DeltaContent, DeltaEntry, DeltaFormat, ValuePatch,
 };
-pub use config_store::{ConfigStore, RefusedValue, StoreChange, ValueCheck};
+pub use config_store::{ConfigStore, RefusedValue, StoreChange, ValueCheck, ValueRank, WriterRank};
 pub use connection_share::{DaemonLocation, connection_shares};
 pub use contact_table::ContactTable;
 pub use event::{ControlAction, ControlEvent, ControlNotice, ListedHost};
--- a/core/src/control/node/mod.rs
+++ b/core/src/control/node/mod.rs
@@ -23,7 +23,7 @@
 use self::platform_reads::{READER_TIMEOUT, ReadSchedule};
 pub use self::platform_reads::{ReadSettings, WATCH_WAIT};
 use super::announcements::{AnnouncementKind, AnnouncementRecord, AnnouncementTable};
-use super::config_store::{ConfigStore, StoreChange, ValueCheck};
+use super::config_store::{ConfigStore, StoreChange, ValueCheck, ValueRank};
 use super::contact_table::ContactTable;
 use super::event::{ControlAction, ControlEvent, ControlNotice, ListedHost};
 use super::exchange::ExchangeMessage;
@@ -52,6 +52,8 @@
     pub seed: u64,
     /// Validation that a configuration value must pass before it takes effect.
     pub check: ValueCheck,
+    /// Order that writers give their values, which holds also after the platform was restored.
+    pub rank: ValueRank,
     /// Timing of platform reads.
     pub read_settings: ReadSettings,
     /// Reaction to a record of a later process on this daemon's host.
@@ -125,7 +127,7 @@
             listed_hosts: Vec::new(),
             has_host_list: false,
             bounds: FleetBounds::default(),
-            store: ConfigStore::new(settings.check),
+            store: ConfigStore::new(settings.check).ranked_by(settings.rank),
             members: MemberTable::new(now, settings.own),
             contacts: ContactTable::default(),
             announcements: AnnouncementTable::default(),
--- a/core/src/control/stored_entry.rs
+++ b/core/src/control/stored_entry.rs
@@ -5,7 +5,7 @@
 use super::config_delta::{
     ConfigValue, DeltaContent, DeltaEntry, DeltaFormat, ValuePatch, value_hash,
 };
-use super::config_store::StoreChange;
+use super::config_store::{StoreChange, ValueRank};
 use super::packed_value::PackedValue;
 use crate::ids::{ConfigVersion, ValueKey};
 
@@ -65,6 +65,45 @@
         self.newest.version == 0
     }
 
+    /// Refuses the newest value if its writer wrote it before the one of an earlier era that is in
+    /// effect: the platform was restored from a copy without the latter.
+    pub(super) fn check_rank(&self, rank: ValueRank) -> Result<(), Box<str>> {
+        let former = self.in_effect.as_ref().filter(|value| value.version == 0);
+        let key = &self.newest.key;
+        let ranks = self
+            .newest
+            .value
+            .as_ref()
+            .zip(former.and_then(|value| value.value.as_ref()));
+        match ranks {
+            Some((newest, former)) if rank(key, newest) < rank(key, former) => {
+                Err("it was written before the value in effect, which the platform has lost".into())
+            }
+            Some(_) | None => Ok(()),
+        }
+    }
+
+    /// Returns whether a peer holds a value of an earlier era that was written after the one in
+    /// effect here.
+    pub(super) fn is_before(&self, good: &ConfigValue, rank: ValueRank) -> bool {
+        let in_effect = self
+            .in_effect
+            .as_ref()
+            .and_then(|value| value.value.as_ref());
+        let values = in_effect.zip(good.value.as_ref());
+        good.version == 0
+            && values.is_some_and(|(known, good)| {
+                rank(&self.newest.key, known) < rank(&self.newest.key, good)
+            })
+    }
+
+    /// Makes a value of an earlier era take effect instead of the newest one.
+    pub(super) fn hold(&mut self, former: ConfigValue, changes: &mut Vec<StoreChange>) {
+        self.rejection = Some("a peer knows a value that was written later".into());
+        self.in_effect = Some(former.clone());
+        changes.push(StoreChange::Applied(former));
+    }
+
     /// Replaces the newest change.
     pub(super) fn replace(&mut self, value: ConfigValue, oversize: bool) {
         assert!(
--- a/core/tests/config_transfer.rs
+++ b/core/tests/config_transfer.rs
@@ -59,6 +59,7 @@
         seeds: vec![address(0), address(1), address(2)],
         seed: index as u64,
         check: |_key, _value| Ok(()),
+        rank: |_key, _value| (0, 0),
         read_settings: ReadSettings {
             lists_hosts: false,
             ..ReadSettings::default()
--- a/core/tests/control_messages.rs
+++ b/core/tests/control_messages.rs
@@ -223,6 +223,7 @@
         seeds: vec![SocketAddr::from(([127, 0, 0, 1], 7002))],
         seed: 1,
         check: |_key, _value| Ok(()),
+        rank: |_key, _value| (0, 0),
         read_settings: ReadSettings::default(),
         host_conflict,
     };
--- a/core/tests/control_node.rs
+++ b/core/tests/control_node.rs
@@ -42,6 +42,7 @@
         own,
         seeds: seeds.iter().map(|&seed| record(seed).address).collect(),
         check: |_key, _value| Ok(()),
+        rank: |_key, _value| (0, 0),
         read_settings: ReadSettings::default(),
         host_conflict,
     };
--- a/core/tests/restored_platform.rs
+++ b/core/tests/restored_platform.rs
@@ -136,6 +136,62 @@
     );
 }
 
+/// Returns a store whose writers number their values, and that has listed two eras.
+fn ranked_store(former: &str, copied: &str) -> (ConfigStore, Vec<StoreChange>) {
+    let store = ConfigStore::new(|_key, value| match value {
+        "invalid" => Err("invalid".into()),
+        _ => Ok(()),
+    });
+    let mut store = store.ranked_by(|_key, value| (value.parse().unwrap_or_default(), 0));
+    list(&mut store, at(1, 9), &[value("a", 9, former)]);
+    let changes = list(&mut store, at(2, 4), &[value("a", 4, copied)]);
+    (store, changes)
+}
+
+/// Guards against a value that the platform has lost and that is replaced by an older one.
+fn value_after_a_restoration(former: &str, copied: &str, expected: &str) {
+    let (store, _changes) = ranked_store(former, copied);
+    assert_eq!(text(&store, "a").as_deref(), Some(expected));
+}
+
+cases! {
+    older_value_of_a_copy_does_not_take_effect: value_after_a_restoration("12", "11", "12");
+    newer_value_of_a_copy_takes_effect: value_after_a_restoration("12", "13", "13");
+    invalid_value_of_a_copy_does_not_take_effect: value_after_a_restoration("12", "invalid", "12");
+}
+
+/// Guards against a value that stays in effect although its writer has written since.
+fn value_written_again(later: &str) {
+    let (mut store, _changes) = ranked_store("12", "11");
+    store.apply_published(at(2, 5), &[value("a", 5, later)], false, &mut Vec::new());
+    assert_eq!(text(&store, "a").as_deref(), Some(later));
+    store.apply_published(at(2, 6), &[value("a", 6, "2")], false, &mut Vec::new());
+    assert_eq!(
+        text(&store, "a").as_deref(),
+        Some("2"),
+        "versions order the values of one era"
+    );
+}
+
+cases! {
+    value_written_again_is_in_effect: value_written_again("12");
+    value_written_later_is_in_effect: value_written_again("13");
+}
+
+/// Guards against a new daemon that takes an older value of the copy although its peers know a
+/// newer one.
+#[test]
+fn new_daemon_gets_the_value_that_the_platform_has_lost() {
+    let (store, _changes) = ranked_store("12", "11");
+    let mut fresh = ConfigStore::new(|_key, _value| Ok(()))
+        .ranked_by(|_key, value| (value.parse().unwrap_or_default(), 0));
+    fresh.apply_delta(&delta(&store, &fresh, NO_LIMIT), &mut Vec::new());
+    assert_eq!(text(&fresh, "a").as_deref(), Some("12"));
+    assert_eq!(fresh.hash(), store.hash());
+    fresh.apply_published(at(2, 5), &[value("a", 5, "13")], false, &mut Vec::new());
+    assert_eq!(text(&fresh, "a").as_deref(), Some("13"));
+}
+
 /// Guards against a patch of an earlier era that is applied to a value of a later one.
 #[test]
 fn patches_do_not_cross_eras() {
--- a/daemon/src/control/probe_slot.rs
+++ b/daemon/src/control/probe_slot.rs
@@ -108,6 +108,7 @@
                 seeds: daemon.seeds.clone(),
                 seed: incarnation,
                 check: check_value,
+                rank: |_key, _value| (0, 0),
                 read_settings: ReadSettings::default(),
                 host_conflict: HostConflictPolicy::Stop,
             },
--- a/daemon/src/control/start.rs
+++ b/daemon/src/control/start.rs
@@ -162,6 +162,7 @@
             seeds: settings.seed_peers.clone(),
             seed: dependencies.incarnation,
             check: check_value,
+            rank: |_key, _value| (0, 0),
             read_settings: ReadSettings::default(),
             host_conflict: HostConflictPolicy::Stop,
         },
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -27,7 +27,7 @@
 use yuccalift_platform::caller::empty_answer;
 use yuccalift_platform::listing::decode_target;
 use yuccalift_platform::routes::decode_routes;
-use yuccalift_platform::store::{StoreKeyKind, key_kind};
+use yuccalift_platform::store::{StoreKeyKind, key_kind, value_rank};
 use yuccalift_settings::RelaySettings;
 use yuccalift_wire::codec::{from_rmp, to_rmp};
 use yuccalift_wire::peer::EXCHANGE_PATH;
@@ -374,6 +374,7 @@
         seeds: settings.seed_peers.clone(),
         seed: rand::random(),
         check: check_value,
+        rank: value_rank,
         read_settings: store_read_settings(settings),
         host_conflict: HostConflictPolicy::Supersede,
     }
