--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -14,7 +14,9 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::relay::{RelayEngine, RelayEvent, RelayOptions, RouteTable};
-use yuccalift_exchange::{LIBRARY_HEAD_BYTES, LinkOptions, ServeOptions, StopTokens, listen};
+use yuccalift_exchange::{
+    LIBRARY_HEAD_BYTES, LinkOptions, ServeOptions, StopTokens, listen, set_outgoing_address,
+};
 use yuccalift_settings::RelaySettings;
 
 use super::caller_listener::{CallerListenerState, answer_caller};
@@ -72,6 +74,9 @@
 async fn serve(file: SettingsFile, settings: RelaySettings) -> Result<(), DaemonError> {
     let mut signals = RelaySignals::new()?;
     let limits = HostLimits::apply(&settings);
+    if let Some(address) = settings.outgoing_address {
+        set_outgoing_address(address);
+    }
     let callers = bind("callers", settings.caller_listen)?;
     let balancer = bind("readiness", settings.readiness_listen)?;
     let peers = bind("peers", settings.peer_listen)?;
--- a/daemon/src/relay/settings_watch.rs
+++ b/daemon/src/relay/settings_watch.rs
@@ -219,6 +219,10 @@
                 "descriptor_limit",
                 old.descriptor_limit != new.descriptor_limit,
             ),
+            (
+                "outgoing_address",
+                old.outgoing_address != new.outgoing_address,
+            ),
             ("clock_behind", old.clock_behind != new.clock_behind),
             ("log", old.log != new.log),
         ];
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -28,5 +28,5 @@
 pub use link::{AnswerOwner, ExchangeLink, OutgoingRequest};
 pub use memory_account::{AccountCounts, BodyLease, account_counts, set_memory_limit};
 pub use server::{LIBRARY_HEAD_BYTES, ServeOptions, StopTokens, serve};
-pub use socket::{LinkOptions, listen};
+pub use socket::{LinkOptions, listen, set_outgoing_address};
 pub use transfer_progress::{TransferLimit, TransferProgress};
--- a/exchange/src/socket.rs
+++ b/exchange/src/socket.rs
@@ -1,5 +1,6 @@
 //! Opening and listening sockets, and their options.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,6 +16,28 @@
 /// of the process while they are unread.
 pub(crate) const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
 
+thread_local! {
+    static OUTGOING_ADDRESS: Cell<Option<SocketAddr>> = const { Cell::new(None) };
+}
+
+/// Sets the local address of the connections that this thread opens from now on; a port of 0 lets
+/// the system choose one for each. Without a call of this function the system chooses both.
+pub fn set_outgoing_address(address: SocketAddr) {
+    OUTGOING_ADDRESS.set(Some(address));
+}
+
+async fn open(address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = OUTGOING_ADDRESS.get() else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match source {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(source)?;
+    socket.connect(address).await
+}
+
 /// Socket options by which a connection detects that its peer is unreachable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkOptions {
@@ -34,8 +57,7 @@
     /// [`io::Error`] if the connection can't be opened or its options can't be set; of kind
     /// [`io::ErrorKind::TimedOut`] after [`Self::connect_timeout`].
     pub async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
-        let connecting = TcpStream::connect(address);
-        let stream = tokio::time::timeout(self.connect_timeout, connecting)
+        let stream = tokio::time::timeout(self.connect_timeout, open(address))
             .await
             .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
--- a/settings/src/relay.rs
+++ b/settings/src/relay.rs
@@ -70,6 +70,9 @@
     pub memory_limit_mb: usize,
     /// Descriptors that the process may have open, of which some are reserved for files.
     pub descriptor_limit: usize,
+    /// Local address of the connections to targets, peers and the store; the system chooses it if
+    /// absent.
+    pub outgoing_address: Option<SocketAddr>,
     /// Offset subtracted from the time of day, with which soak tests simulate a wrong host clock.
     pub clock_behind: Duration,
     /// Format and level of the log.
@@ -222,6 +225,12 @@
         default: FieldDefault::Value("8192"),
         help: "descriptors that the process may have open, 200 of them for files",
     },
+    FieldSpec {
+        name: "outgoing_address",
+        kind: FieldKind::Listen,
+        default: FieldDefault::Absent,
+        help: "local address of the connections to targets, peers and the store, for hosts with several; port 0 is any",
+    },
     FieldSpec {
         name: "clock_behind",
         kind: FieldKind::Duration {
@@ -275,6 +284,7 @@
         stop_timeout: reader.duration("stop_timeout")?,
         memory_limit_mb: reader.number("memory_limit")? as usize,
         descriptor_limit: reader.number("descriptor_limit")? as usize,
+        outgoing_address: reader.address("outgoing_address"),
         clock_behind: reader.duration("clock_behind")?,
         log: build_log_settings(reader)?,
     })
