--- a/cli/src/explain_request.rs
+++ b/cli/src/explain_request.rs
@@ -115,6 +115,9 @@
     match outcome {
         ExplainedOutcome::NoRoute => "no route serves the request".to_owned(),
         ExplainedOutcome::Sent => "the request would be sent".to_owned(),
+        ExplainedOutcome::Forwarded { peer } => {
+            format!("the request would be forwarded to peer {peer}, since no target is reached")
+        }
         ExplainedOutcome::Waits { retry_after_ms } => format!(
             "the request would wait for capacity; if there is none soon, it is refused, with \
              Retry-After {retry_after_ms} ms"
--- a/core/benches/relay.rs
+++ b/core/benches/relay.rs
@@ -8,8 +8,8 @@
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry};
 use yuccalift_core::relay::{
     AdmissionMode, AttemptKey, MergeRule, RelayAction, RelayEngine, RelayEvent, RelayOptions,
-    RelayRequest, RelayTuning, RepeatKind, ReplyBody, RequestKey, RouteDestination, RouteEntry,
-    RouteTable, SelfReport, TargetOutcome, TargetPhase, TargetRecord, TargetReply,
+    RelayRequest, RelayTuning, RepeatKind, ReplyBody, RequestKey, RequestOrigin, RouteDestination,
+    RouteEntry, RouteTable, SelfReport, TargetOutcome, TargetPhase, TargetRecord, TargetReply,
 };
 
 /// Number of targets of each service.
@@ -69,6 +69,7 @@
             fingerprint: self.last_request,
             route: Arc::clone(&self.route),
             deadline: self.now + Duration::from_secs(1),
+            origin: RequestOrigin::Caller,
         }));
         let sent: Vec<AttemptKey> = self.actions.iter().filter_map(sent_attempt).collect();
         self.now += LATENCY;
--- a/core/src/relay/action.rs
+++ b/core/src/relay/action.rs
@@ -43,6 +43,14 @@
     /// Opens a probe connection to a target; the result is reported by
     /// [`RelayEvent::Probed`](super::RelayEvent::Probed).
     Probe(ProbeOrder),
+    /// Forwards a request to a peer; the result is reported by
+    /// [`RelayEvent::ForwardEnded`](super::RelayEvent::ForwardEnded).
+    Forward(ForwardOrder),
+    /// Cancels a forwarded request by closing its connection.
+    CancelForward {
+        /// The request that was forwarded.
+        request: RequestKey,
+    },
     /// Notifies the peers of a request that crashes targets.
     NotifyPeers(QuarantineNotice),
     /// Closes the idle connections to a target that has left.
@@ -76,6 +84,21 @@
     pub is_part: bool,
 }
 
+/// A request to be forwarded to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ForwardOrder {
+    /// The request to forward.
+    pub request: RequestKey,
+    /// Address of the peer's listener for peers.
+    pub peer: SocketAddr,
+    /// Time by which the peer must answer.
+    pub deadline: Instant,
+    /// Whether the request must not run twice, in which case no connection is used again for it.
+    pub at_most_once: bool,
+    /// Number of attempts that targets may have received.
+    pub attempts_used: u32,
+}
+
 /// A request to check whether a target accepts connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProbeOrder {
@@ -90,6 +113,8 @@
 pub enum RelayAnswer {
     /// The answer of a single target, unchanged.
     Forwarded(TargetReply),
+    /// The answer of a peer that the request was forwarded to, unchanged.
+    FromPeer(TargetReply),
     /// An answer merged from the replies of several services.
     Merged {
         /// Signatures of the merged replies, in the order of the route's services.
@@ -115,6 +140,11 @@
     Failed,
     /// The deadline has passed, and the request may have run.
     TimedOut,
+    /// A peer forwarded the request, and this daemon reaches no target either.
+    CutOff {
+        /// Whether a target may have run the request.
+        may_have_run: bool,
+    },
 }
 
 /// The reason for which a request was not run.
@@ -236,6 +266,27 @@
         /// The pressure; 1 means that the latency aim is used up.
         pressure: f64,
     },
+    /// No target is reached; requests are forwarded to peers.
+    TargetsLost {
+        /// Number of targets that failed since one was last reached.
+        failed: usize,
+    },
+    /// A target is reached again.
+    TargetsRegained {
+        /// Time for which none was.
+        outage: Duration,
+    },
+    /// A peer did not serve a forwarded request.
+    ForwardFailed {
+        /// The request that was forwarded.
+        request: RequestKey,
+        /// Address of the peer.
+        peer: SocketAddr,
+        /// The outcome, as named by [`ForwardOutcome::as_str`](super::ForwardOutcome::as_str).
+        outcome: &'static str,
+        /// Time between sending the request and its end.
+        took: Duration,
+    },
     /// A target failed and receives no requests for a while.
     Suspended {
         /// Name of the suspended target.
--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -1,5 +1,6 @@
 //! Inputs of the relay: [`RelayEvent`] and its parts.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -60,6 +61,18 @@
         /// The result of the probe.
         outcome: ProbeOutcome,
     },
+    /// A connection to a target was opened.
+    LinkOpened,
+    /// The peers that requests may be forwarded to changed.
+    PeersChanged(Vec<PeerAddress>),
+    /// A forwarded request ended; follows each [`RelayAction::Forward`](super::RelayAction::Forward)
+    /// unless it was cancelled.
+    ForwardEnded {
+        /// The request that was forwarded.
+        request: RequestKey,
+        /// The way in which it ended.
+        outcome: ForwardOutcome,
+    },
     /// A peer sent a notice of a request that crashes targets.
     Notice(QuarantineNotice),
     /// The hold that a peer's notice started for requests with this fingerprint has ended.
@@ -89,6 +102,58 @@
     pub fingerprint: Fingerprint,
     /// Time at which the caller stops waiting.
     pub deadline: Instant,
+    /// Sender of the request.
+    pub origin: RequestOrigin,
+}
+
+/// The sender of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RequestOrigin {
+    /// A caller.
+    #[default]
+    Caller,
+    /// A peer that can't reach its targets. Such a request is never forwarded again.
+    Peer {
+        /// Number of attempts that targets may have received before.
+        attempts_used: u32,
+    },
+}
+
+/// A peer that requests may be forwarded to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// Address of its listener for peers.
+    pub address: SocketAddr,
+    /// Whether it is in the data centre of this daemon.
+    pub is_local: bool,
+}
+
+/// The way in which a forwarded request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ForwardOutcome {
+    /// The peer's answer, which is passed on to the caller.
+    Answered(TargetReply),
+    /// The peer can't serve requests now.
+    Unserved {
+        /// Whether a target may have run the request.
+        may_have_run: bool,
+    },
+    /// The peer could not be reached, and no byte was sent.
+    NotSent,
+    /// The peer did not answer, and a target may have run the request.
+    Lost,
+}
+
+impl ForwardOutcome {
+    /// Returns the name used in logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Unserved { .. } => "unserved",
+            Self::NotSent => "not_sent",
+            Self::Lost => "lost",
+        }
+    }
 }
 
 /// The way in which an attempt ended.
--- a/core/src/relay/explanation.rs
+++ b/core/src/relay/explanation.rs
@@ -3,6 +3,7 @@
 //! The explanation has no side effects, and asks the code that real requests are sent by. It can't
 //! know the body of a request, so quarantined requests are explained like others.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,7 @@
 use super::RelayEngine;
 use super::action::RefusalCause;
 use super::choice::TargetChoice;
+use super::event::RequestOrigin;
 use super::request::{RequestLeg, RequestState};
 use super::route::{RouteEntry, ServiceName};
 use super::service::ServiceState;
@@ -43,6 +45,11 @@
     NoRoute,
     /// It would be sent.
     Sent,
+    /// It would be forwarded to this peer, since no target is reached.
+    Forwarded {
+        /// Address of the peer.
+        peer: SocketAddr,
+    },
     /// It would wait until a target has capacity, and be refused if none has soon.
     Waits {
         /// Time after which the caller would be told to retry.
@@ -141,6 +148,11 @@
 
     fn explain_outcome(&self, now: Instant, state: &RequestState) -> ExplainedOutcome {
         let retry_after_ms = millis(self.retry_after(now, state));
+        if self.reach.is_cut_off()
+            && let Some(peer) = self.forwarding.choose(now, &[])
+        {
+            return ExplainedOutcome::Forwarded { peer };
+        }
         if let Some((cause, _)) = self.refusal_cause(now, state) {
             return ExplainedOutcome::Refused {
                 cause: cause.as_str().into(),
@@ -257,6 +269,7 @@
         deadline: now + route.timeout,
         legs: services.iter().cloned().map(RequestLeg::new).collect(),
         accepts_partial: false,
+        origin: RequestOrigin::Caller,
         route: Arc::clone(route),
     }
 }
--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -61,6 +61,7 @@
         for request in requests {
             self.finish(now, request, actions);
         }
+        self.end_forwarded(actions);
     }
 
     /// Ends a request with the replies received so far.
@@ -151,6 +152,9 @@
         request: RequestKey,
         actions: &mut Vec<RelayAction>,
     ) {
+        if self.drop_forwarded(request, None, actions) {
+            return;
+        }
         let Some(state) = self.requests.get(request) else {
             return;
         };
@@ -165,7 +169,7 @@
 
     /// Removes a request and gives its attempts in flight a new disposition; returns false if the
     /// request is unknown.
-    fn remove_request(
+    pub(super) fn remove_request(
         &mut self,
         now: Instant,
         request: RequestKey,
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -23,6 +23,7 @@
 //! - `dispatch`, `replies`, `hedging`, `finish`: the stages of request processing.
 //! - [`admission`], `response_estimate`, `pacing`: overload control, before a request is sent and
 //!   at slow targets.
+//! - `reach`, `peer_forwarding`: what the daemon does while it reaches no target, but its peers do.
 //! - `probing`: connection probes of targets that may be unreachable.
 //! - `suspicion`: detection of requests that crash their targets.
 //! - `budget`: the retry budget of each service.
@@ -53,7 +54,9 @@
 pub mod load_estimate;
 pub mod merge;
 mod pacing;
+mod peer_forwarding;
 mod probing;
+mod reach;
 mod replies;
 mod reply_body;
 mod reports;
@@ -74,10 +77,14 @@
 use std::time::{Duration, Instant};
 
 pub use action::{
-    AttemptOrder, ProbeOrder, RefusalCause, RelayAction, RelayAnswer, RelayDecision, RelayRefusal,
+    AttemptOrder, ForwardOrder, ProbeOrder, RefusalCause, RelayAction, RelayAnswer, RelayDecision,
+    RelayRefusal,
 };
 pub use admission::AdmissionMode;
-pub use event::{ProbeOutcome, RelayEvent, RelayRequest, TargetOutcome, TargetReply};
+pub use event::{
+    ForwardOutcome, PeerAddress, ProbeOutcome, RelayEvent, RelayRequest, RequestOrigin,
+    TargetOutcome, TargetReply,
+};
 pub use explanation::RequestExplanation;
 pub use idle_policy::IdlePolicy;
 pub use link_history::LinkHistory;
@@ -92,6 +99,8 @@
 use cold_targets::FormerCounts;
 use evacuation::EvacuationSet;
 use latencies::RouteLatencies;
+use peer_forwarding::ForwardingState;
+use reach::ReachState;
 use request::RequestTable;
 use service::ServiceTable;
 use suspicion::SuspicionState;
@@ -145,6 +154,8 @@
     admission: AdmissionState,
     suspicion: SuspicionState,
     evacuations: EvacuationSet,
+    reach: ReachState,
+    forwarding: ForwardingState,
     timers: TimerQueue,
     /// Time of the last [`RelayEvent::Paused`]; delays that began earlier are not reliable.
     resumed_at: Option<Instant>,
@@ -170,6 +181,8 @@
             admission: AdmissionState::default(),
             suspicion: SuspicionState::default(),
             evacuations: EvacuationSet::default(),
+            reach: ReachState::default(),
+            forwarding: ForwardingState::default(),
             timers: TimerQueue::default(),
             resumed_at: None,
             list_regained_at: None,
@@ -214,6 +227,11 @@
                 self.handle_probe_result(now, target, outcome, actions);
                 self.resolve_loss(now, target, outcome, actions);
             }
+            RelayEvent::LinkOpened => self.record_link_opened(now, actions),
+            RelayEvent::PeersChanged(peers) => self.forwarding.set_peers(peers),
+            RelayEvent::ForwardEnded { request, outcome } => {
+                self.handle_forward_ended(now, request, outcome, actions);
+            }
             RelayEvent::Notice(notice) => self.handle_notice(now, &notice),
             RelayEvent::NoticeEnded(fingerprint) => self.handle_notice_ended(now, fingerprint),
             RelayEvent::DaemonCountChanged(daemons) => {
@@ -244,7 +262,7 @@
 
     /// Returns the number of requests that have been neither answered nor refused.
     pub fn active_requests(&self) -> usize {
-        self.requests.len()
+        self.requests.len() + self.forwarded_requests()
     }
 
     fn set_routes(&mut self, table: Arc<RouteTable>) {
@@ -278,6 +296,10 @@
                 }
                 TimerKind::Paced { target } => self.dispatch_parked_to(now, target, actions),
                 TimerKind::Probe { target } => self.probe_if_due(now, target, actions),
+                TimerKind::ReachCheck => self.check_reach(now, actions),
+                TimerKind::ForwardDeadline { request } => {
+                    self.drop_forwarded(request, Some(RelayRefusal::TimedOut), actions);
+                }
                 TimerKind::Departure { target } => self.end_departure(now, target, actions),
             }
         }
--- a/core/src/relay/probing.rs
+++ b/core/src/relay/probing.rs
@@ -136,7 +136,7 @@
         };
         state.probe_pending = false;
         match outcome {
-            ProbeOutcome::Reached => {}
+            ProbeOutcome::Reached => self.record_link_opened(now, actions),
             ProbeOutcome::Refused => return self.suspend_unreachable(now, target, actions),
             ProbeOutcome::NoResponse => {
                 self.suspend_unreachable(now, target, actions);
@@ -189,5 +189,6 @@
             target: name,
             period,
         }));
+        self.record_unreachable(now, target, actions);
     }
 }
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::event::TargetReply;
+use super::event::{RequestOrigin, TargetReply};
 use super::route::{RepeatKind, RouteDestination, RouteEntry, ServiceName};
 use super::{AttemptKey, RequestKey, TargetKey};
 use crate::ids::Fingerprint;
@@ -103,6 +103,8 @@
     /// The earlier of the caller's deadline and the route's time-out.
     pub(super) deadline: Instant,
     pub(super) legs: Vec<RequestLeg>,
+    /// Sender of the request.
+    pub(super) origin: RequestOrigin,
     /// Whether the time for a complete answer is over, so that the request ends as soon as it has
     /// enough replies.
     pub(super) accepts_partial: bool,
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -4,7 +4,7 @@
 
 use super::action::{RefusalCause, RelayAction, RelayRefusal, SendCause};
 use super::choice::TargetChoice;
-use super::event::RelayRequest;
+use super::event::{RelayRequest, RequestOrigin};
 use super::request::{RequestLeg, RequestState};
 use super::route::{RouteDestination, RouteEntry, ServiceName, WeightedService};
 use super::timers::TimerKind;
@@ -24,23 +24,57 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 impl RelayEngine {
-    /// Accepts a request and dispatches its legs, or refuses it.
+    /// Forwards a request to a peer if no target is reached, and handles it here otherwise.
     pub(super) fn submit(
         &mut self,
         now: Instant,
         request: RelayRequest,
         actions: &mut Vec<RelayAction>,
+    ) {
+        let is_held = self.is_quarantined(now, request.fingerprint);
+        if !is_held && self.forward_if_cut_off(now, &request, actions) {
+            return;
+        }
+        if self.reach.is_cut_off() && request.origin != RequestOrigin::Caller {
+            let may_have_run = false;
+            actions.push(RelayAction::Refuse {
+                request: request.key,
+                refusal: RelayRefusal::CutOff { may_have_run },
+                service: ServiceName::default(),
+            });
+            return;
+        }
+        self.submit_here(now, request, actions);
+    }
+
+    /// Accepts a request and dispatches its legs, or refuses it.
+    pub(super) fn submit_here(
+        &mut self,
+        now: Instant,
+        request: RelayRequest,
+        actions: &mut Vec<RelayAction>,
     ) {
         let key = request.key;
         let route = request.route;
         let deadline = request.deadline.min(now + route.timeout);
         let services = self.select_services(&route);
+        let possible_runs = match request.origin {
+            RequestOrigin::Caller => 0,
+            RequestOrigin::Peer { attempts_used } => {
+                attempts_used.min(route.attempts.saturating_sub(1))
+            }
+        };
+        let legs = services.into_iter().map(|service| RequestLeg {
+            possible_runs,
+            ..RequestLeg::new(service)
+        });
         let state = RequestState {
             key,
             fingerprint: request.fingerprint,
             arrived_at: now,
             deadline,
-            legs: services.into_iter().map(RequestLeg::new).collect(),
+            legs: legs.collect(),
+            origin: request.origin,
             accepts_partial: false,
             route,
         };
--- a/core/src/relay/suspicion.rs
+++ b/core/src/relay/suspicion.rs
@@ -33,6 +33,16 @@
 pub(super) struct SuspicionState {
     pub(super) table: QuarantineTable,
     unconfirmed: Vec<UnconfirmedLoss>,
+    /// Losses that the links of this daemon may have caused, which are not blamed on requests unless
+    /// a target is reached.
+    doubted: Vec<(TargetKey, Vec<RunningRequest>)>,
+}
+
+impl SuspicionState {
+    /// Returns the targets that are being probed after a loss.
+    pub(super) fn lost_targets(&self) -> impl Iterator<Item = TargetKey> {
+        self.unconfirmed.iter().map(|loss| loss.target)
+    }
 }
 
 impl RelayEngine {
@@ -128,20 +138,56 @@
         outcome: ProbeOutcome,
         actions: &mut Vec<RelayAction>,
     ) {
-        let unconfirmed = &mut self.suspicion.unconfirmed;
-        let Some(index) = unconfirmed.iter().position(|entry| entry.target == target) else {
+        let mut unconfirmed = self.suspicion.unconfirmed.iter();
+        let Some(index) = unconfirmed.position(|entry| entry.target == target) else {
             return;
         };
-        let entry = unconfirmed.swap_remove(index);
-        if outcome != ProbeOutcome::Reached {
-            let notices = self.suspicion.table.target_lost(now, target, &entry.runs);
+        let is_lost = outcome != ProbeOutcome::Reached;
+        let is_doubted = is_lost && self.reach.is_in_doubt(self.suspicion.lost_targets());
+        let entry = self.suspicion.unconfirmed.swap_remove(index);
+        if is_doubted && !self.reach.is_cut_off() {
+            self.suspicion.doubted.push((target, entry.runs));
+            self.check_doubtful_reach(now, actions);
+        } else {
+            let is_blamed = is_lost && !self.reach.is_cut_off();
+            self.settle_loss(now, target, entry.runs, is_blamed, actions);
+        }
+        for (request, leg_index) in entry.legs {
+            self.retry_leg(now, request, leg_index, actions);
+        }
+    }
+
+    /// Ends the runs at a target that was lost, and blames them for that if they may be the cause.
+    fn settle_loss(
+        &mut self,
+        now: Instant,
+        target: TargetKey,
+        runs: Vec<RunningRequest>,
+        is_blamed: bool,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        if is_blamed {
+            let notices = self.suspicion.table.target_lost(now, target, &runs);
             actions.extend(notices.into_iter().map(RelayAction::NotifyPeers));
         }
-        for run in entry.runs {
+        for run in runs {
             self.record_run_ended(target, run);
         }
-        for (request, leg_index) in entry.legs {
-            self.retry_leg(now, request, leg_index, actions);
+    }
+
+    /// Blames the doubted losses on their requests, since a target is reached.
+    pub(super) fn confirm_doubted_losses(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
+        for (target, runs) in std::mem::take(&mut self.suspicion.doubted) {
+            self.settle_loss(now, target, runs, true, actions);
+        }
+    }
+
+    /// Ends the doubted losses without blame, since no target is reached.
+    pub(super) fn drop_doubted_losses(&mut self) {
+        for (target, runs) in std::mem::take(&mut self.suspicion.doubted) {
+            for run in runs {
+                self.record_run_ended(target, run);
+            }
         }
     }
 
--- a/core/src/relay/timers.rs
+++ b/core/src/relay/timers.rs
@@ -28,6 +28,10 @@
     Paced { target: TargetKey },
     /// Probe an unreachable target.
     Probe { target: TargetKey },
+    /// Probe a target, since none is reached.
+    ReachCheck,
+    /// End a request that a peer has not answered.
+    ForwardDeadline { request: RequestKey },
     /// Remove a target that has left.
     Departure { target: TargetKey },
 }
--- a/core/tests/relay/crashing.rs
+++ b/core/tests/relay/crashing.rs
@@ -26,8 +26,11 @@
     while let Some((_, order)) = harness.sends.get(next).cloned() {
         let probes = harness.probes.len();
         harness.end(order.attempt, TargetOutcome::Lost);
-        let new_probes = harness.probes.split_off(probes);
-        for probe in new_probes {
+        while harness.probes.len() > probes {
+            let probe = harness.probes.remove(probes);
+            // A target that got no request has not crashed.
+            let mut sends = harness.sends.iter();
+            let crashed = crashed && sends.any(|(_, order)| order.target == probe.target);
             harness.feed(RelayEvent::Probed {
                 target: probe.target,
                 outcome: if crashed {
--- /dev/null
+++ b/core/tests/relay/cut_off.rs
@@ -0,0 +1,348 @@
+//! A daemon that reaches no target forwards requests to its peers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use yuccalift_core::relay::{
+    ForwardOrder, ForwardOutcome, PeerAddress, ProbeOutcome, RelayAnswer, RelayDecision,
+    RelayEvent, RelayRefusal, RepeatKind, RequestOrigin, TargetOutcome, TargetRecord, TargetReply,
+};
+use yuccalift_testkit::cases;
+
+use crate::support::{RelayHarness, TIMEOUT, forward_route, gather_route, ms, success, target};
+
+const SERVICES: [&str; 3] = ["orders", "parts", "stock"];
+const PEERS: u16 = 3;
+/// Time within which a daemon under requests must find out that it is cut off.
+const NOTICE_TIME: Duration = Duration::from_secs(2);
+/// Time-out of a connection attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+fn peer(number: u16) -> SocketAddr {
+    ([10, 0, 1, 1], 7000 + number).into()
+}
+
+/// Returns a relay with three targets in each of three services and some peers.
+fn harness() -> RelayHarness {
+    let mut targets: Vec<TargetRecord> = Vec::new();
+    for service in SERVICES {
+        for number in 0..3 {
+            targets.push(target(&format!("{service}-{number}"), service));
+        }
+    }
+    let routes = vec![
+        forward_route("orders", RepeatKind::NonIdempotent, 2),
+        forward_route("parts", RepeatKind::Idempotent, 2),
+        gather_route(&SERVICES, 1.0),
+    ];
+    let mut harness = RelayHarness::new(routes, targets);
+    let peers = (0..PEERS).map(|number| PeerAddress {
+        address: peer(number),
+        is_local: number > 0,
+    });
+    harness.feed(RelayEvent::PeersChanged(peers.collect()));
+    harness
+}
+
+/// Ends all attempts and probes in flight as those of a daemon that reaches no target.
+fn fail_everything(harness: &mut RelayHarness, outcome: ProbeOutcome) {
+    for (_, order) in std::mem::take(&mut harness.sends) {
+        harness.end(order.attempt, TargetOutcome::NotSent);
+    }
+    for probe in std::mem::take(&mut harness.probes) {
+        let target = probe.target;
+        harness.feed(RelayEvent::Probed { target, outcome });
+    }
+}
+
+fn is_cut_off(harness: &RelayHarness) -> bool {
+    let changes = harness.decisions.iter().rev();
+    let mut changes = changes.filter_map(|decision| match decision {
+        RelayDecision::TargetsLost { .. } => Some(true),
+        RelayDecision::TargetsRegained { .. } => Some(false),
+        _ => None,
+    });
+    changes.next().unwrap_or(false)
+}
+
+/// Sends requests of which all attempts fail until the relay knows that it is cut off.
+fn cut_off(harness: &mut RelayHarness, outcome: ProbeOutcome) {
+    let until = harness.now + NOTICE_TIME;
+    while !is_cut_off(harness) {
+        assert!(harness.now < until, "the daemon finds out in time");
+        harness.submit("gather", TIMEOUT);
+        harness.advance(CONNECT_TIMEOUT);
+        fail_everything(harness, outcome);
+    }
+    for order in std::mem::take(&mut harness.forwards) {
+        end_forward(harness, order, ForwardOutcome::Answered(reply()));
+    }
+    harness.sends.clear();
+    harness.cancelled_forwards.clear();
+}
+
+fn reply() -> TargetReply {
+    TargetReply {
+        status: 200,
+        signature: Some("signed".into()),
+        headers: Vec::new(),
+        body: b"from a peer".as_slice().into(),
+    }
+}
+
+fn end_forward(harness: &mut RelayHarness, order: ForwardOrder, outcome: ForwardOutcome) {
+    let request = order.request;
+    harness.feed(RelayEvent::ForwardEnded { request, outcome });
+}
+
+/// Guards against refusals by a daemon that has lost its links to all targets.
+fn request_is_forwarded(outcome: ProbeOutcome, route: &str) {
+    let mut harness = harness();
+    cut_off(&mut harness, outcome);
+    let request = harness.submit(route, TIMEOUT);
+    let order = harness.forwards[0];
+    assert_eq!(order.request, request);
+    end_forward(&mut harness, order, ForwardOutcome::Answered(reply()));
+    let end = harness.end_of_request(request);
+    assert_eq!(end.result, Ok(RelayAnswer::FromPeer(reply())));
+    assert_eq!(harness.sends.len(), 0, "no target gets the request");
+}
+
+cases! {
+    merged_request_is_forwarded_if_targets_are_silent:
+        request_is_forwarded(ProbeOutcome::NoResponse, "gather");
+    merged_request_is_forwarded_if_targets_refuse:
+        request_is_forwarded(ProbeOutcome::Refused, "gather");
+    order_is_forwarded: request_is_forwarded(ProbeOutcome::NoResponse, "to-orders");
+}
+
+/// Guards against requests that wait for their deadline since they were sent before the cut was
+/// noticed.
+#[test]
+fn waiting_request_is_forwarded_once_the_cut_is_noticed() {
+    let mut harness = harness();
+    let request = harness.submit("to-parts", Duration::from_secs(10));
+    harness.sends.clear();
+    let until = harness.now + NOTICE_TIME;
+    while !is_cut_off(&harness) {
+        assert!(harness.now < until, "the daemon finds out in time");
+        harness.submit("gather", TIMEOUT);
+        harness.advance(CONNECT_TIMEOUT);
+        fail_everything(&mut harness, ProbeOutcome::NoResponse);
+    }
+    let mut forwards = harness.forwards.iter();
+    let order = forwards.find(|order| order.request == request);
+    let order = order.expect("the request is forwarded");
+    assert_eq!(order.attempts_used, 1);
+}
+
+/// Guards against an order that a silent target may run and a peer runs once more.
+#[test]
+fn order_that_a_target_may_have_is_not_forwarded() {
+    let mut harness = harness();
+    let order = harness.submit("to-orders", Duration::from_secs(10));
+    harness.sends.clear();
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    let forwards = harness.forwards.iter();
+    assert!(forwards.clone().all(|forward| forward.request != order));
+    assert!(!harness.has_ended(order), "its answer may still arrive");
+}
+
+/// Guards against a request that travels in a circle.
+#[test]
+fn forwarded_request_is_not_forwarded_again() {
+    let mut harness = harness();
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    harness.origin = RequestOrigin::Peer { attempts_used: 0 };
+    let request = harness.submit("gather", TIMEOUT);
+    assert_eq!(harness.forwards.len(), 0);
+    let refusal = RelayRefusal::CutOff {
+        may_have_run: false,
+    };
+    assert_eq!(harness.end_of_request(request).result, Err(refusal));
+}
+
+/// Guards against an order that runs at two peers.
+fn order_after_a_failed_forward(outcome: ForwardOutcome, expected_forwards: usize) {
+    let mut harness = harness();
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    let request = harness.submit("to-orders", TIMEOUT);
+    let order = harness.forwards[0];
+    end_forward(&mut harness, order, outcome);
+    assert_eq!(harness.forwards.len(), expected_forwards);
+    if expected_forwards == 1 {
+        let end = harness.end_of_request(request);
+        assert_eq!(end.result, Err(RelayRefusal::Failed));
+    } else {
+        assert_ne!(harness.forwards[1].peer, order.peer);
+    }
+}
+
+cases! {
+    order_that_a_peer_did_not_serve_goes_to_another: order_after_a_failed_forward(
+        ForwardOutcome::Unserved { may_have_run: false }, 2);
+    order_that_did_not_reach_a_peer_goes_to_another: order_after_a_failed_forward(
+        ForwardOutcome::NotSent, 2);
+    order_that_a_peer_may_have_run_ends: order_after_a_failed_forward(
+        ForwardOutcome::Unserved { may_have_run: true }, 1);
+    order_whose_peer_is_lost_ends: order_after_a_failed_forward(ForwardOutcome::Lost, 1);
+}
+
+/// Guards against a refusal that says "not run" of a request that a peer may have run.
+#[test]
+fn request_lost_at_all_peers_is_not_said_to_have_not_run() {
+    let mut harness = harness();
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    let request = harness.submit("to-parts", TIMEOUT);
+    for attempt in 0..usize::from(PEERS) {
+        let order = harness.forwards[attempt];
+        end_forward(&mut harness, order, ForwardOutcome::Lost);
+    }
+    assert_eq!(
+        harness.end_of_request(request).result,
+        Err(RelayRefusal::Failed)
+    );
+}
+
+/// Guards against peers that are asked again and again although they are cut off as well.
+#[test]
+fn peer_that_serves_nothing_is_spared() {
+    let mut harness = harness();
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    let mut served = None;
+    for round in 0..20 {
+        let from = harness.forwards.len();
+        harness.submit("to-parts", TIMEOUT);
+        let first = harness.forwards[from];
+        let mut order = first;
+        while order.peer != peer(0) {
+            let may_have_run = false;
+            end_forward(
+                &mut harness,
+                order,
+                ForwardOutcome::Unserved { may_have_run },
+            );
+            order = *harness.forwards.last().expect("another peer is asked");
+        }
+        end_forward(&mut harness, order, ForwardOutcome::Answered(reply()));
+        served = Some(order.peer);
+        assert!(
+            round == 0 || first.peer == peer(0),
+            "the peer that serves is asked first"
+        );
+    }
+    assert_eq!(served, Some(peer(0)));
+}
+
+/// Guards against a daemon that goes on forwarding after the cut has ended.
+#[test]
+fn requests_go_to_targets_again_after_the_cut() {
+    let mut harness = harness();
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    harness.probes.clear();
+    harness.advance(ms(500));
+    let probe = *harness.probes.last().expect("a target is probed");
+    harness.feed(RelayEvent::Probed {
+        target: probe.target,
+        outcome: ProbeOutcome::Reached,
+    });
+    assert!(!is_cut_off(&harness));
+    // The other unreachable targets are probed at once.
+    for probe in std::mem::take(&mut harness.probes) {
+        let (target, outcome) = (probe.target, ProbeOutcome::Reached);
+        harness.feed(RelayEvent::Probed { target, outcome });
+    }
+    let request = harness.submit("to-parts", TIMEOUT);
+    assert_eq!(harness.forwards.len(), 0);
+    let attempt = harness.last_send().attempt;
+    harness.end(attempt, success(b""));
+    assert!(harness.end_of_request(request).result.is_ok());
+}
+
+/// Guards against a daemon that takes the failure of some targets for that of its own links.
+#[test]
+fn failure_of_many_targets_is_no_cut() {
+    let mut harness = harness();
+    for _ in 0..12 {
+        harness.submit("gather", TIMEOUT);
+        harness.advance(CONNECT_TIMEOUT);
+        for (_, order) in std::mem::take(&mut harness.sends) {
+            let lives = order.name.ends_with('2');
+            let outcome = if lives {
+                success(b"")
+            } else {
+                TargetOutcome::NotSent
+            };
+            harness.end(order.attempt, outcome);
+        }
+        for probe in std::mem::take(&mut harness.probes) {
+            // Each service has the keys of three targets in a row.
+            let lives = probe.target % 3 == 0;
+            let outcome = if lives {
+                ProbeOutcome::Reached
+            } else {
+                ProbeOutcome::NoResponse
+            };
+            harness.feed(RelayEvent::Probed {
+                target: probe.target,
+                outcome,
+            });
+        }
+    }
+    assert!(!is_cut_off(&harness));
+    assert_eq!(harness.forwards.len(), 0);
+}
+
+/// Guards against requests that are blamed, here and at all peers, for a failure of the links.
+#[test]
+fn no_request_is_blamed_for_a_cut() {
+    let mut harness = harness();
+    harness.fingerprint = Some(7);
+    for _ in 0..3 {
+        harness.submit("gather", TIMEOUT);
+    }
+    for (_, order) in std::mem::take(&mut harness.sends) {
+        harness.end(order.attempt, TargetOutcome::Lost);
+    }
+    let until = harness.now + NOTICE_TIME;
+    while !is_cut_off(&harness) {
+        assert!(harness.now < until, "the daemon finds out in time");
+        fail_everything(&mut harness, ProbeOutcome::Refused);
+        harness.advance(ms(50));
+    }
+    assert_eq!(harness.notices, Vec::new());
+}
+
+/// Guards against a caller that waits for ever for a peer, or for a peer that serves a caller who has
+/// left.
+fn forwarded_request_ends(ends: impl Fn(&mut RelayHarness, u64), is_refused: bool) {
+    let mut harness = harness();
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    let request = harness.submit("to-parts", TIMEOUT);
+    ends(&mut harness, request);
+    assert_eq!(harness.cancelled_forwards, vec![request]);
+    assert_eq!(harness.has_ended(request), is_refused);
+}
+
+cases! {
+    forwarded_request_ends_at_its_deadline:
+        forwarded_request_ends(|harness, _| harness.advance(TIMEOUT + ms(200)), true);
+    forwarded_request_ends_with_the_process:
+        forwarded_request_ends(|harness, _| harness.feed(RelayEvent::Ending), true);
+    forwarded_request_ends_with_its_caller: forwarded_request_ends(
+        |harness, request| harness.feed(RelayEvent::CallerDisconnected { request }), false);
+}
+
+/// Guards against a request that gets lost since there is no peer to forward it to.
+#[test]
+fn request_without_peers_is_refused_as_before() {
+    let mut harness = harness();
+    harness.feed(RelayEvent::PeersChanged(Vec::new()));
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    let request = harness.submit("to-parts", TIMEOUT);
+    let result = &harness.end_of_request(request).result;
+    assert!(
+        matches!(result, Err(RelayRefusal::NotRun { .. })),
+        "{result:?}"
+    );
+}
--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod cold_targets;
 mod crashing;
+mod cut_off;
 mod departures;
 mod evacuations;
 mod explanations;
--- a/core/tests/relay/random_runs.rs
+++ b/core/tests/relay/random_runs.rs
@@ -339,6 +339,9 @@
                 );
             }
             Ok(RelayAnswer::Forwarded(_)) | Err(RelayRefusal::Failed | RelayRefusal::TimedOut) => {}
+            Ok(RelayAnswer::FromPeer(_)) | Err(RelayRefusal::CutOff { .. }) => {
+                panic!("no peer takes part: {:?}", end.result)
+            }
         }
     }
 }
--- a/core/tests/relay/support.rs
+++ b/core/tests/relay/support.rs
@@ -6,10 +6,10 @@
 use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::relay::route::{CallerLimits, ServiceEntry, ServiceName, WeightedService};
 use yuccalift_core::relay::{
-    AdmissionMode, AttemptKey, AttemptOrder, MergeRule, ProbeOrder, RelayAction, RelayAnswer,
-    RelayDecision, RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest, RelayTuning,
-    RepeatKind, ReplyBody, RequestKey, RouteDestination, RouteEntry, RouteTable, SelfReport,
-    TargetOutcome, TargetPhase, TargetRecord, TargetReply,
+    AdmissionMode, AttemptKey, AttemptOrder, ForwardOrder, MergeRule, ProbeOrder, RelayAction,
+    RelayAnswer, RelayDecision, RelayEngine, RelayEvent, RelayOptions, RelayRefusal, RelayRequest,
+    RelayTuning, RepeatKind, ReplyBody, RequestKey, RequestOrigin, RouteDestination, RouteEntry,
+    RouteTable, SelfReport, TargetOutcome, TargetPhase, TargetRecord, TargetReply,
 };
 
 pub const LATENCY_AIM: Duration = Duration::from_millis(100);
@@ -120,8 +120,12 @@
     pub refused_for: Vec<(RequestKey, ServiceName)>,
     /// Fingerprint of the next requests; if `None`, each request has its own.
     pub fingerprint: Option<u64>,
+    /// Sender of the next requests.
+    pub origin: RequestOrigin,
     pub notices: Vec<QuarantineNotice>,
     pub probes: Vec<ProbeOrder>,
+    pub forwards: Vec<ForwardOrder>,
+    pub cancelled_forwards: Vec<RequestKey>,
     routes: Vec<Arc<RouteEntry>>,
     last_request: RequestKey,
 }
@@ -147,8 +151,11 @@
             decisions: Vec::new(),
             refused_for: Vec::new(),
             fingerprint: None,
+            origin: RequestOrigin::Caller,
             notices: Vec::new(),
             probes: Vec::new(),
+            forwards: Vec::new(),
+            cancelled_forwards: Vec::new(),
             routes: Vec::new(),
             last_request: 0,
         };
@@ -207,6 +214,8 @@
                 });
             }
             RelayAction::ForgetTarget { .. } => {}
+            RelayAction::Forward(order) => self.forwards.push(order),
+            RelayAction::CancelForward { request } => self.cancelled_forwards.push(request),
             RelayAction::Probe(probe) => self.probes.push(probe),
             RelayAction::NotifyPeers(notice) => self.notices.push(notice),
             RelayAction::Decided(decision) => self.decisions.push(decision),
@@ -226,6 +235,7 @@
             fingerprint: self.fingerprint.unwrap_or(self.last_request),
             route,
             deadline: self.now + time_left,
+            origin: self.origin,
         }));
         self.last_request
     }
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -216,6 +216,14 @@
     624 INFO "target_leaving" TargetLeaving { target: &'a str }
     #[doc = "The store answers in another era: it was restored from an older copy, and assigns revisions again from `revision` on."]
     625 WARN "store_restored" StoreRestored { era: u64, former_era: u64, revision: u64 }
+    #[doc = "No target can be reached: `failed` of them failed since one was last reached. Requests of callers are forwarded to peers until event 627."]
+    626 WARN "targets_lost" TargetsLost { failed: u64 }
+    #[doc = "A target can be reached again, after `outage_ms`; requests are sent to targets again."]
+    627 INFO "targets_regained" TargetsRegained { outage_ms: u64 }
+    #[doc = "A peer did not serve a forwarded request; `outcome` says how that ended. Another peer is asked, or the request ends."]
+    628 INFO "forward_failed" ForwardFailed {
+        request: &'a str, peer: &'a str, outcome: &'a str, took_ms: u64,
+    }
     #[doc = "A data centre is evacuated; nothing is sent to its targets until event 632."]
     631 WARN "evacuation_started" EvacuationStarted { data_centre: &'a str }
     #[doc = "The evacuation of a data centre ended; its targets are used again."]
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -144,6 +144,12 @@
     RelayRetries "relay.retries" Counter "requests"
     #[doc = "Bytes that a relay holds for its connections and for answers that it receives."]
     MemoryHeld "memory.held" Gauge "bytes"
+    #[doc = "1 while a relay reaches no target and forwards its callers' requests to peers, 0 otherwise."]
+    RelayCutOff "relay.cut_off" Gauge "states"
+    #[doc = "Requests that a relay forwarded to peers, counted for each peer."]
+    RelayForwards "relay.forwards" Counter "requests"
+    #[doc = "Requests that peers forwarded to a relay."]
+    RelayPeerRequests "relay.peer_requests" Counter "requests"
     #[doc = "Era in the store's latest answer to this relay: how often it was restored from an older copy."]
     StoreEra "store.era" Gauge "restorations"
     #[doc = "Revision in the store's latest answer to this relay, which counts within its era."]
--- a/daemon/src/relay/attempt.rs
+++ b/daemon/src/relay/attempt.rs
@@ -59,11 +59,13 @@
 }
 
 /// Sends a request to a target and waits for the outcome, the deadline or a cancellation.
+/// `on_opened` is called when a new connection has been opened for it.
 pub(super) async fn run_attempt(
     pool: &LinkPool,
     order: &AttemptOrder,
     message: &CallerMessage,
     cancel: CancellationToken,
+    on_opened: impl FnOnce(),
 ) -> AttemptEnd {
     let unsent = || AttemptEnd::closed(TargetOutcome::Abandoned { sent: false });
     let unanswered = || AttemptEnd::closed(TargetOutcome::Abandoned { sent: true });
@@ -76,6 +78,9 @@
     let Ok(link) = link else {
         return AttemptEnd::closed(TargetOutcome::NotSent);
     };
+    if link.history.is_new() {
+        on_opened();
+    }
     let now = Instant::now();
     if now >= order.deadline || cancel.is_cancelled() {
         return unsent();
--- a/daemon/src/relay/caller_listener.rs
+++ b/daemon/src/relay/caller_listener.rs
@@ -1,5 +1,6 @@
 //! The listener for callers: handles a request from its head to its answer.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,12 +10,15 @@
 use actix_http::{ConnectionType, Request, Response, StatusCode};
 use actix_web::web::Bytes;
 use yuccalift_core::relay::route::ServiceName;
-use yuccalift_core::relay::{RelayAnswer, RelayRefusal, RelayRequest, RequestKey, RouteEntry};
+use yuccalift_core::relay::{
+    RelayAnswer, RelayRefusal, RelayRequest, RequestKey, RequestOrigin, RouteEntry,
+};
 use yuccalift_platform::caller::{self, CallerHead};
 use yuccalift_platform::target::forwarded_head;
 
 use super::attempt::CallerMessage;
 use super::engine_driver::{EngineDriver, RefusedRequest, RelayResult};
+use super::peer_forward::{remove_mark, unserved_answer};
 use super::readiness::RelayReadiness;
 use super::report::RequestEnd;
 use super::request_body::RequestBody;
@@ -26,19 +30,52 @@
 pub(super) struct CallerListenerState {
     pub(super) driver: Rc<EngineDriver>,
     pub(super) readiness: Rc<RelayReadiness>,
+    /// Number of requests of peers that have no answer yet.
+    pub(super) peer_requests: Cell<usize>,
 }
 
-/// Answers one request of a caller, and logs its end.
+/// Answers a request that a peer has forwarded. Until it ends, it keeps the process from ending.
+pub(super) async fn answer_forwarded(
+    state: Rc<CallerListenerState>,
+    request: Request,
+    origin: RequestOrigin,
+) -> Result<Response<BoxBody>, Infallible> {
+    if state.readiness.stopping.get() || !state.readiness.configured.get() {
+        return Ok(unserved_answer(false));
+    }
+    state.driver.report.count_peer_request();
+    let _count = PeerRequestCount::new(&state.peer_requests);
+    answer_caller(Rc::clone(&state), request, origin).await
+}
+
+/// Counts a request of a peer while it exists.
+struct PeerRequestCount<'state>(&'state Cell<usize>);
+
+impl<'state> PeerRequestCount<'state> {
+    fn new(count: &'state Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for PeerRequestCount<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Answers one request of a caller, which a peer may have forwarded, and logs its end.
 pub(super) async fn answer_caller(
     state: Rc<CallerListenerState>,
     mut request: Request,
+    origin: RequestOrigin,
 ) -> Result<Response<BoxBody>, Infallible> {
     let arrived_at = Instant::now();
     let caller = caller::read_head(request.head());
     let mut end = RequestEnd::new(&caller.request);
     let mut body = RequestBody::take(&mut request);
     let mut response = state
-        .relay(arrived_at, &caller, &request, &mut body, &mut end)
+        .relay((arrived_at, origin), &caller, &request, &mut body, &mut end)
         .await;
     if state.readiness.stopping.get() {
         response
@@ -54,7 +91,7 @@
 impl CallerListenerState {
     async fn relay(
         &self,
-        arrived_at: Instant,
+        (arrived_at, origin): (Instant, RequestOrigin),
         caller: &CallerHead,
         request: &Request,
         body: &mut RequestBody,
@@ -73,7 +110,9 @@
         };
         end.route = route.name.clone();
         end.latency_aim = route.latency_aim;
-        if caller::head_bytes(request.head()) > routes.limits.head_bytes {
+        // A peer has checked the head before it added to it.
+        let is_long = caller::head_bytes(request.head()) > routes.limits.head_bytes;
+        if is_long && origin == RequestOrigin::Caller {
             end.cause = "large_head";
             return caller::empty_answer(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, None);
         }
@@ -90,7 +129,7 @@
         };
         let message = Rc::new(caller_message(caller, request, body));
         let result = self
-            .submit_and_wait(message, &route, arrived_at + timeout)
+            .submit_and_wait(message, &route, arrived_at + timeout, origin)
             .await;
         response(caller, result, end)
     }
@@ -100,12 +139,14 @@
         message: Rc<CallerMessage>,
         route: &Arc<RouteEntry>,
         deadline: Instant,
+        origin: RequestOrigin,
     ) -> RelayResult {
         let request = RelayRequest {
             key: 0,
             fingerprint: message.fingerprint(&route.host),
             route: Arc::clone(route),
             deadline,
+            origin,
         };
         let (key, receiver) = self.driver.submit(message, request);
         let mut guard = DisconnectGuard {
@@ -149,10 +190,12 @@
 
 fn caller_message(caller: &CallerHead, request: &Request, body: Bytes) -> CallerMessage {
     let head = request.head();
+    let mut forwarded = forwarded_head(head);
+    remove_mark(&mut forwarded);
     let has_body = !body.is_empty() || head.headers.contains_key("content-length");
     CallerMessage {
         request_id: caller.request.clone(),
-        head: Rc::new(forwarded_head(head)),
+        head: Rc::new(forwarded),
         body: has_body.then_some(body),
     }
 }
@@ -163,6 +206,10 @@
             end.cause = "answered";
             caller::target_answer(reply)
         }
+        Ok(RelayAnswer::FromPeer(reply)) => {
+            end.cause = "peer";
+            caller::target_answer(reply)
+        }
         Ok(RelayAnswer::Merged {
             signatures,
             missing,
@@ -194,5 +241,9 @@
             end.cause = "timed_out";
             caller::empty_answer(StatusCode::GATEWAY_TIMEOUT, None)
         }
+        RelayRefusal::CutOff { may_have_run } => {
+            end.cause = "cut_off";
+            unserved_answer(may_have_run)
+        }
     }
 }
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -23,7 +23,7 @@
 };
 use yuccalift_core::ids::{ConfigVersion, HostName};
 use yuccalift_core::quarantine::{NoticeKind, QuarantineNotice};
-use yuccalift_core::relay::{RelayEvent, RouteTable};
+use yuccalift_core::relay::{PeerAddress, RelayEvent, RouteTable};
 use yuccalift_platform::caller::empty_answer;
 use yuccalift_platform::listing::decode_target;
 use yuccalift_platform::routes::decode_routes;
@@ -80,6 +80,8 @@
     driver: Rc<EngineDriver>,
     readiness: Rc<RelayReadiness>,
     last_daemon_count: Cell<u32>,
+    /// When the members last changed, and the addresses of the contacts, as passed to the engine.
+    last_peers: RefCell<Option<(Instant, Vec<SocketAddr>)>>,
     /// Whether the deployment uses evacuations; their keys are ignored otherwise.
     follows_evacuations: bool,
     /// Routes that are withheld until the evacuations known to the peers are known here.
@@ -117,6 +119,7 @@
             driver,
             readiness,
             last_daemon_count: Cell::new(0),
+            last_peers: RefCell::default(),
             follows_evacuations: settings.evacuation_time.is_some(),
             withheld_routes: RefCell::default(),
             wake: Notify::new(),
@@ -173,6 +176,7 @@
         }
         self.release_routes();
         self.update_daemon_count();
+        self.update_peers();
         let age = self.node.borrow().knowledge_age(Instant::now());
         self.driver.report.set_knowledge_age(age);
         let due = self.node.borrow().next_wake();
@@ -199,6 +203,29 @@
         }
     }
 
+    /// Passes the daemons that are alive to the engine, which may forward requests to them.
+    fn update_peers(&self) {
+        let node = self.node.borrow();
+        let contacts = node.contacts().records();
+        let remote: Vec<SocketAddr> = contacts.map(|record| record.address).collect();
+        let changed_at = node.members().last_changed();
+        let known = (changed_at, remote);
+        if self.last_peers.borrow().as_ref() == Some(&known) {
+            return;
+        }
+        let local = node.members().alive().map(|record| PeerAddress {
+            address: record.address,
+            is_local: true,
+        });
+        let remote = known.1.iter().map(|address| PeerAddress {
+            address: *address,
+            is_local: false,
+        });
+        let peers: Vec<PeerAddress> = local.chain(remote).collect();
+        self.last_peers.replace(Some(known));
+        self.driver.feed(RelayEvent::PeersChanged(peers));
+    }
+
     fn carry_out(self: &Rc<Self>, action: ControlAction) {
         match action {
             ControlAction::Exchange {
--- a/daemon/src/relay/engine_driver.rs
+++ b/daemon/src/relay/engine_driver.rs
@@ -9,12 +9,14 @@
 use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::relay::route::ServiceName;
 use yuccalift_core::relay::{
-    AttemptKey, AttemptOrder, ProbeOrder, RelayAction, RelayAnswer, RelayEngine, RelayEvent,
-    RelayRefusal, RelayRequest, RequestExplanation, RequestKey, RouteTable, TargetOutcome,
+    AttemptKey, AttemptOrder, ForwardOrder, ProbeOrder, RelayAction, RelayAnswer, RelayEngine,
+    RelayEvent, RelayRefusal, RelayRequest, RequestExplanation, RequestKey, RouteTable,
+    TargetOutcome,
 };
 use yuccalift_platform::self_report::DecodedReport;
 
 use super::attempt::{CallerMessage, run_attempt};
+use super::peer_forward::PeerLinks;
 use super::pool::LinkPool;
 use super::report::RelayReport;
 use crate::quarantine_driver::log_quarantine_notice;
@@ -47,12 +49,20 @@
     cancel: CancellationToken,
 }
 
+/// A request that is forwarded to a peer.
+struct RunningForward {
+    key: RequestKey,
+    cancel: CancellationToken,
+}
+
 /// The engine and the services that its actions need; shared by the tasks of one thread.
 pub(super) struct EngineDriver {
     engine: RefCell<RelayEngine>,
     callers: RefCell<Vec<WaitingCaller>>,
     attempts: RefCell<Vec<RunningAttempt>>,
+    forwards: RefCell<Vec<RunningForward>>,
     pool: LinkPool,
+    peer_links: PeerLinks,
     pub(super) report: RelayReport,
     notices: mpsc::UnboundedSender<QuarantineNotice>,
     last_key: Cell<RequestKey>,
@@ -68,6 +78,7 @@
     pub(super) fn new(
         engine: RelayEngine,
         pool: LinkPool,
+        peer_links: PeerLinks,
         report: RelayReport,
         notices: mpsc::UnboundedSender<QuarantineNotice>,
     ) -> Rc<Self> {
@@ -76,7 +87,9 @@
             engine: RefCell::new(engine),
             callers: RefCell::default(),
             attempts: RefCell::default(),
+            forwards: RefCell::default(),
             pool,
+            peer_links,
             report,
             last_key: Cell::new(0),
             wake: Notify::new(),
@@ -194,6 +207,8 @@
                 refusal,
                 service,
             } => self.reply(request, Err(RefusedRequest { refusal, service })),
+            RelayAction::Forward(order) => self.forward(order),
+            RelayAction::CancelForward { request } => self.cancel_forward(request),
             RelayAction::Probe(probe) => self.probe(probe),
             RelayAction::NotifyPeers(notice) => self.notify_peers(notice),
             RelayAction::ForgetTarget { target } => self.pool.close_idle(target),
@@ -220,7 +235,8 @@
         });
         let driver = Rc::clone(self);
         actix_rt::spawn(async move {
-            let end = run_attempt(&driver.pool, &order, &message, cancel).await;
+            let on_opened = || driver.feed(RelayEvent::LinkOpened);
+            let end = run_attempt(&driver.pool, &order, &message, cancel, on_opened).await;
             driver.remove_attempt(attempt);
             if let Some(expires) = end.idle_until {
                 let target = order.target;
@@ -230,6 +246,42 @@
         });
     }
 
+    /// Forwards a request to a peer. A request may be forwarded to several, one after the other.
+    fn forward(self: &Rc<Self>, order: ForwardOrder) {
+        self.report.count_forward();
+        let request = order.request;
+        let Some(message) = self.message(request) else {
+            // The caller disconnected while the engine decided; its request is dropped next.
+            return;
+        };
+        let cancel = CancellationToken::new();
+        self.forwards.borrow_mut().push(RunningForward {
+            key: request,
+            cancel: cancel.clone(),
+        });
+        let driver = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let outcome = driver
+                .peer_links
+                .forward(&order, &message, cancel.clone())
+                .await;
+            driver
+                .forwards
+                .borrow_mut()
+                .retain(|running| running.key != request);
+            if !cancel.is_cancelled() {
+                driver.feed(RelayEvent::ForwardEnded { request, outcome });
+            }
+        });
+    }
+
+    fn cancel_forward(&self, request: RequestKey) {
+        let forwards = self.forwards.borrow();
+        if let Some(running) = forwards.iter().find(|running| running.key == request) {
+            running.cancel.cancel();
+        }
+    }
+
     /// Probes whether a target accepts a connection, so that no caller's request has to wait for an
     /// unreachable target.
     fn probe(self: &Rc<Self>, probe: ProbeOrder) {
--- a/daemon/src/relay/peer_call.rs
+++ b/daemon/src/relay/peer_call.rs
@@ -15,7 +15,7 @@
 use crate::control::EXCHANGE_TIMEOUT;
 
 /// Connect timeout and liveness probing of connections to peers.
-const PEER_LINK_OPTIONS: LinkOptions = LinkOptions {
+pub(super) const PEER_LINK_OPTIONS: LinkOptions = LinkOptions {
     connect_timeout: Duration::from_millis(500),
     keepalive_interval: Duration::from_secs(1),
     keepalive_probes: 2,
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -1,5 +1,6 @@
 //! One relay process: its listeners, the reader of the store, and its graceful stop.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,17 +14,18 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
-use yuccalift_core::relay::{RelayEngine, RelayEvent, RelayOptions, RouteTable};
+use yuccalift_core::relay::{RelayEngine, RelayEvent, RelayOptions, RequestOrigin, RouteTable};
 use yuccalift_exchange::{
     LIBRARY_HEAD_BYTES, LinkOptions, ServeOptions, StopTokens, listen, set_outgoing_address,
 };
 use yuccalift_settings::RelaySettings;
 
-use super::caller_listener::{CallerListenerState, answer_caller};
+use super::caller_listener::{CallerListenerState, answer_caller, answer_forwarded};
 use super::control::{RelayControl, answer_peer, store_read_settings};
 use super::engine_driver::EngineDriver;
 use super::host_limits::{HostLimits, report_account};
 use super::metrics_listener::answer_metrics_call;
+use super::peer_forward::{PeerLinks, forwarded_origin};
 use super::pool::LinkPool;
 use super::readiness::{RelayReadiness, answer_balancer};
 use super::report::RelayReport;
@@ -57,6 +59,8 @@
 const BALANCER_GRACE: Duration = Duration::from_secs(3);
 /// Time in which the last answers are written before the process exits.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Interval at which a stopping relay checks whether the requests of peers have ended.
+const PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of times within [`ANSWER_TIME`] that the remaining requests are ended.
 const ENDING_ROUNDS: u32 = 6;
 /// Time before the stop limit at which the process exits by itself.
@@ -88,7 +92,13 @@
     };
     let report = RelayReport::new(Instant::now(), metrics.clone());
     let (sender, notices) = mpsc::unbounded_channel();
-    let driver = EngineDriver::new(engine, LinkPool::new(link_config.clone()), report, sender);
+    let driver = EngineDriver::new(
+        engine,
+        LinkPool::new(link_config.clone()),
+        PeerLinks::new(link_config.clone()),
+        report,
+        sender,
+    );
     let start_window = store_read_settings(&settings).start_window;
     let readiness = Rc::new(RelayReadiness::new(start_window));
     let stop = CancellationToken::new();
@@ -107,12 +117,26 @@
         Rc::clone(&readiness),
     );
     actix_rt::spawn(Rc::clone(&control).run(notices, stop.clone()));
+    let caller_state = Rc::new(CallerListenerState {
+        driver: Rc::clone(&driver),
+        readiness: Rc::clone(&readiness),
+        peer_requests: Cell::new(0),
+    });
     let peer_control = Rc::clone(&control);
+    let forwarded_state = Rc::clone(&caller_state);
     spawn_listener(
         peers,
         move || default_serve_options(limits.peers),
         listener_stop.clone(),
-        move |request| answer_peer(Rc::clone(&peer_control), request),
+        move |request| {
+            let (control, state) = (Rc::clone(&peer_control), Rc::clone(&forwarded_state));
+            async move {
+                match forwarded_origin(&request) {
+                    Some(origin) => answer_forwarded(state, request, origin).await,
+                    None => answer_peer(control, request).await,
+                }
+            }
+        },
     );
     let balancer_readiness = Rc::clone(&readiness);
     spawn_listener(
@@ -133,14 +157,11 @@
             },
         );
     }
-    let caller_state = Rc::new(CallerListenerState {
-        driver: Rc::clone(&driver),
-        readiness: Rc::clone(&readiness),
-    });
+    let listener_state = Rc::clone(&caller_state);
     let caller_driver = Rc::clone(&driver);
     let options = move || caller_serve_options(&caller_driver.routes(), limits.callers);
     let callers_served = spawn_listener(callers, options, caller_stop.clone(), move |request| {
-        answer_caller(Rc::clone(&caller_state), request)
+        answer_caller(Rc::clone(&listener_state), request, RequestOrigin::Caller)
     });
     log_start(&settings);
     let watch = SettingsWatch::new(file, settings.clone(), Rc::clone(&driver));
@@ -150,7 +171,7 @@
     readiness.stopping.set(true);
     let drain = caller_stop.drain;
     let limit = watch.stop_timeout();
-    stop_gracefully(&settings.host, limit, drain, callers_served, &driver).await;
+    stop_gracefully(&settings.host, limit, drain, callers_served, &caller_state).await;
     stop.cancel();
     Ok(())
 }
@@ -225,7 +246,7 @@
     limit: Duration,
     drain: CancellationToken,
     mut callers_served: JoinHandle<()>,
-    driver: &Rc<EngineDriver>,
+    state: &CallerListenerState,
 ) {
     LogEvent::StopStarted {
         host,
@@ -239,7 +260,13 @@
         .saturating_sub(STOP_RESERVE)
         .saturating_sub(started_at.elapsed());
     let serving_time = time_left.saturating_sub(ANSWER_TIME);
-    let ended = tokio::time::timeout(serving_time, &mut callers_served).await;
+    let all_served = async {
+        let _ended = (&mut callers_served).await;
+        while state.peer_requests.get() > 0 {
+            tokio::time::sleep(PEER_REQUEST_INTERVAL).await;
+        }
+    };
+    let ended = tokio::time::timeout(serving_time, all_served).await;
     let mut is_served = ended.is_ok();
     let overdue = if is_served { "" } else { "requests" };
     // A request whose body has just arrived may be submitted between two rounds.
@@ -247,9 +274,14 @@
         if is_served {
             break;
         }
-        driver.feed(RelayEvent::Ending);
-        let round = tokio::time::timeout(ANSWER_TIME / ENDING_ROUNDS, &mut callers_served);
-        is_served = round.await.is_ok();
+        state.driver.feed(RelayEvent::Ending);
+        let round = ANSWER_TIME / ENDING_ROUNDS;
+        if callers_served.is_finished() {
+            tokio::time::sleep(round).await;
+        } else {
+            let _ended = tokio::time::timeout(round, &mut callers_served).await;
+        }
+        is_served = callers_served.is_finished() && state.peer_requests.get() == 0;
     }
     LogEvent::DaemonStopped { host, overdue }.emit();
 }
--- a/daemon/src/relay/report.rs
+++ b/daemon/src/relay/report.rs
@@ -256,6 +256,27 @@
                 requests,
                 pressure,
             } => log_shed(route, service, *requests, *pressure),
+            RelayDecision::TargetsLost { failed } => {
+                self.metrics.gauge(DaemonMetric::RelayCutOff, 1);
+                let failed = *failed as u64;
+                LogEvent::TargetsLost { failed }.emit();
+            }
+            RelayDecision::TargetsRegained { outage } => {
+                self.metrics.gauge(DaemonMetric::RelayCutOff, 0);
+                let outage_ms = millis(*outage);
+                LogEvent::TargetsRegained { outage_ms }.emit();
+            }
+            RelayDecision::ForwardFailed {
+                request,
+                peer,
+                outcome,
+                took,
+            } => self.write_limited(&LogEvent::ForwardFailed {
+                request: &request_id(*request),
+                peer: &peer.to_string(),
+                outcome,
+                took_ms: millis(*took),
+            }),
             RelayDecision::Suspended { target, period } => {
                 self.metrics.count(DaemonMetric::TargetsSuspended, 1);
                 LogEvent::TargetSuspended {
@@ -407,6 +428,16 @@
         }
     }
 
+    /// Counts a request that is forwarded to a peer.
+    pub(super) fn count_forward(&self) {
+        self.metrics.count(DaemonMetric::RelayForwards, 1);
+    }
+
+    /// Counts a request that a peer forwarded.
+    pub(super) fn count_peer_request(&self) {
+        self.metrics.count(DaemonMetric::RelayPeerRequests, 1);
+    }
+
     /// Counts an answer whose target reported its load.
     pub(super) fn count_load_report(&self) {
         self.metrics.count(DaemonMetric::TargetLoads, 1);
