--- a/core/src/control/mod.rs
+++ b/core/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! connection shares.
 //!
 //! - [`config_delta`], [`config_store`]: published configuration and how daemons pass it on.
+//! - [`store_change`]: what changes of the configuration a daemon must act on.
 //! - [`store_position`]: the order of changes, also after the platform was restored.
 //! - [`member_record`], [`member_table`], [`contact_table`]: the other daemons.
 //! - [`announcements`]: information that spreads by gossip and expires.
@@ -31,6 +32,7 @@
 pub mod packed_value;
 pub mod reader_election;
 pub mod reader_heartbeat;
+pub mod store_change;
 pub mod store_position;
 mod stored_entry;
 
--- a/core/src/control/stored_entry.rs
+++ b/core/src/control/stored_entry.rs
@@ -5,8 +5,8 @@
 use super::config_delta::{
     ConfigValue, DeltaContent, DeltaEntry, DeltaFormat, ValuePatch, value_hash,
 };
-use super::config_store::{StoreChange, ValueRank};
 use super::packed_value::PackedValue;
+use super::store_change::{StoreChange, ValueRank};
 use crate::ids::{ConfigVersion, ValueKey};
 
 /// Maximum number of patches retained per key, for peers that lag behind.
--- a/core/tests/relay/cut_off.rs
+++ b/core/tests/relay/cut_off.rs
@@ -256,7 +256,11 @@
     assert_eq!(harness.forwards.len(), 0);
     let attempt = harness.last_send().attempt;
     harness.end(attempt, success(b""));
-    assert!(harness.end_of_request(request).result.is_ok());
+    let result = &harness.end_of_request(request).result;
+    assert!(
+        matches!(result, Ok(RelayAnswer::Forwarded(_))),
+        "{result:?}"
+    );
 }
 
 /// Guards against a daemon that takes the failure of some targets for that of its own links.
--- a/daemon/src/control/control_lane.rs
+++ b/daemon/src/control/control_lane.rs
@@ -192,7 +192,7 @@
                 message,
             } => self.exchange(exchange, address, message, context),
             ControlAction::ReadValues { after, wait } => {
-                self.read_values(after.version, wait, context)
+                self.read_values(after.version, wait, context);
             }
             ControlAction::ReadHosts => self.read_hosts(context),
             // Shard maps list the targets, and none of them expires during an outage.
--- a/daemon/src/relay/host_limits.rs
+++ b/daemon/src/relay/host_limits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
-use yuccalift_exchange::{AccountCounts, account_counts, set_memory_limit};
+use yuccalift_exchange::{AccountCounts, account_counts, set_memory_limit, set_outgoing_address};
 use yuccalift_settings::RelaySettings;
 
 use crate::events::LogEvent;
@@ -30,10 +30,13 @@
 }
 
 impl HostLimits {
-    /// Returns the limits that follow from the settings, and sets the limit of the memory account of
-    /// this thread.
+    /// Returns the limits that follow from the settings, and sets the limit of the memory account and the
+    /// outgoing address of this thread.
     pub(super) fn apply(settings: &RelaySettings) -> Self {
         set_memory_limit(settings.memory_limit_mb * MEGABYTE);
+        if let Some(address) = settings.outgoing_address {
+            set_outgoing_address(address);
+        }
         let connections = settings.descriptor_limit.saturating_sub(FILE_DESCRIPTORS);
         let share = |divisor: usize| (connections / divisor).max(MIN_CONNECTIONS);
         Self {
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -13,7 +13,7 @@
 //! - `peer_call`: sends a message of the control plane to a peer.
 //! - `control`: the control plane of [`yuccalift_core::control`], its exchanges with peers, and the
 //!   application of its values; `store_reader` reads the platform's store for it.
-//! - `report`: log lines and metrics; [`target_change_log`] coalesces lines about targets,
+//! - `report`, `decision_report`: log lines and metrics; [`target_change_log`] coalesces lines about targets,
 //!   [`refusal_counts`] counts refused requests by route, service and reason.
 //! - `metrics_listener`: the listener for metrics, which also explains where requests would be sent.
 //! - `settings_watch`: settings that change while the relay runs.
@@ -23,6 +23,7 @@
 mod attempt;
 mod caller_listener;
 mod control;
+mod decision_report;
 mod engine_driver;
 mod host_limits;
 mod metrics_listener;
--- a/daemon/src/relay/process.rs
+++ b/daemon/src/relay/process.rs
@@ -14,10 +14,9 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use yuccalift_core::quarantine::QuarantineNotice;
 use yuccalift_core::relay::{RelayEngine, RelayEvent, RelayOptions, RequestOrigin, RouteTable};
-use yuccalift_exchange::{
-    LIBRARY_HEAD_BYTES, LinkOptions, ServeOptions, StopTokens, listen, set_outgoing_address,
-};
+use yuccalift_exchange::{LIBRARY_HEAD_BYTES, LinkOptions, ServeOptions, StopTokens, listen};
 use yuccalift_settings::RelaySettings;
 
 use super::caller_listener::{CallerListenerState, answer_caller, answer_forwarded};
@@ -78,27 +77,16 @@
 async fn serve(file: SettingsFile, settings: RelaySettings) -> Result<(), DaemonError> {
     let mut signals = RelaySignals::new()?;
     let limits = HostLimits::apply(&settings);
-    if let Some(address) = settings.outgoing_address {
-        set_outgoing_address(address);
-    }
     let callers = bind("callers", settings.caller_listen)?;
     let balancer = bind("readiness", settings.readiness_listen)?;
     let peers = bind("peers", settings.peer_listen)?;
     let link_config = ServiceConfig::default();
-    let engine = RelayEngine::new(relay_options(&settings));
     let metrics = match settings.metrics_listen {
         Some(_) => MetricsClient::with_text_export(),
         None => MetricsClient::default(),
     };
-    let report = RelayReport::new(Instant::now(), metrics.clone());
     let (sender, notices) = mpsc::unbounded_channel();
-    let driver = EngineDriver::new(
-        engine,
-        LinkPool::new(link_config.clone()),
-        PeerLinks::new(link_config.clone()),
-        report,
-        sender,
-    );
+    let driver = new_driver(&settings, &link_config, &metrics, sender);
     let start_window = store_read_settings(&settings).start_window;
     let readiness = Rc::new(RelayReadiness::new(start_window));
     let stop = CancellationToken::new();
@@ -122,21 +110,12 @@
         readiness: Rc::clone(&readiness),
         peer_requests: Cell::new(0),
     });
-    let peer_control = Rc::clone(&control);
-    let forwarded_state = Rc::clone(&caller_state);
-    spawn_listener(
+    spawn_peer_listener(
         peers,
-        move || default_serve_options(limits.peers),
+        limits.peers,
         listener_stop.clone(),
-        move |request| {
-            let (control, state) = (Rc::clone(&peer_control), Rc::clone(&forwarded_state));
-            async move {
-                match forwarded_origin(&request) {
-                    Some(origin) => answer_forwarded(state, request, origin).await,
-                    None => answer_peer(control, request).await,
-                }
-            }
-        },
+        Rc::clone(&control),
+        Rc::clone(&caller_state),
     );
     let balancer_readiness = Rc::clone(&readiness);
     spawn_listener(
@@ -176,6 +155,45 @@
     Ok(())
 }
 
+fn new_driver(
+    settings: &RelaySettings,
+    link_config: &ServiceConfig,
+    metrics: &MetricsClient,
+    notices: mpsc::UnboundedSender<QuarantineNotice>,
+) -> Rc<EngineDriver> {
+    EngineDriver::new(
+        RelayEngine::new(relay_options(settings)),
+        LinkPool::new(link_config.clone()),
+        PeerLinks::new(link_config.clone()),
+        RelayReport::new(Instant::now(), metrics.clone()),
+        notices,
+    )
+}
+
+/// Serves the peers: their messages, and the requests that they forward.
+fn spawn_peer_listener(
+    listener: TcpListener,
+    max_connections: usize,
+    stop: StopTokens,
+    control: Rc<RelayControl>,
+    state: Rc<CallerListenerState>,
+) {
+    spawn_listener(
+        listener,
+        move || default_serve_options(max_connections),
+        stop,
+        move |request| {
+            let (control, state) = (Rc::clone(&control), Rc::clone(&state));
+            async move {
+                match forwarded_origin(&request) {
+                    Some(origin) => answer_forwarded(state, request, origin).await,
+                    None => answer_peer(control, request).await,
+                }
+            }
+        },
+    );
+}
+
 /// Returns how connections are served where no limit is published but their number.
 fn default_serve_options(max_connections: usize) -> ServeOptions {
     ServeOptions {
