relay: reset connections to targets instead of closing them

What callers saw: nothing; targets ran requests long after their callers had left, once a partition between them and the daemon had ended. Cause: a connection that is closed keeps its unsent bytes until the peer has them. The class: work whose end is not told to everyone who holds it. Change: connections to targets are reset when they are dropped, which discards what was not sent.

--- a/daemon/src/relay/pool.rs
+++ b/daemon/src/relay/pool.rs
@@ -60,7 +60,9 @@
         if let Some(link) = self.take_idle(order, request_id) {
             return Ok(link);
         }
-        let opened = ExchangeLink::open(order.address, &TARGET_LINK_OPTIONS, &self.config).await;
+        let opened = ExchangeLink::open(order.address, &TARGET_LINK_OPTIONS, &self.config)
+            .await
+            .and_then(ExchangeLink::reset_on_close);
         if let Err(error) = &opened {
             self.record_reset(error.kind());
         }
--- a/exchange/src/link.rs
+++ b/exchange/src/link.rs
@@ -111,6 +111,19 @@
         self
     }
 
+    /// Makes the link reset its connection when it is dropped, so that a request which a network
+    /// partition holds up is never delivered once nobody waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`io::Error`] if the option can't be set.
+    pub fn reset_on_close(self) -> io::Result<Self> {
+        if let Some(stream) = &self.stream {
+            stream.reset_on_close()?;
+        }
+        Ok(self)
+    }
+
     /// Returns whether the connection is open and the peer has sent nothing since the last
     /// exchange.
     pub fn is_idle(&self) -> bool {
--- a/exchange/src/turn_stream.rs
+++ b/exchange/src/turn_stream.rs
@@ -60,6 +60,15 @@
     pub(crate) fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
         self.stream.try_read(buffer)
     }
+
+    /// Makes the system discard unsent bytes and reset the connection when it is closed.
+    ///
+    /// # Errors
+    ///
+    /// [`io::Error`] if the option can't be set.
+    pub(crate) fn reset_on_close(&self) -> io::Result<()> {
+        self.stream.set_zero_linger()
+    }
 }
 
 impl AsyncRead for TurnStream {
