--- a/daemon/src/relay/peer_forward.rs
+++ b/daemon/src/relay/peer_forward.rs
@@ -81,7 +81,8 @@
         if let Some(link) = self.take_idle(order) {
             return Ok(link);
         }
-        ExchangeLink::open(order.peer, &PEER_LINK_OPTIONS, &self.config).await
+        let link = ExchangeLink::open(order.peer, &PEER_LINK_OPTIONS, &self.config).await?;
+        link.reset_on_close()
     }
 
     /// Returns an idle connection to the peer, unless the request must not run twice: the peer may
