relay: find peers and the cut itself sooner where hosts get few requests

What callers saw: in a data centre of 69 hosts that was cut off as a whole, hosts served 36 of 194 first attempts. Cause: hosts with few requests asked one cut-off neighbour after the other, refused the very request by which they found out, and took the refusal of a neighbour that did not know yet for an answer. Change: a peer counts for less with each held peer of its data centre; a request that would be refused while the links are in doubt waits for the check, half a second at most; a daemon that a peer asks checks its own links.

--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -120,12 +120,12 @@
 }
 
 /// A peer that requests may be forwarded to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerAddress {
     /// Address of its listener for peers.
     pub address: SocketAddr,
-    /// Whether it is in the data centre of this daemon.
-    pub is_local: bool,
+    /// Data centre of the peer.
+    pub data_centre: DataCentreName,
 }
 
 /// The way in which a forwarded request ended.
--- a/core/src/relay/explanation.rs
+++ b/core/src/relay/explanation.rs
@@ -149,7 +149,7 @@
     fn explain_outcome(&self, now: Instant, state: &RequestState) -> ExplainedOutcome {
         let retry_after_ms = millis(self.retry_after(now, state));
         if self.reach.is_cut_off()
-            && let Some(peer) = self.forwarding.choose(now, &[])
+            && let Some(peer) = self.forwarding.choose(now, &self.options.data_centre, &[])
         {
             return ExplainedOutcome::Forwarded { peer };
         }
--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -27,7 +27,9 @@
         let enough = state.answered_legs() >= state.min_answered_legs();
         let open = state.legs.iter().filter(|leg| leg.is_open()).count();
         let possible = state.answered_legs() + open >= state.min_answered_legs();
-        if state.is_settled() || (state.accepts_partial && enough) || !possible {
+        let is_answerable = enough && (state.accepts_partial || state.is_settled());
+        let has_failed = !enough && (state.is_settled() || !possible);
+        if is_answerable || (has_failed && !self.await_verdict(now, request, actions)) {
             self.finish(now, request, actions);
         }
     }
@@ -65,7 +67,12 @@
     }
 
     /// Ends a request with the replies received so far.
-    fn finish(&mut self, now: Instant, request: RequestKey, actions: &mut Vec<RelayAction>) {
+    pub(super) fn finish(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
         let Some(state) = self.requests.get(request) else {
             return;
         };
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -297,6 +297,7 @@
                 TimerKind::Paced { target } => self.dispatch_parked_to(now, target, actions),
                 TimerKind::Probe { target } => self.probe_if_due(now, target, actions),
                 TimerKind::ReachCheck => self.check_reach(now, actions),
+                TimerKind::VerdictWait { request } => self.end_verdict_wait(now, request, actions),
                 TimerKind::ForwardDeadline { request } => {
                     self.drop_forwarded(request, Some(RelayRefusal::TimedOut), actions);
                 }
--- a/core/src/relay/peer_forwarding.rs
+++ b/core/src/relay/peer_forwarding.rs
@@ -9,7 +9,7 @@
 
 use super::action::{ForwardOrder, RelayAction, RelayAnswer, RelayDecision, RelayRefusal};
 use super::event::{ForwardOutcome, PeerAddress, RelayRequest, RequestOrigin};
-use super::request::{AttemptDisposition, RequestState};
+use super::request::AttemptDisposition;
 use super::route::{RepeatKind, ServiceName};
 use super::timers::TimerKind;
 use super::{RelayEngine, RequestKey};
@@ -26,6 +26,9 @@
 const UNPROVEN_FACTOR: f64 = 2.0;
 /// Factor on the load of a peer in another data centre.
 const REMOTE_FACTOR: f64 = 1.35;
+/// Increase of the load of a peer, relative to 1, for each peer of its data centre that is held: a
+/// data centre is often cut off as a whole.
+const HELD_NEIGHBOUR_FACTOR: f64 = 2.0;
 
 /// A peer that requests may be forwarded to.
 #[derive(Debug)]
@@ -89,16 +92,30 @@
     }
 
     /// Returns the peer that a request is forwarded to next.
-    pub(super) fn choose(&self, now: Instant, tried: &[SocketAddr]) -> Option<SocketAddr> {
+    pub(super) fn choose(
+        &self,
+        now: Instant,
+        data_centre: &str,
+        tried: &[SocketAddr],
+    ) -> Option<SocketAddr> {
         if tried.len() >= MAX_PEERS {
             return None;
         }
-        let usable = self.peers.iter().filter(|state| {
-            !tried.contains(&state.peer.address)
-                && state.held_until.is_none_or(|until| until <= now)
-        });
+        let is_held = |state: &&PeerState| state.held_until.is_some_and(|until| now < until);
+        let mut held: Vec<&str> = self
+            .peers
+            .iter()
+            .filter(is_held)
+            .map(|state| state.peer.data_centre.as_ref())
+            .collect();
+        held.sort_unstable();
+        let usable = self
+            .peers
+            .iter()
+            .filter(|state| !is_held(state) && !tried.contains(&state.peer.address));
         let load = |state: &PeerState| {
-            let distance = if state.peer.is_local {
+            let name = state.peer.data_centre.as_ref();
+            let distance = if name == data_centre {
                 1.0
             } else {
                 REMOTE_FACTOR
@@ -108,7 +125,10 @@
             } else {
                 UNPROVEN_FACTOR
             };
-            f64::from(state.in_flight + 1) * distance * trust
+            let from = held.partition_point(|other| *other < name);
+            let neighbours = held[from..].partition_point(|other| *other == name);
+            let doubt = 1.0 + HELD_NEIGHBOUR_FACTOR * neighbours as f64;
+            f64::from(state.in_flight + 1) * distance * trust * doubt
         };
         let least = usable.min_by(|left, right| {
             let by_load = load(left).total_cmp(&load(right));
@@ -189,11 +209,9 @@
         actions: &mut Vec<RelayAction>,
     ) -> bool {
         let deadline = request.deadline.min(now + request.route.timeout);
-        let Some(peer) = self
-            .forwarding
-            .choose(now, &tried)
-            .filter(|_| now < deadline)
-        else {
+        let data_centre = &self.options.data_centre;
+        let peer = self.forwarding.choose(now, data_centre, &tried);
+        let Some(peer) = peer.filter(|_| now < deadline) else {
             return false;
         };
         tried.push(peer);
@@ -230,15 +248,8 @@
     /// Hands over the requests of callers that can still be served, since this daemon has been found
     /// to be cut off. Those that may run once are handed over only if no target has received them.
     pub(super) fn forward_all(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
-        let movable = |state: &&RequestState| {
-            !state.is_at_most_once() || state.legs.iter().all(|leg| !leg.may_have_run())
-        };
-        let keys: Vec<RequestKey> = self
-            .requests
-            .iter()
-            .filter(movable)
-            .map(|state| state.key)
-            .collect();
+        let movable = self.requests.iter().filter(|state| state.is_movable());
+        let keys: Vec<RequestKey> = movable.map(|state| state.key).collect();
         for key in keys {
             let Some(state) = self.requests.get(key) else {
                 continue;
--- a/core/src/relay/reach.rs
+++ b/core/src/relay/reach.rs
@@ -9,7 +9,7 @@
 use super::action::{RelayAction, RelayDecision};
 use super::target::ListingState;
 use super::timers::TimerKind;
-use super::{RelayEngine, TargetKey};
+use super::{RelayEngine, RequestKey, TargetKey};
 
 /// Number of targets that fail without a connection to any other from which the daemon's own links
 /// are in doubt.
@@ -21,6 +21,8 @@
 const CHECKED_TARGETS: usize = 2;
 /// Minimum time between the first checks of two doubts.
 const DOUBT_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum time for which a request waits for the result of a check before it is refused.
+const MAX_VERDICT_WAIT: Duration = Duration::from_millis(500);
 /// Interval of the probes by which a daemon that is cut off finds out that it no longer is.
 const CUT_OFF_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -33,6 +35,10 @@
     checked: Vec<TargetKey>,
     /// Number of such probes that failed since a connection was last opened.
     failed_checks: usize,
+    /// Whether a peer is cut off, so that this daemon may be as well.
+    is_peer_cut_off: bool,
+    /// Requests that would be refused now, and wait for the result of a check.
+    waiting: Vec<RequestKey>,
     last_check: Option<Instant>,
     /// When the daemon was found to be cut off from all targets.
     cut_off_at: Option<Instant>,
@@ -53,7 +59,8 @@
         targets.extend(losses);
         targets.sort_unstable();
         targets.dedup();
-        targets.len() >= DOUBTFUL_FAILURES
+        let is_hinted = self.is_peer_cut_off && !targets.is_empty();
+        is_hinted || targets.len() >= DOUBTFUL_FAILURES
     }
 
     fn record_failure(&mut self, target: TargetKey) {
@@ -70,6 +77,7 @@
         self.failed.clear();
         self.checked.clear();
         self.failed_checks = 0;
+        self.is_peer_cut_off = false;
         self.cut_off_at.take()
     }
 
@@ -106,6 +114,61 @@
                 outage,
             }));
         }
+        for request in std::mem::take(&mut self.reach.waiting) {
+            self.finish(now, request, actions);
+        }
+    }
+
+    /// Checks the links of this daemon since a peer is cut off.
+    pub(super) fn check_reach_for_peer(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
+        if !self.reach.is_cut_off() && self.reach.may_check(now) {
+            self.reach.is_peer_cut_off = true;
+            self.begin_check(now, actions);
+        }
+    }
+
+    /// Lets a request that would be refused wait for the result of a check, after which it is
+    /// forwarded or refused; returns false if it must end now.
+    pub(super) fn await_verdict(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) -> bool {
+        let Some(state) = self.requests.get(request) else {
+            return false;
+        };
+        let may_wait = now < state.deadline && state.is_movable();
+        let is_in_doubt = self.reach.is_in_doubt(self.suspicion.lost_targets());
+        if !may_wait || !is_in_doubt || self.reach.is_cut_off() {
+            return false;
+        }
+        if self.reach.checked.is_empty() {
+            self.begin_check(now, actions);
+        }
+        if self.reach.checked.is_empty() {
+            return false;
+        }
+        if !self.reach.waiting.contains(&request) {
+            self.reach.waiting.push(request);
+            self.timers
+                .add(now + MAX_VERDICT_WAIT, TimerKind::VerdictWait { request });
+        }
+        true
+    }
+
+    /// Ends a request that has waited too long for the result of a check.
+    pub(super) fn end_verdict_wait(
+        &mut self,
+        now: Instant,
+        request: RequestKey,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        let waiting = &mut self.reach.waiting;
+        if let Some(index) = waiting.iter().position(|other| *other == request) {
+            waiting.swap_remove(index);
+            self.finish(now, request, actions);
+        }
     }
 
     /// Decides whether the daemon is cut off if its links are in doubt. Probes targets that have not
@@ -114,8 +177,8 @@
         if !self.reach.is_in_doubt(self.suspicion.lost_targets()) {
             return;
         }
-        let candidates = self.targets_to_check();
-        let is_checked = self.reach.failed_checks >= CHECKED_TARGETS || candidates.is_empty();
+        let is_checked =
+            self.reach.failed_checks >= CHECKED_TARGETS || self.targets_to_check().is_empty();
         let usable = self.targets.iter().filter(|target| {
             !self.is_evacuated(target) && !matches!(target.listing, ListingState::Replaced)
         });
@@ -123,11 +186,16 @@
         if is_checked && self.reach.failed.len() >= needed {
             self.begin_cut_off(now, actions);
         } else if self.reach.may_check(now) {
-            self.reach.last_check = Some(now);
-            self.reach.checked.clone_from(&candidates);
-            for target in candidates {
-                self.probe(target, actions);
-            }
+            self.begin_check(now, actions);
+        }
+    }
+
+    fn begin_check(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
+        let targets = self.targets_to_check();
+        self.reach.last_check = Some(now);
+        self.reach.checked.clone_from(&targets);
+        for target in targets {
+            self.probe(target, actions);
         }
     }
 
@@ -140,6 +208,9 @@
             .add(now + CUT_OFF_INTERVAL, TimerKind::ReachCheck);
         self.drop_doubted_losses();
         self.forward_all(now, actions);
+        for request in std::mem::take(&mut self.reach.waiting) {
+            self.finish(now, request, actions);
+        }
     }
 
     /// Probes a target while the daemon is cut off.
--- a/core/src/relay/request.rs
+++ b/core/src/relay/request.rs
@@ -116,6 +116,11 @@
         self.route.repeat == RepeatKind::NonIdempotent
     }
 
+    /// Returns whether another daemon may handle the request instead.
+    pub(super) fn is_movable(&self) -> bool {
+        !self.is_at_most_once() || self.legs.iter().all(|leg| !leg.may_have_run())
+    }
+
     /// Returns whether the answer is merged from the replies of several services.
     pub(super) fn is_gather(&self) -> bool {
         matches!(self.route.destination, RouteDestination::Gather { .. })
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -44,6 +44,9 @@
             });
             return;
         }
+        if request.origin != RequestOrigin::Caller {
+            self.check_reach_for_peer(now, actions);
+        }
         self.submit_here(now, request, actions);
     }
 
--- a/core/src/relay/timers.rs
+++ b/core/src/relay/timers.rs
@@ -30,6 +30,8 @@
     Probe { target: TargetKey },
     /// Probe a target, since none is reached.
     ReachCheck,
+    /// End a request that waits for the result of a check of the links.
+    VerdictWait { request: RequestKey },
     /// End a request that a peer has not answered.
     ForwardDeadline { request: RequestKey },
     /// Remove a target that has left.
--- a/core/tests/relay/cut_off.rs
+++ b/core/tests/relay/cut_off.rs
@@ -5,7 +5,8 @@
 
 use yuccalift_core::relay::{
     ForwardOrder, ForwardOutcome, PeerAddress, ProbeOutcome, RelayAnswer, RelayDecision,
-    RelayEvent, RelayRefusal, RepeatKind, RequestOrigin, TargetOutcome, TargetRecord, TargetReply,
+    RelayEvent, RelayRefusal, RepeatKind, RequestOrigin, RouteEntry, TargetOutcome, TargetRecord,
+    TargetReply,
 };
 use yuccalift_testkit::cases;
 
@@ -34,11 +35,16 @@
         forward_route("orders", RepeatKind::NonIdempotent, 2),
         forward_route("parts", RepeatKind::Idempotent, 2),
         gather_route(&SERVICES, 1.0),
+        RouteEntry {
+            name: "pair".into(),
+            prefix: "/pair/".into(),
+            ..gather_route(&SERVICES[..2], 1.0)
+        },
     ];
     let mut harness = RelayHarness::new(routes, targets);
     let peers = (0..PEERS).map(|number| PeerAddress {
         address: peer(number),
-        is_local: number > 0,
+        data_centre: if number > 0 { "here" } else { "there" }.into(),
     });
     harness.feed(RelayEvent::PeersChanged(peers.collect()));
     harness
@@ -350,3 +356,90 @@
         "{result:?}"
     );
 }
+
+/// Guards against a refusal of the very request by which a daemon finds out that it is cut off: hosts
+/// with few requests would refuse a large share of them.
+#[test]
+fn first_request_after_the_cut_is_forwarded() {
+    let mut harness = harness();
+    let request = harness.submit("gather", TIMEOUT);
+    for _ in 0..10 {
+        fail_everything(&mut harness, ProbeOutcome::Refused);
+    }
+    assert!(!harness.has_ended(request));
+    let order = *harness.forwards.first().expect("the request is forwarded");
+    assert_eq!(order.request, request);
+}
+
+/// Guards against a request that waits for ever for the result of a check.
+#[test]
+fn request_is_refused_if_a_check_takes_too_long() {
+    let mut harness = harness();
+    let request = harness.submit("pair", TIMEOUT);
+    for _ in 0..10 {
+        for (_, order) in std::mem::take(&mut harness.sends) {
+            harness.end(order.attempt, TargetOutcome::NotSent);
+        }
+    }
+    assert!(!harness.has_ended(request), "it waits for the check");
+    harness.advance(TIMEOUT - ms(1));
+    let result = &harness.end_of_request(request).result;
+    assert!(
+        matches!(result, Err(RelayRefusal::NotRun { .. })),
+        "{result:?}"
+    );
+}
+
+/// Guards against a daemon that accepts forwarded requests until its own callers have shown that it
+/// is cut off as well.
+#[test]
+fn peer_checks_its_own_links_when_it_is_asked() {
+    let mut harness = harness();
+    harness.origin = RequestOrigin::Peer { attempts_used: 0 };
+    let request = harness.submit("to-parts", TIMEOUT);
+    let until = harness.now + NOTICE_TIME;
+    while !is_cut_off(&harness) {
+        assert!(harness.now < until, "the daemon finds out in time");
+        fail_everything(&mut harness, ProbeOutcome::Refused);
+        harness.advance(ms(10));
+    }
+    let result = &harness.end_of_request(request).result;
+    assert!(
+        matches!(result, Err(RelayRefusal::CutOff { .. })),
+        "{result:?}"
+    );
+    assert_eq!(harness.forwards.len(), 0, "it is not forwarded again");
+}
+
+/// Guards against requests that ask one host after the other in a data centre that is cut off as a
+/// whole.
+#[test]
+fn other_data_centre_is_asked_after_a_refusal() {
+    let mut harness = harness();
+    let peers = (0..40).map(|number| PeerAddress {
+        address: peer(number),
+        data_centre: if number < 38 { "here" } else { "there" }.into(),
+    });
+    harness.feed(RelayEvent::PeersChanged(peers.collect()));
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    let request = harness.submit("to-parts", TIMEOUT);
+    while !harness.has_ended(request) {
+        let order = *harness.forwards.last().expect("the request is forwarded");
+        let is_served = order.peer == peer(38) || order.peer == peer(39);
+        let outcome = if is_served {
+            ForwardOutcome::Answered(reply())
+        } else {
+            ForwardOutcome::Unserved {
+                may_have_run: false,
+            }
+        };
+        end_forward(&mut harness, order, outcome);
+    }
+    let result = &harness.end_of_request(request).result;
+    assert!(matches!(result, Ok(RelayAnswer::FromPeer(_))), "{result:?}");
+    assert!(
+        harness.forwards.len() <= 3,
+        "{} peers were asked",
+        harness.forwards.len()
+    );
+}
--- a/daemon/src/relay/control.rs
+++ b/daemon/src/relay/control.rs
@@ -80,8 +80,8 @@
     driver: Rc<EngineDriver>,
     readiness: Rc<RelayReadiness>,
     last_daemon_count: Cell<u32>,
-    /// When the members last changed, and the addresses of the contacts, as passed to the engine.
-    last_peers: RefCell<Option<(Instant, Vec<SocketAddr>)>>,
+    /// When the members last changed, and the contacts, as passed to the engine.
+    last_peers: RefCell<Option<(Instant, Vec<PeerAddress>)>>,
     /// Whether the deployment uses evacuations; their keys are ignored otherwise.
     follows_evacuations: bool,
     /// Routes that are withheld until the evacuations known to the peers are known here.
@@ -207,21 +207,14 @@
     fn update_peers(&self) {
         let node = self.node.borrow();
         let contacts = node.contacts().records();
-        let remote: Vec<SocketAddr> = contacts.map(|record| record.address).collect();
+        let remote: Vec<PeerAddress> = contacts.map(peer_address).collect();
         let changed_at = node.members().last_changed();
         let known = (changed_at, remote);
         if self.last_peers.borrow().as_ref() == Some(&known) {
             return;
         }
-        let local = node.members().alive().map(|record| PeerAddress {
-            address: record.address,
-            is_local: true,
-        });
-        let remote = known.1.iter().map(|address| PeerAddress {
-            address: *address,
-            is_local: false,
-        });
-        let peers: Vec<PeerAddress> = local.chain(remote).collect();
+        let local = node.members().alive().map(peer_address);
+        let peers: Vec<PeerAddress> = local.chain(known.1.iter().cloned()).collect();
         self.last_peers.replace(Some(known));
         self.driver.feed(RelayEvent::PeersChanged(peers));
     }
@@ -382,6 +375,13 @@
     }
 }
 
+fn peer_address(record: &MemberRecord) -> PeerAddress {
+    PeerAddress {
+        address: record.address,
+        data_centre: record.data_centre.clone(),
+    }
+}
+
 fn control_settings(settings: &RelaySettings) -> ControlSettings {
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
