relay: pass on no peer's refusal of a request that a target may have

What callers saw: 503, which promises that a request has not run, although a target ran it; and refusals by a host whose only connected peer had failed a moment before. Cause: a peer's answer was passed on unchanged, but its "not run" speaks for itself alone, not for attempts before the request was forwarded. Held peers were not asked at all. Change: such a refusal becomes 502; held peers are asked at most four times a second if there is no other.

--- a/core/src/relay/finish.rs
+++ b/core/src/relay/finish.rs
@@ -10,7 +10,7 @@
 use super::{RelayEngine, RequestKey};
 
 /// HTTP statuses that tell the caller that its request has not run.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+pub(super) const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 impl RelayEngine {
     /// Ends a request if no leg is open, if it accepts a partial answer and has enough replies for
--- a/core/src/relay/peer_forwarding.rs
+++ b/core/src/relay/peer_forwarding.rs
@@ -9,6 +9,7 @@
 
 use super::action::{ForwardOrder, RelayAction, RelayAnswer, RelayDecision, RelayRefusal};
 use super::event::{ForwardOutcome, PeerAddress, RelayRequest, RequestOrigin};
+use super::finish::NOT_RUN_STATUSES;
 use super::request::AttemptDisposition;
 use super::route::{RepeatKind, ServiceName};
 use super::timers::TimerKind;
@@ -18,6 +19,8 @@
 const MAX_PEERS: usize = 6;
 /// Time for which a peer that served no request is not asked again; doubles with each further one.
 const INITIAL_HOLD: Duration = Duration::from_secs(1);
+/// Interval at which a held peer is asked if there is no other.
+const HELD_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of times that the time doubles.
 const MAX_DOUBLINGS: u32 = 3;
 /// Time after the deadline in which the answer of a peer still arrives.
@@ -109,10 +112,14 @@
             .map(|state| state.peer.data_centre.as_ref())
             .collect();
         held.sort_unstable();
-        let usable = self
-            .peers
-            .iter()
-            .filter(|state| !is_held(state) && !tried.contains(&state.peer.address));
+        let may_ask_held = |state: &PeerState| {
+            let last_sent = state.last_sent;
+            last_sent.is_none_or(|sent| now.saturating_duration_since(sent) >= HELD_INTERVAL)
+        };
+        let usable = self.peers.iter().filter(|state| {
+            let is_untried = !tried.contains(&state.peer.address);
+            is_untried && (!is_held(state) || may_ask_held(state))
+        });
         let load = |state: &PeerState| {
             let name = state.peer.data_centre.as_ref();
             let distance = if name == data_centre {
@@ -128,11 +135,17 @@
             let from = held.partition_point(|other| *other < name);
             let neighbours = held[from..].partition_point(|other| *other == name);
             let doubt = 1.0 + HELD_NEIGHBOUR_FACTOR * neighbours as f64;
-            f64::from(state.in_flight + 1) * distance * trust * doubt
+            let load = f64::from(state.in_flight + 1) * distance * trust * doubt;
+            (is_held(&state), load)
         };
         let least = usable.min_by(|left, right| {
-            let by_load = load(left).total_cmp(&load(right));
-            by_load.then(left.last_sent.cmp(&right.last_sent))
+            let (left_held, left_load) = load(left);
+            let (right_held, right_load) = load(right);
+            let by_load = left_load.total_cmp(&right_load);
+            left_held
+                .cmp(&right_held)
+                .then(by_load)
+                .then(left.last_sent.cmp(&right.last_sent))
         });
         least.map(|state| state.peer.address)
     }
@@ -306,6 +319,13 @@
             }));
         }
         let is_lost = match outcome {
+            // True for the peer, but not if a target may have the request from this daemon.
+            ForwardOutcome::Answered(reply)
+                if forwarded.may_have_run && NOT_RUN_STATUSES.contains(&reply.status) =>
+            {
+                refuse_forwarded(key, actions);
+                return;
+            }
             ForwardOutcome::Answered(reply) => {
                 let answer = RelayAnswer::FromPeer(reply);
                 actions.push(RelayAction::Answer {
@@ -345,14 +365,10 @@
             return;
         }
         if may_have_run {
-            actions.push(RelayAction::Refuse {
-                request: request.key,
-                refusal: RelayRefusal::Failed,
-                service: ServiceName::default(),
-            });
-            return;
+            refuse_forwarded(request.key, actions);
+        } else {
+            self.submit_here(now, request, actions);
         }
-        self.submit_here(now, request, actions);
     }
 
     /// Ends a forwarded request; returns false if there is none with that key.
@@ -390,3 +406,12 @@
         self.forwarding.requests.len()
     }
 }
+
+/// Refuses a request that a target may have run.
+fn refuse_forwarded(request: RequestKey, actions: &mut Vec<RelayAction>) {
+    actions.push(RelayAction::Refuse {
+        request,
+        refusal: RelayRefusal::Failed,
+        service: ServiceName::default(),
+    });
+}
--- a/core/tests/relay/cut_off.rs
+++ b/core/tests/relay/cut_off.rs
@@ -443,3 +443,52 @@
         harness.forwards.len()
     );
 }
+
+/// Guards against a peer's "not run" that is passed on although a target of this daemon may run the
+/// request.
+#[test]
+fn refusal_of_a_peer_is_not_passed_on_if_a_target_may_have_the_request() {
+    let mut harness = harness();
+    let request = harness.submit("to-parts", Duration::from_secs(10));
+    harness.sends.clear();
+    let until = harness.now + NOTICE_TIME;
+    while !is_cut_off(&harness) {
+        assert!(harness.now < until, "the daemon finds out in time");
+        harness.submit("gather", TIMEOUT);
+        harness.advance(CONNECT_TIMEOUT);
+        fail_everything(&mut harness, ProbeOutcome::NoResponse);
+    }
+    let mut forwards = harness.forwards.iter();
+    let order = forwards.find(|order| order.request == request);
+    let order = *order.expect("the request is forwarded");
+    let refusal = TargetReply {
+        status: 503,
+        signature: None,
+        ..reply()
+    };
+    end_forward(&mut harness, order, ForwardOutcome::Answered(refusal));
+    let result = &harness.end_of_request(request).result;
+    assert_eq!(*result, Err(RelayRefusal::Failed));
+}
+
+/// Guards against a host that refuses its callers since the only connected peer failed a moment ago.
+#[test]
+fn held_peer_is_asked_if_there_is_no_other() {
+    let mut harness = harness();
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    for _ in 0..3 {
+        harness.submit("to-parts", TIMEOUT);
+        let mut asked = 0;
+        while let Some(order) = harness.forwards.get(asked).copied() {
+            end_forward(&mut harness, order, ForwardOutcome::NotSent);
+            asked += 1;
+        }
+        harness.forwards.clear();
+        harness.advance(ms(300));
+    }
+    let request = harness.submit("to-parts", TIMEOUT);
+    let order = *harness.forwards.first().expect("a held peer is asked");
+    end_forward(&mut harness, order, ForwardOutcome::Answered(reply()));
+    let result = &harness.end_of_request(request).result;
+    assert!(matches!(result, Ok(RelayAnswer::FromPeer(_))), "{result:?}");
+}
