relay: serve callers until all targets are reached after a cut

What callers saw: 503 no_target in the first moments after a cut of their host from all targets had ended, on a busy machine in 3 of 7 runs of cut_off_hosts (up to 5 of 45 requests). Cause: the first connection that opened ended the forwarding, while the other targets were suspended until their next probes. Evidence: the log lines that the test prints, healed-0-5-all: no_target after 0 ms. Change: all unreachable targets are probed when the cut ends, and for a second a request that would be refused is still forwarded. Names in peer_forwarding.rs and peer_forward.rs are clearer; the driver's second time limit is gone.

--- a/core/src/relay/explanation.rs
+++ b/core/src/relay/explanation.rs
@@ -257,7 +257,7 @@
 }
 
 /// Returns the state of a request that arrives now with all the time that its route permits.
-fn explained_state(
+pub(super) fn explained_state(
     now: Instant,
     route: &Arc<RouteEntry>,
     services: &[ServiceName],
--- a/core/src/relay/peer_forwarding.rs
+++ b/core/src/relay/peer_forwarding.rs
@@ -45,6 +45,15 @@
     last_sent: Option<Instant>,
 }
 
+/// What may have happened to a request before it is forwarded.
+#[derive(Clone, Copy, Debug, Default)]
+struct FormerAttempts {
+    /// Number of attempts that targets may have received from this daemon or from a peer.
+    used: u32,
+    /// Whether a target may have run the request.
+    may_have_run: bool,
+}
+
 /// A request that a peer serves.
 #[derive(Debug)]
 struct ForwardedRequest {
@@ -52,9 +61,7 @@
     peer: SocketAddr,
     tried: Vec<SocketAddr>,
     sent_at: Instant,
-    /// Number of attempts that targets may have received from this daemon or from a peer.
-    attempts_used: u32,
-    may_have_run: bool,
+    former: FormerAttempts,
 }
 
 /// The peers, and the requests that they serve for this daemon.
@@ -198,18 +205,22 @@
 }
 
 impl RelayEngine {
-    /// Forwards a caller's request to a peer if this daemon is cut off; returns false if the request
-    /// must be handled here.
+    /// Forwards a caller's request to a peer if this daemon is cut off, or was just now and has no
+    /// target for the request yet; returns false if the request must be handled here.
     pub(super) fn forward_if_cut_off(
         &mut self,
         now: Instant,
         request: &RelayRequest,
         actions: &mut Vec<RelayAction>,
     ) -> bool {
-        if !self.reach.is_cut_off() || request.origin != RequestOrigin::Caller {
+        let is_unserved =
+            || self.reach.is_regaining(now) && self.is_without_targets(now, &request.route);
+        let is_due = self.reach.is_cut_off() || is_unserved();
+        if request.origin != RequestOrigin::Caller || !is_due {
             return false;
         }
-        self.forward(now, request.clone(), Vec::new(), (0, false), actions)
+        let former = FormerAttempts::default();
+        self.forward(now, request.clone(), Vec::new(), former, actions)
     }
 
     /// Forwards a request to a peer that has not been tried; returns false if there is none.
@@ -218,7 +229,7 @@
         now: Instant,
         request: RelayRequest,
         mut tried: Vec<SocketAddr>,
-        (attempts_used, may_have_run): (u32, bool),
+        former: FormerAttempts,
         actions: &mut Vec<RelayAction>,
     ) -> bool {
         let deadline = request.deadline.min(now + request.route.timeout);
@@ -239,7 +250,7 @@
             peer,
             deadline,
             at_most_once: request.route.repeat == RepeatKind::NonIdempotent,
-            attempts_used,
+            attempts_used: former.used,
         }));
         self.forwarding.add(
             now,
@@ -251,8 +262,7 @@
                 peer,
                 tried,
                 sent_at: now,
-                attempts_used,
-                may_have_run,
+                former,
             },
         );
         true
@@ -281,8 +291,11 @@
             };
             match request.origin {
                 RequestOrigin::Caller => {
-                    let progress = (used, used > 0);
-                    if self.forward(now, request, Vec::new(), progress, actions) {
+                    let former = FormerAttempts {
+                        used,
+                        may_have_run: used > 0,
+                    };
+                    if self.forward(now, request, Vec::new(), former, actions) {
                         self.remove_request(now, key, AttemptDisposition::Cancelled, actions);
                     }
                 }
@@ -321,7 +334,7 @@
         let is_lost = match outcome {
             // True for the peer, but not if a target may have the request from this daemon.
             ForwardOutcome::Answered(reply)
-                if forwarded.may_have_run && NOT_RUN_STATUSES.contains(&reply.status) =>
+                if forwarded.former.may_have_run && NOT_RUN_STATUSES.contains(&reply.status) =>
             {
                 refuse_forwarded(key, actions);
                 return;
@@ -354,17 +367,16 @@
         let ForwardedRequest {
             request,
             tried,
-            attempts_used,
-            may_have_run,
+            mut former,
             ..
         } = forwarded;
-        let may_have_run = may_have_run || is_lost;
-        let is_repeatable = request.route.repeat == RepeatKind::Idempotent || !may_have_run;
-        let progress = (attempts_used + u32::from(is_lost), may_have_run);
-        if is_repeatable && self.forward(now, request.clone(), tried, progress, actions) {
+        former.used += u32::from(is_lost);
+        former.may_have_run |= is_lost;
+        let is_repeatable = request.route.repeat == RepeatKind::Idempotent || !former.may_have_run;
+        if is_repeatable && self.forward(now, request.clone(), tried, former, actions) {
             return;
         }
-        if may_have_run {
+        if former.may_have_run {
             refuse_forwarded(request.key, actions);
         } else {
             self.submit_here(now, request, actions);
--- a/core/src/relay/reach.rs
+++ b/core/src/relay/reach.rs
@@ -23,6 +23,8 @@
 const DOUBT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum time for which a request waits for the result of a check before it is refused.
 const MAX_VERDICT_WAIT: Duration = Duration::from_millis(500);
+/// Time after a cut in which the other targets are found to be reachable again.
+const REGAIN_TIME: Duration = Duration::from_secs(1);
 /// Interval of the probes by which a daemon that is cut off finds out that it no longer is.
 const CUT_OFF_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -42,6 +44,8 @@
     last_check: Option<Instant>,
     /// When the daemon was found to be cut off from all targets.
     cut_off_at: Option<Instant>,
+    /// When a target was reached again after a cut.
+    regained_at: Option<Instant>,
     /// Target that was probed last while cut off; all take turns.
     last_probed: TargetKey,
 }
@@ -52,6 +56,12 @@
         self.cut_off_at.is_some()
     }
 
+    /// Returns whether a cut has ended so recently that targets which work may still be suspended.
+    pub(super) fn is_regaining(&self, now: Instant) -> bool {
+        self.regained_at
+            .is_some_and(|at| now.saturating_duration_since(at) < REGAIN_TIME)
+    }
+
     /// Returns whether so many targets failed together, with those in `losses`, that the links of
     /// this daemon may be the cause.
     pub(super) fn is_in_doubt(&self, losses: impl Iterator<Item = TargetKey>) -> bool {
@@ -113,6 +123,12 @@
             actions.push(RelayAction::Decided(RelayDecision::TargetsRegained {
                 outage,
             }));
+            self.reach.regained_at = Some(now);
+            let unreachable = self.targets.iter().filter(|target| !target.is_reachable());
+            let keys: Vec<TargetKey> = unreachable.map(|target| target.key).collect();
+            for key in keys {
+                self.probe(key, actions);
+            }
         }
         for request in std::mem::take(&mut self.reach.waiting) {
             self.finish(now, request, actions);
--- a/core/src/relay/submit.rs
+++ b/core/src/relay/submit.rs
@@ -5,6 +5,7 @@
 use super::action::{RefusalCause, RelayAction, RelayRefusal, SendCause};
 use super::choice::TargetChoice;
 use super::event::{RelayRequest, RequestOrigin};
+use super::explanation::explained_state;
 use super::request::{RequestLeg, RequestState};
 use super::route::{RouteDestination, RouteEntry, ServiceName, WeightedService};
 use super::timers::TimerKind;
@@ -116,6 +117,18 @@
         self.finish_if_settled(now, key, actions);
     }
 
+    /// Returns whether the next request on a route would be refused, since too few of its services
+    /// have a usable target.
+    pub(super) fn is_without_targets(
+        &self,
+        now: Instant,
+        route: &std::sync::Arc<RouteEntry>,
+    ) -> bool {
+        let next = self.next_services(route);
+        let state = explained_state(now, route, &next);
+        self.refusal_cause(now, &state).is_some()
+    }
+
     /// Returns the services that a request on the route is sent to, and counts it.
     fn select_services(&mut self, route: &RouteEntry) -> Vec<ServiceName> {
         let services = self.next_services(route);
--- a/core/tests/relay/cut_off.rs
+++ b/core/tests/relay/cut_off.rs
@@ -492,3 +492,25 @@
     let result = &harness.end_of_request(request).result;
     assert!(matches!(result, Ok(RelayAnswer::FromPeer(_))), "{result:?}");
 }
+
+/// Guards against refusals right after a cut, while most targets are still taken for unreachable.
+#[test]
+fn request_is_forwarded_until_its_targets_are_reached_again() {
+    let mut harness = harness();
+    cut_off(&mut harness, ProbeOutcome::NoResponse);
+    harness.advance(ms(500));
+    let probe = harness.probes.pop().expect("a target is probed");
+    fail_everything(&mut harness, ProbeOutcome::NoResponse);
+    harness.probes.clear();
+    let (target, outcome) = (probe.target, ProbeOutcome::Reached);
+    harness.feed(RelayEvent::Probed { target, outcome });
+    assert!(!is_cut_off(&harness));
+    assert!(
+        harness.probes.len() >= 5,
+        "the other targets are probed at once"
+    );
+    harness.forwards.clear();
+    let request = harness.submit("gather", TIMEOUT);
+    let order = *harness.forwards.first().expect("the request is forwarded");
+    assert_eq!(order.request, request);
+}
--- a/daemon/src/relay/peer_forward.rs
+++ b/daemon/src/relay/peer_forward.rs
@@ -14,7 +14,9 @@
 use tokio_util::sync::CancellationToken;
 use yuccalift_core::relay::{ForwardOrder, ForwardOutcome, RequestOrigin};
 use yuccalift_exchange::{AnswerOwner, ExchangeAnswer, ExchangeLink, OutgoingRequest};
-use yuccalift_platform::caller::{empty_answer, relayed_reply, time_left_headers};
+use yuccalift_platform::caller::{
+    empty_answer, is_target_answer, relayed_reply, time_left_headers,
+};
 
 use super::attempt::CallerMessage;
 use super::peer_call::PEER_LINK_OPTIONS;
@@ -28,8 +30,6 @@
 const MAY_HAVE_RUN: &str = "may-have-run";
 /// Time for which an idle connection to a peer is kept; peers keep them longer.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(5);
-/// Time after the deadline in which the peer's answer still arrives.
-const ANSWER_SLACK: Duration = Duration::from_millis(100);
 
 /// An idle connection to a peer.
 struct IdlePeerLink {
@@ -53,19 +53,17 @@
         }
     }
 
-    /// Forwards a request to a peer and waits for its answer, the deadline or a cancellation, which
-    /// close the connection and thereby end the request at the peer.
+    /// Forwards a request to a peer and waits for its answer or a cancellation, which closes the
+    /// connection and thereby ends the request at the peer.
     pub(super) async fn forward(
         &self,
         order: &ForwardOrder,
         message: &CallerMessage,
         cancel: CancellationToken,
     ) -> ForwardOutcome {
-        let deadline = tokio::time::Instant::from_std(order.deadline + ANSWER_SLACK);
         let link = tokio::select! {
             link = self.check_out(order) => link,
             () = cancel.cancelled() => return ForwardOutcome::NotSent,
-            () = tokio::time::sleep_until(deadline) => return ForwardOutcome::NotSent,
         };
         let Ok(link) = link else {
             return ForwardOutcome::NotSent;
@@ -73,7 +71,6 @@
         tokio::select! {
             outcome = self.exchange(link, order, message) => outcome,
             () = cancel.cancelled() => ForwardOutcome::Lost,
-            () = tokio::time::sleep_until(deadline) => ForwardOutcome::Lost,
         }
     }
 
@@ -142,7 +139,7 @@
         Some(_) => ForwardOutcome::Unserved {
             may_have_run: false,
         },
-        None if answer.status == StatusCode::NOT_FOUND && !is_signed(&answer) => {
+        None if answer.status == StatusCode::NOT_FOUND && !is_target_answer(&answer) => {
             ForwardOutcome::Unserved {
                 may_have_run: false,
             }
@@ -151,10 +148,6 @@
     }
 }
 
-fn is_signed(answer: &ExchangeAnswer) -> bool {
-    yuccalift_platform::caller::is_target_answer(answer)
-}
-
 /// Returns the origin of a request that a peer has forwarded; `None` if it is none.
 pub(super) fn forwarded_origin(request: &Request) -> Option<RequestOrigin> {
     let used = request.head().headers.get(FORWARDED)?;
