--- a/core/tests/relay/cut_off.rs
+++ b/core/tests/relay/cut_off.rs
@@ -5,8 +5,8 @@
 
 use yuccalift_core::relay::{
     ForwardOrder, ForwardOutcome, PeerAddress, ProbeOutcome, RelayAnswer, RelayDecision,
-    RelayEvent, RelayRefusal, RepeatKind, RequestOrigin, RouteEntry, TargetOutcome, TargetRecord,
-    TargetReply,
+    RelayEvent, RelayRefusal, RepeatKind, RequestKey, RequestOrigin, RouteEntry, TargetOutcome,
+    TargetRecord, TargetReply,
 };
 use yuccalift_testkit::cases;
 
@@ -87,6 +87,21 @@
     harness.cancelled_forwards.clear();
 }
 
+/// Sends requests of which all attempts fail until the relay knows that it is cut off, and returns
+/// how it then forwards an earlier request.
+fn lose_targets(harness: &mut RelayHarness, request: RequestKey) -> ForwardOrder {
+    let until = harness.now + NOTICE_TIME;
+    while !is_cut_off(harness) {
+        assert!(harness.now < until, "the daemon finds out in time");
+        harness.submit("gather", TIMEOUT);
+        harness.advance(CONNECT_TIMEOUT);
+        fail_everything(harness, ProbeOutcome::NoResponse);
+    }
+    let mut forwards = harness.forwards.iter();
+    let order = forwards.find(|order| order.request == request);
+    *order.expect("the request is forwarded")
+}
+
 fn reply() -> TargetReply {
     TargetReply {
         status: 200,
@@ -129,16 +144,7 @@
     let mut harness = harness();
     let request = harness.submit("to-parts", Duration::from_secs(10));
     harness.sends.clear();
-    let until = harness.now + NOTICE_TIME;
-    while !is_cut_off(&harness) {
-        assert!(harness.now < until, "the daemon finds out in time");
-        harness.submit("gather", TIMEOUT);
-        harness.advance(CONNECT_TIMEOUT);
-        fail_everything(&mut harness, ProbeOutcome::NoResponse);
-    }
-    let mut forwards = harness.forwards.iter();
-    let order = forwards.find(|order| order.request == request);
-    let order = order.expect("the request is forwarded");
+    let order = lose_targets(&mut harness, request);
     assert_eq!(order.attempts_used, 1);
 }
 
@@ -451,16 +457,7 @@
     let mut harness = harness();
     let request = harness.submit("to-parts", Duration::from_secs(10));
     harness.sends.clear();
-    let until = harness.now + NOTICE_TIME;
-    while !is_cut_off(&harness) {
-        assert!(harness.now < until, "the daemon finds out in time");
-        harness.submit("gather", TIMEOUT);
-        harness.advance(CONNECT_TIMEOUT);
-        fail_everything(&mut harness, ProbeOutcome::NoResponse);
-    }
-    let mut forwards = harness.forwards.iter();
-    let order = forwards.find(|order| order.request == request);
-    let order = *order.expect("the request is forwarded");
+    let order = lose_targets(&mut harness, request);
     let refusal = TargetReply {
         status: 503,
         signature: None,
