store: no watch waits for changes after a revision of another era

Callers could see: a change that the operator had confirmed was not in force within 3 s after the store had been restored and was away only for a moment. Cause: a watch that begins after the restoration asks for what came after a revision of the former era. If the store has assigned that revision again, it has nothing to tell and holds the call for 3 s; the era is learned only with the answer. The control plane asks for an answer at once only after a failed call, and none fails if the store is away between two calls. Change: a watch waits only on a connection on which the store has answered in the known era; otherwise the store is asked to answer at once.

--- a/daemon/src/relay/store_reader.rs
+++ b/daemon/src/relay/store_reader.rs
@@ -80,7 +80,7 @@
             return self.read_all().await;
         }
         let progress = self.client.progress();
-        let watch = self.client.watch(after.version, wait);
+        let watch = self.client.watch(after.era, after.version, wait);
         match limit_call(&progress, wait, watch).await {
             Ok(page) if page.era != after.era => self.read_all().await,
             Ok(page) => Ok(StoreChanges {
