daemon: name the client of forwarded requests forward_client

Cause: peer_forward (daemon) and peer_forwarding (core) could not be told apart. Change: a rename. Measured: clippy and cut_off_hosts (5 tests) pass.

--- a/daemon/src/relay/caller_listener.rs
+++ b/daemon/src/relay/caller_listener.rs
@@ -18,7 +18,7 @@
 
 use super::attempt::CallerMessage;
 use super::engine_driver::{EngineDriver, RefusedRequest, RelayResult};
-use super::peer_forward::{remove_mark, unserved_answer};
+use super::forward_client::{remove_mark, unserved_answer};
 use super::readiness::RelayReadiness;
 use super::report::RequestEnd;
 use super::request_body::RequestBody;
--- a/daemon/src/relay/engine_driver.rs
+++ b/daemon/src/relay/engine_driver.rs
@@ -16,7 +16,7 @@
 use yuccalift_platform::self_report::DecodedReport;
 
 use super::attempt::{CallerMessage, run_attempt};
-use super::peer_forward::PeerLinks;
+use super::forward_client::PeerLinks;
 use super::pool::LinkPool;
 use super::report::RelayReport;
 use crate::quarantine_driver::log_quarantine_notice;
--- a/daemon/src/relay/mod.rs
+++ b/daemon/src/relay/mod.rs
@@ -9,7 +9,7 @@
 //! - `request_body`: the body of a request, which may never end.
 //! - `engine_driver`: drives the engine of [`yuccalift_core::relay`], its timers and its callers.
 //! - `attempt`, `pool`: one request to one target, and the pool of connections to targets.
-//! - `peer_forward`: forwards requests to peers while no target is reached.
+//! - `forward_client`: forwards requests to peers while no target is reached.
 //! - `peer_call`: sends a message of the control plane to a peer.
 //! - `control`: the control plane of [`yuccalift_core::control`], its exchanges with peers, and the
 //!   application of its values; `store_reader` reads the platform's store for it.
@@ -25,10 +25,10 @@
 mod control;
 mod decision_report;
 mod engine_driver;
+mod forward_client;
 mod host_limits;
 mod metrics_listener;
 mod peer_call;
-mod peer_forward;
 mod pool;
 pub mod process;
 mod readiness;
