--- a/core/tests/relay/main.rs
+++ b/core/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod departures;
 mod evacuations;
 mod explanations;
+mod forward_refusals;
 mod forwarding;
 mod gathering;
 mod goodput;
