relay: keep an evacuation that a restored store lacks until it is written again

Operators would see requests reach an evacuated data centre for the time from the restoration of the store until the evacuation is written again. Targets already had the time to be listed again; evacuations had not. Change: an evacuation whose key disappears within that time (2.2 s after the list was regained) ends only when the time is over, unless it is listed again.

--- a/core/src/relay/directory.rs
+++ b/core/src/relay/directory.rs
@@ -17,8 +17,9 @@
 /// Share of the drain time after which a target that is no longer listed is never used, even if its
 /// listing may only have expired; the rest of the drain time covers the propagation delay.
 const MAX_SERVING_SHARE: f64 = 0.75;
-/// Time after the list becomes reachable again during which targets may be missing only because
-/// their listing expired in the meantime; targets renew their listing within about two seconds.
+/// Time after the list becomes reachable again during which targets and evacuations may be missing
+/// only because their listing expired in the meantime, or since the list was restored from an older
+/// copy; targets renew their listing within about two seconds.
 const RELIST_TIME: Duration = Duration::from_millis(2_200);
 /// Share of the drain time during which a leaving target is used if there is no other. Three
 /// fifths of the drain time are reserved for propagating the departure between daemons.
@@ -120,12 +121,16 @@
     fn unlisted_until(&self, now: Instant) -> Instant {
         let default_until = now + self.options.tuning.drain_time.mul_f64(UNLISTED_SHARE);
         let latest = now + self.options.tuning.drain_time.mul_f64(MAX_SERVING_SHARE);
-        let relisted_by = self.list_regained_at.map(|regained| regained + RELIST_TIME);
-        relisted_by.map_or(default_until, |relisted_by| {
+        self.relisted_by().map_or(default_until, |relisted_by| {
             relisted_by.min(latest).max(default_until)
         })
     }
 
+    /// Returns the time by which all that exists is listed again, after the list was not reachable.
+    pub(super) fn relisted_by(&self) -> Option<Instant> {
+        self.list_regained_at.map(|regained| regained + RELIST_TIME)
+    }
+
     /// Returns how long a leaving target is used if there is no other.
     pub(super) fn last_resort_time(&self) -> Duration {
         self.options.tuning.drain_time.mul_f64(LAST_RESORT_SHARE)
--- a/core/src/relay/evacuation.rs
+++ b/core/src/relay/evacuation.rs
@@ -1,7 +1,9 @@
 //! Data centres that are evacuated: [`EvacuationSet`].
 //!
 //! Nothing is sent to the targets of an evacuated data centre. What is already running there runs to
-//! its end. See `docs/DESIGN.md`, "Evacuated data centres".
+//! its end. An evacuation that ends right after the platform's list was regained may be missing only
+//! because the platform has lost it, and is kept until it could have been written again. See
+//! `docs/DESIGN.md`, "Evacuated data centres".
 
 use std::time::Instant;
 
@@ -10,6 +12,7 @@
 use super::route::ServiceName;
 use super::target::RelayTarget;
 use super::target_hold::MAX_COLD_TIME;
+use super::timers::TimerKind;
 use crate::ids::DataCentreName;
 
 /// The evacuated data centres, and those whose evacuation has ended.
@@ -17,6 +20,8 @@
 pub(super) struct EvacuationSet {
     /// The evacuated data centres, sorted by name.
     data_centres: Vec<DataCentreName>,
+    /// Those of them whose evacuation ends unless it begins again before then.
+    unconfirmed: Vec<DataCentreName>,
     /// The data centres whose evacuation ended within [`MAX_COLD_TIME`] before the last change, with
     /// the time of the end, sorted by name.
     ended: Vec<(DataCentreName, Instant)>,
@@ -69,13 +74,48 @@
         self.evacuations.contains(&target.record.data_centre)
     }
 
-    /// Begins or ends the evacuation of a data centre.
+    /// Handles that an evacuation has appeared in the platform's list or is missing from it.
     pub(super) fn handle_evacuation(
         &mut self,
         now: Instant,
         data_centre: &str,
         active: bool,
         actions: &mut Vec<RelayAction>,
+    ) {
+        let unconfirmed = &mut self.evacuations.unconfirmed;
+        unconfirmed.retain(|name| name.as_ref() != data_centre);
+        let relisted_by = self.relisted_by().filter(|until| now < *until);
+        match relisted_by.filter(|_| !active && self.evacuations.contains(data_centre)) {
+            Some(until) => {
+                self.evacuations.unconfirmed.push(data_centre.into());
+                self.timers.add(until, TimerKind::EvacuationCheck);
+            }
+            None => self.change_evacuation(now, data_centre, active, actions),
+        }
+    }
+
+    /// Ends the evacuations that have not begun again in time.
+    pub(super) fn end_unconfirmed_evacuations(
+        &mut self,
+        now: Instant,
+        actions: &mut Vec<RelayAction>,
+    ) {
+        if let Some(until) = self.relisted_by().filter(|until| now < *until) {
+            self.timers.add(until, TimerKind::EvacuationCheck);
+            return;
+        }
+        for data_centre in std::mem::take(&mut self.evacuations.unconfirmed) {
+            self.change_evacuation(now, &data_centre, false, actions);
+        }
+    }
+
+    /// Begins or ends the evacuation of a data centre.
+    fn change_evacuation(
+        &mut self,
+        now: Instant,
+        data_centre: &str,
+        active: bool,
+        actions: &mut Vec<RelayAction>,
     ) {
         if !self.evacuations.set(now, data_centre, active) {
             return;
--- a/core/src/relay/mod.rs
+++ b/core/src/relay/mod.rs
@@ -301,6 +301,7 @@
                 TimerKind::ForwardDeadline { request } => {
                     self.drop_forwarded(request, Some(RelayRefusal::TimedOut), actions);
                 }
+                TimerKind::EvacuationCheck => self.end_unconfirmed_evacuations(now, actions),
                 TimerKind::Departure { target } => self.end_departure(now, target, actions),
             }
         }
--- a/core/src/relay/timers.rs
+++ b/core/src/relay/timers.rs
@@ -34,6 +34,8 @@
     VerdictWait { request: RequestKey },
     /// End a request that a peer has not answered.
     ForwardDeadline { request: RequestKey },
+    /// End the evacuations that are no longer listed.
+    EvacuationCheck,
     /// Remove a target that has left.
     Departure { target: TargetKey },
 }
--- a/core/tests/relay/evacuations.rs
+++ b/core/tests/relay/evacuations.rs
@@ -263,7 +263,43 @@
     assert_eq!(changes.collect::<Vec<_>>(), [(true, 1), (false, 0)]);
 }
 
+/// Returns a relay with an evacuated data centre whose evacuation a restored store does not list.
+fn relay_without_the_key() -> RelayHarness {
+    let mut harness = relay_with(&["here", "south"], RepeatKind::Idempotent);
+    evacuate(&mut harness, "here", true);
+    harness.feed(RelayEvent::ListRegained);
+    evacuate(&mut harness, "here", false);
+    harness
+}
+
+/// Guards against requests to an evacuated data centre from the restoration of the store until the
+/// evacuation is written again.
+fn evacuation_written_again_is_not_interrupted() {
+    let mut harness = relay_without_the_key();
+    harness.warm_up("to-s0", 5, ms(5));
+    harness.advance(ms(1_000));
+    evacuate(&mut harness, "here", true);
+    harness.advance(Duration::from_secs(10));
+    harness.warm_up("to-s0", 5, ms(5));
+    assert_eq!(names_sent(&harness), ["s0-south"; 10]);
+}
+
+/// Guards against an evacuation that outlives its key, also if the store is restored again meanwhile.
+fn evacuation_not_written_again_ends(restorations: usize) {
+    let mut harness = relay_without_the_key();
+    for _ in 1..restorations {
+        harness.advance(ms(1_000));
+        harness.feed(RelayEvent::ListRegained);
+    }
+    harness.advance(Duration::from_secs(3));
+    harness.warm_up("to-s0", 10, ms(5));
+    assert!(names_sent(&harness).contains(&"s0-here"));
+}
+
 cases! {
+    an_evacuation_written_again_is_not_interrupted: evacuation_written_again_is_not_interrupted();
+    an_evacuation_not_written_again_ends: evacuation_not_written_again_ends(1);
+    an_evacuation_lost_twice_ends: evacuation_not_written_again_ends(2);
     a_first_attempt_avoids_an_evacuated_data_centre: first_attempts_avoid_the_data_centre();
     a_retry_avoids_an_evacuated_data_centre: retries_avoid_the_data_centre();
     a_hedge_avoids_an_evacuated_data_centre: hedges_avoid_the_data_centre();
