relay: do not probe the target whose answer ended a cut

Cause: the end of a cut probes all targets that are taken for unreachable, and the one whose probe was just answered still counted as such. Change: it counts as reached before the others are probed.

--- a/core/src/relay/probing.rs
+++ b/core/src/relay/probing.rs
@@ -136,18 +136,16 @@
         };
         state.probe_pending = false;
         match outcome {
-            ProbeOutcome::Reached => self.record_link_opened(now, actions),
+            ProbeOutcome::Reached => {}
             ProbeOutcome::Refused => return self.suspend_unreachable(now, target, actions),
             ProbeOutcome::NoResponse => {
                 self.suspend_unreachable(now, target, actions);
                 return self.cancel_unresponsive_attempts(now, target, actions);
             }
         }
-        let Some(state) = self.targets.get_mut(target) else {
-            return;
-        };
-        if state.record_reached(now) {
-            let record = state.record.clone();
+        let resumed = state.record_reached(now).then(|| state.record.clone());
+        self.record_link_opened(now, actions);
+        if let Some(record) = resumed {
             let decision = RelayDecision::Resumed {
                 target: record.name,
             };
--- a/core/tests/relay/cut_off.rs
+++ b/core/tests/relay/cut_off.rs
@@ -365,6 +365,11 @@
         harness.probes.len() >= 5,
         "the other targets are probed at once"
     );
+    let mut probes = harness.probes.iter();
+    assert!(
+        probes.all(|probe| probe.target != target),
+        "the one that was reached is not probed again"
+    );
     harness.forwards.clear();
     let request = harness.submit("gather", TIMEOUT);
     let order = *harness.forwards.first().expect("the request is forwarded");
