relay: a daemon with fewer than four targets finds out that it is cut off

Callers of a host without links to its targets were refused for the whole cut if the deployment has three targets or fewer. Cause: the links were in doubt only from four failed targets on; nothing scaled that down, although the bound that follows it (six) is scaled. Change: all known targets that have failed are reason enough to check. Whether a loss is blamed on its request still needs four, so that a request that crashes all of few targets is held back as before. With four targets or more nothing changes.

--- a/core/src/relay/reach.rs
+++ b/core/src/relay/reach.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::action::{RelayAction, RelayDecision};
-use super::target::ListingState;
+use super::target::{ListingState, RelayTarget};
 use super::timers::TimerKind;
 use super::{RelayEngine, RequestKey, TargetKey};
 
@@ -15,7 +15,7 @@
 /// are in doubt.
 const DOUBTFUL_FAILURES: usize = 4;
 /// Number of such targets from which the daemon is cut off, if it has checked some that had not
-/// failed before; fewer if it knows fewer.
+/// failed before; all of them if it knows fewer.
 const CUT_OFF_FAILURES: usize = 6;
 /// Number of targets that one check probes.
 const CHECKED_TARGETS: usize = 2;
@@ -190,15 +190,13 @@
     /// Decides whether the daemon is cut off if its links are in doubt. Probes targets that have not
     /// failed before: many that are known to have failed can fail once more at the same time.
     pub(super) fn check_doubtful_reach(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
-        if !self.reach.is_in_doubt(self.suspicion.lost_targets()) {
+        let needed = self.usable_targets().take(CUT_OFF_FAILURES).count();
+        let have_all_failed = needed > 0 && self.reach.failed.len() >= needed;
+        if !have_all_failed && !self.reach.is_in_doubt(self.suspicion.lost_targets()) {
             return;
         }
         let is_checked =
             self.reach.failed_checks >= CHECKED_TARGETS || self.targets_to_check().is_empty();
-        let usable = self.targets.iter().filter(|target| {
-            !self.is_evacuated(target) && !matches!(target.listing, ListingState::Replaced)
-        });
-        let needed = usable.count().min(CUT_OFF_FAILURES);
         if is_checked && self.reach.failed.len() >= needed {
             self.begin_cut_off(now, actions);
         } else if self.reach.may_check(now) {
@@ -206,6 +204,13 @@
         }
     }
 
+    /// Returns the targets that requests may be sent to when they are reached.
+    fn usable_targets(&self) -> impl Iterator<Item = &RelayTarget> {
+        self.targets.iter().filter(|target| {
+            !self.is_evacuated(target) && !matches!(target.listing, ListingState::Replaced)
+        })
+    }
+
     fn begin_check(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
         let targets = self.targets_to_check();
         self.reach.last_check = Some(now);
--- a/core/tests/relay/cut_off.rs
+++ b/core/tests/relay/cut_off.rs
@@ -178,6 +178,37 @@
     assert_eq!(harness.end_of_request(request).result, Err(refusal));
 }
 
+/// Guards against a daemon that knows too few targets to doubt its links.
+fn host_with_few_targets_is_cut_off(count: usize) {
+    let targets = (0..count).map(|number| target(&format!("parts-{number}"), "parts"));
+    let routes = vec![forward_route("parts", RepeatKind::Idempotent, 2)];
+    let mut harness = RelayHarness::new(routes, targets.collect());
+    harness.feed(RelayEvent::PeersChanged(vec![PeerAddress {
+        address: peer(0),
+        data_centre: "here".into(),
+    }]));
+    let until = harness.now + NOTICE_TIME;
+    while !is_cut_off(&harness) {
+        assert!(harness.now < until, "the daemon finds out in time");
+        harness.submit("to-parts", TIMEOUT);
+        harness.advance(CONNECT_TIMEOUT);
+        fail_everything(&mut harness, ProbeOutcome::NoResponse);
+    }
+    let request = harness.submit("to-parts", TIMEOUT);
+    assert!(
+        harness
+            .forwards
+            .iter()
+            .any(|order| order.request == request)
+    );
+}
+
+cases! {
+    host_with_one_target_is_cut_off: host_with_few_targets_is_cut_off(1);
+    host_with_two_targets_is_cut_off: host_with_few_targets_is_cut_off(2);
+    host_with_three_targets_is_cut_off: host_with_few_targets_is_cut_off(3);
+}
+
 /// Guards against a daemon that goes on forwarding after the cut has ended.
 #[test]
 fn requests_go_to_targets_again_after_the_cut() {
