--- a/cli/src/soak.rs
+++ b/cli/src/soak.rs
@@ -1,12 +1,15 @@
 //! `yuccalift soak`: injects random faults into real daemons on this machine and checks the
 //! guarantees.
 
+use std::io;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use lexopt::prelude::{Long, Short, ValueExt};
-use yuccalift_platform_standins::site::sibling_program;
+use yuccalift_platform_standins::site::{RelaySite, sibling_program};
 use yuccalift_platform_standins::soak::{
-    FaultPlan, GuaranteeViolation, check_guarantees, request_log_lines, run_soak, shed_requests,
+    FaultPlan, GuaranteeViolation, RecordedCall, SoakRecord, check_guarantees, request_log_lines,
+    run_soak, shed_requests,
 };
 
 use crate::error::CommandError;
@@ -14,7 +17,7 @@
 const HELP: &str = "\
 yuccalift soak: inject random faults into real daemons on this machine and check the guarantees
 
-Usage: yuccalift soak [--seed N] [--seconds S] [--daemons N] [--site N]
+Usage: yuccalift soak [--seed N] [--seconds S] [--daemons N] [--site N] [--logs DIR]
 
 Options:
   --seed N     seed of the fault plan (default 1)
@@ -22,6 +25,8 @@
   --daemons N  number of daemons, 1 to 200 (default 3)
   --site N     number from 0 to 250, different for each soak that runs at the same time
                (default 0)
+  --logs DIR   folder to which the daemons' log lines and the calls are written if a guarantee is
+               violated; it is created if needed
 
 Exit status: 0 no guarantee violated, 1 at least one violated, 2 invalid usage.
 ";
@@ -36,6 +41,7 @@
     seconds: u64,
     daemons: u8,
     site: u8,
+    logs: Option<PathBuf>,
 }
 
 /// Runs the subcommand.
@@ -91,10 +97,40 @@
             println!("  {line}");
         }
     }
+    if let Some(folder) = &options.logs
+        && let Err(error) = write_logs(folder, &record, &site)
+    {
+        println!("the logs can't be written to {}: {error}", folder.display());
+    }
     let message = format!("guarantees were violated {} times", violations.len());
     Err(CommandError::failed("soak", &message))
 }
 
+/// Writes a file for each daemon's log lines, and one for the calls in the order of their beginning.
+fn write_logs(folder: &Path, record: &SoakRecord, site: &RelaySite) -> io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    for (index, daemon) in site.daemons.iter().enumerate() {
+        let lines = daemon.log_lines_containing("").join("\n");
+        std::fs::write(folder.join(format!("daemon-{index}.log")), lines)?;
+    }
+    let mut calls: Vec<&RecordedCall> = record.calls.iter().collect();
+    calls.sort_by_key(|call| call.result.sent);
+    let first = calls.first().map(|call| call.result.sent);
+    let lines = calls.iter().map(|call| {
+        let sent = first.map(|first| call.result.sent.saturating_duration_since(first));
+        format!(
+            "{:.3} daemon {} {} {}: {:?} after {:.3?}\n",
+            sent.unwrap_or_default().as_secs_f64(),
+            call.daemon,
+            call.request.id,
+            call.request_line,
+            call.result.status,
+            call.result.took
+        )
+    });
+    std::fs::write(folder.join("calls.log"), lines.collect::<String>())
+}
+
 fn print_violation(violation: &GuaranteeViolation) {
     let request = violation.request.as_deref().unwrap_or("-");
     println!(
@@ -110,6 +146,7 @@
         seconds: 30,
         daemons: 3,
         site: 0,
+        logs: None,
     };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -118,6 +155,7 @@
             Long("seconds") => options.seconds = parser.value()?.parse()?,
             Long("daemons") => options.daemons = parser.value()?.parse()?,
             Long("site") => options.site = parser.value()?.parse()?,
+            Long("logs") => options.logs = Some(parser.value()?.into()),
             other => return Err(other.unexpected()),
         }
     }
