relay: doubt the links when all targets of a service have failed

Callers of a host that was cut off were refused for the whole cut if its open connections to other targets lived on and only one service failed. Cause: the daemon checked its links from four failed targets on; a service of three whose targets all fail stayed below that, and nothing else failed. Change: all targets of a service that have failed are reason enough to check two others, of which a check costs two probes; what follows is as before.

--- a/core/src/relay/reach.rs
+++ b/core/src/relay/reach.rs
@@ -155,8 +155,7 @@
             return false;
         };
         let may_wait = now < state.deadline && state.is_movable();
-        let is_in_doubt = self.reach.is_in_doubt(self.suspicion.lost_targets());
-        if !may_wait || !is_in_doubt || self.reach.is_cut_off() {
+        if !may_wait || self.reach.is_cut_off() || !self.are_links_in_doubt() {
             return false;
         }
         if self.reach.checked.is_empty() {
@@ -190,13 +189,13 @@
     /// Decides whether the daemon is cut off if its links are in doubt. Probes targets that have not
     /// failed before: many that are known to have failed can fail once more at the same time.
     pub(super) fn check_doubtful_reach(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
-        let needed = self.usable_targets().take(CUT_OFF_FAILURES).count();
-        let have_all_failed = needed > 0 && self.reach.failed.len() >= needed;
-        if !have_all_failed && !self.reach.is_in_doubt(self.suspicion.lost_targets()) {
+        if !self.are_links_in_doubt() {
             return;
         }
         let is_checked =
             self.reach.failed_checks >= CHECKED_TARGETS || self.targets_to_check().is_empty();
+        let usable = self.targets.iter().filter(|target| self.is_usable(target));
+        let needed = usable.take(CUT_OFF_FAILURES).count();
         if is_checked && self.reach.failed.len() >= needed {
             self.begin_cut_off(now, actions);
         } else if self.reach.may_check(now) {
@@ -204,11 +203,31 @@
         }
     }
 
-    /// Returns the targets that requests may be sent to when they are reached.
-    fn usable_targets(&self) -> impl Iterator<Item = &RelayTarget> {
-        self.targets.iter().filter(|target| {
-            !self.is_evacuated(target) && !matches!(target.listing, ListingState::Replaced)
-        })
+    /// Returns whether many targets failed together, or all of a service: open connections to the
+    /// others may outlive the path on which they were opened.
+    fn are_links_in_doubt(&self) -> bool {
+        self.reach.is_in_doubt(self.suspicion.lost_targets())
+            || self.reach.failed.iter().any(|target| {
+                let target = self.targets.get(*target);
+                target.is_some_and(|target| self.have_all_failed(&target.record.service))
+            })
+    }
+
+    /// Returns whether all targets of a service have failed since a connection was last opened.
+    fn have_all_failed(&self, service: &str) -> bool {
+        let Some(service) = self.services.get(service) else {
+            return false;
+        };
+        let targets = service.targets.iter();
+        let known = targets.filter_map(|key| self.targets.get(*key));
+        let mut usable = known.filter(|target| self.is_usable(target)).peekable();
+        usable.peek().is_some()
+            && usable.all(|target| self.reach.failed.binary_search(&target.key).is_ok())
+    }
+
+    /// Returns whether requests may be sent to a target when it is reached.
+    fn is_usable(&self, target: &RelayTarget) -> bool {
+        !self.is_evacuated(target) && !matches!(target.listing, ListingState::Replaced)
     }
 
     fn begin_check(&mut self, now: Instant, actions: &mut Vec<RelayAction>) {
--- a/core/tests/relay/cut_off.rs
+++ b/core/tests/relay/cut_off.rs
@@ -209,6 +209,62 @@
     host_with_three_targets_is_cut_off: host_with_few_targets_is_cut_off(3);
 }
 
+/// Sends requests for a while. Targets of other services answer over connections that were open
+/// before, those of `orders` can't be connected to, and probes of targets end as `probe` says.
+fn run_without_orders(harness: &mut RelayHarness, probe: impl Fn(&str) -> ProbeOutcome) {
+    let until = harness.now + NOTICE_TIME;
+    while harness.now < until && !is_cut_off(harness) {
+        harness.submit("to-orders", TIMEOUT);
+        harness.submit("to-parts", TIMEOUT);
+        harness.advance(ms(50));
+        for (_, order) in std::mem::take(&mut harness.sends) {
+            let outcome = if order.name.starts_with("orders") {
+                TargetOutcome::NotSent
+            } else {
+                success(b"")
+            };
+            harness.end(order.attempt, outcome);
+        }
+        for order in std::mem::take(&mut harness.probes) {
+            let service = SERVICES[(order.target as usize - 1) / 3];
+            harness.feed(RelayEvent::Probed {
+                target: order.target,
+                outcome: probe(service),
+            });
+        }
+    }
+}
+
+/// Guards against a daemon that takes a service for down, since its open connections to the others
+/// have outlived the path on which they were opened.
+#[test]
+fn host_with_open_connections_is_cut_off() {
+    let mut harness = harness();
+    run_without_orders(&mut harness, |_| ProbeOutcome::NoResponse);
+    assert!(is_cut_off(&harness));
+    let request = harness.submit("to-orders", TIMEOUT);
+    let mut forwards = harness.forwards.iter();
+    assert!(forwards.any(|order| order.request == request));
+}
+
+/// Guards against requests that are forwarded, and targets that are probed for each of them, since a
+/// service is down for all.
+#[test]
+fn service_that_is_down_is_no_cut() {
+    let checks = std::cell::Cell::new(0);
+    let mut harness = harness();
+    run_without_orders(&mut harness, |service| {
+        if service == "orders" {
+            return ProbeOutcome::NoResponse;
+        }
+        checks.set(checks.get() + 1);
+        ProbeOutcome::Reached
+    });
+    assert!(!is_cut_off(&harness));
+    assert_eq!(harness.forwards.len(), 0);
+    assert!(checks.get() <= 6, "{} probes in two seconds", checks.get());
+}
+
 /// Guards against a daemon that goes on forwarding after the cut has ended.
 #[test]
 fn requests_go_to_targets_again_after_the_cut() {
