tests: a search that is to be cancelled outlasts its cancellation

Trace: the answer is that of a search which ended by itself after its 1 s, before the cancellation had arrived. Change: the search takes 30 s. The check is the same.

--- a/standins/tests/standins.rs
+++ b/standins/tests/standins.rs
@@ -146,7 +146,12 @@
 }
 
 fn leaf_cancels() {
-    let leaf = LeafStandin::start(slow_leaf()).expect("the leaf starts");
+    let options = LeafOptions {
+        // Longer than the cancellation takes on a busy machine.
+        service_time: Duration::from_secs(30),
+        ..slow_leaf()
+    };
+    let leaf = LeafStandin::start(options).expect("the leaf starts");
     run(async {
         let client = client();
         let address = leaf.address();
