--- a/core/src/relay/event.rs
+++ b/core/src/relay/event.rs
@@ -81,7 +81,8 @@
     DaemonCountChanged(u32),
     /// The process is about to end; each request is answered or refused now.
     Ending,
-    /// The list of targets is readable again after an outage.
+    /// The list of targets and evacuations is readable again after an outage, or was restored from an
+    /// older copy.
     ListRegained,
     /// The tunable options changed.
     TuningChanged(super::RelayTuning),
